Lay the skeleton: core, net, view, document types, scripts

Build, format, lint and unit tests run from one script; the interfaces between the packages and the protocols between the processes are fixed first, so that the parts can be built side by side.

--- /dev/null
+++ b/src/medlarmoor/config/in_force.hpp
@@ -0,0 +1,20 @@
+#ifndef MEDLARMOOR_CONFIG_IN_FORCE_HPP
+#define MEDLARMOOR_CONFIG_IN_FORCE_HPP
+
+#include <medlarmoor/config/environment.hpp>
+
+#include <memory>
+
+namespace medlarmoor::config {
+
+/// The document that an entry acts on, with its version. Immutable and shared
+/// between threads; an entry only ever moves to a higher version.
+struct InForce {
+  ConfigVersion Version_;
+  Environment Environment_;
+};
+using InForcePtr = std::shared_ptr<const InForce>;
+
+} // namespace medlarmoor::config
+
+#endif // MEDLARMOOR_CONFIG_IN_FORCE_HPP
--- /dev/null
+++ b/src/medlarmoor/telemetry/event_log.hpp
@@ -0,0 +1,36 @@
+#ifndef MEDLARMOOR_TELEMETRY_EVENT_LOG_HPP
+#define MEDLARMOOR_TELEMETRY_EVENT_LOG_HPP
+
+#include <medlarmoor/telemetry/field.hpp>
+
+#include <initializer_list>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace medlarmoor::telemetry {
+
+/// Writes one line of key=value pairs for each event to standard error. Safe
+/// to use from all threads.
+class EventLog {
+public:
+  /// Component is written with each event. Level is one of ERROR, WARN, INFO
+  /// and DEBUG; events below it are dropped.
+  explicit EventLog(std::string Component, std::string_view Level = "INFO");
+  ~EventLog();
+  EventLog(const EventLog &) = delete;
+  EventLog &operator=(const EventLog &) = delete;
+
+  void error(std::string_view Event, std::initializer_list<Field> Fields = {});
+  void warn(std::string_view Event, std::initializer_list<Field> Fields = {});
+  void info(std::string_view Event, std::initializer_list<Field> Fields = {});
+  void debug(std::string_view Event, std::initializer_list<Field> Fields = {});
+
+private:
+  struct Impl;
+  std::unique_ptr<Impl> Impl_;
+};
+
+} // namespace medlarmoor::telemetry
+
+#endif // MEDLARMOOR_TELEMETRY_EVENT_LOG_HPP
--- /dev/null
+++ b/src/medlarmoor/telemetry/fwd.hpp
@@ -0,0 +1,14 @@
+#ifndef MEDLARMOOR_TELEMETRY_FWD_HPP
+#define MEDLARMOOR_TELEMETRY_FWD_HPP
+
+namespace medlarmoor::telemetry {
+
+class Counter;
+class EventLog;
+class Gauge;
+class Registry;
+struct Field;
+
+} // namespace medlarmoor::telemetry
+
+#endif // MEDLARMOOR_TELEMETRY_FWD_HPP
--- /dev/null
+++ b/src/medlarmoor/wire/config_notice.hpp
@@ -0,0 +1,18 @@
+#ifndef MEDLARMOOR_WIRE_CONFIG_NOTICE_HPP
+#define MEDLARMOOR_WIRE_CONFIG_NOTICE_HPP
+
+#include <medlarmoor/core/ids.hpp>
+
+namespace medlarmoor::wire {
+
+/// Tells at once, ahead of the next heartbeat, that the sender has adopted a
+/// version; the receiver pulls it when its own is lower.
+struct ConfigNotice {
+  ConfigVersion Version_;
+
+  friend bool operator==(const ConfigNotice &, const ConfigNotice &) = default;
+};
+
+} // namespace medlarmoor::wire
+
+#endif // MEDLARMOOR_WIRE_CONFIG_NOTICE_HPP
--- /dev/null
+++ b/test/main.cpp
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
