--- a/src/medlarmoor/config/ports.hpp
+++ b/src/medlarmoor/config/ports.hpp
@@ -17,6 +17,8 @@
   std::uint16_t Requests_ = 7180;
   /// TCP: signed HTTP between entries.
   std::uint16_t Internal_ = 7181;
+  /// TCP: the configuration in force, for other entries (HTTP).
+  std::uint16_t Config_ = 7183;
   /// TCP: metrics, health, status and explain (HTTP).
   std::uint16_t Admin_ = 7182;
 };
