--- /dev/null
+++ b/src/medlarmoor/flow/director.cpp
@@ -0,0 +1,326 @@
+#include <medlarmoor/core/overloaded.hpp>
+#include <medlarmoor/flow/director.hpp>
+#include <medlarmoor/wire/message.hpp>
+
+namespace medlarmoor::flow {
+
+namespace {
+
+using membership::Member;
+using upstream::LifecycleEvent;
+using upstream::LifecyclePhase;
+
+/// A first packet that comes again within this time of the flow's last packet
+/// is a repetition; later it opens a new flow on the same ports.
+constexpr Stamp RepetitionSeconds = 3;
+/// A repeated first packet leaves an upstream that drains for this long.
+constexpr Nanos DrainSettles = Seconds(1);
+/// Flows without an answer, and for how long, that make an upstream silent.
+constexpr std::uint32_t SilentFlows = 4;
+constexpr Nanos SilentAfter = Seconds(2);
+/// Established flows after which an upstream is warm.
+constexpr std::uint32_t WarmSuccesses = 32;
+
+Stamp stampOf(TimePoint When) {
+  return static_cast<Stamp>(
+      std::chrono::duration_cast<Seconds>(When.time_since_epoch()).count());
+}
+
+/// Others may take over once they miss this entry's heartbeats for the lease;
+/// the last heartbeat may be one period old when a pause begins, and the next
+/// is due one period after.
+Nanos longestPause(const config::MembershipSettings &Timing) {
+  return std::max(Timing.Lease_ - 2 * Timing.Heartbeat_, Timing.Heartbeat_);
+}
+
+} // namespace
+
+Director::Director(const config::Settings &Told, Clock Time, Random Draw)
+    : Clock_(std::move(Time)), Draw_(Draw), Idle_(Told.Flow_.Idle_),
+      LongestPause_(longestPause(Told.Membership_)),
+      Book_(Told.Domain_, Told.Flow_.Flows_),
+      Homes_(Told.Name_, Told.Membership_.Lease_),
+      Replicator_(Book_, Homes_, Draw_, Told.Flow_.ReplicationBytes_),
+      Now_(Clock_.now()), Stamp_(stampOf(Now_)) {}
+
+void Director::begin() {
+  const TimePoint Before = Now_;
+  Now_ = Clock_.now();
+  Stamp_ = stampOf(Now_);
+  if (Now_ - Before <= LongestPause_ || Homes_.leaving())
+    return;
+  Homes_.suspend();
+  forgetAll();
+}
+
+Decision Director::decide(std::span<const std::byte> Inner) {
+  const std::variant<Packet, DropReason> Parsed = parsePacket(Inner);
+  if (const DropReason *Reason = std::get_if<DropReason>(&Parsed))
+    return Drop{*Reason};
+  return decideParsed(*std::get_if<Packet>(&Parsed), {});
+}
+
+Decision Director::decide(std::span<const std::byte> Inner,
+                          const PeerHeader &Header, Ipv4 From) {
+  const std::variant<Packet, DropReason> Parsed = parsePacket(Inner);
+  if (const DropReason *Reason = std::get_if<DropReason>(&Parsed))
+    return Drop{*Reason};
+  Arrival Via{Header, nullptr};
+  for (const Member &Each : Homes_.view().members())
+    if (Each.Address_ == From)
+      Via.Sender_ = &Each;
+  return decideParsed(*std::get_if<Packet>(&Parsed), Via);
+}
+
+Decision Director::decideParsed(const Packet &Seen, const Arrival &Via) {
+  if (Book_.services().empty())
+    return Drop{DropReason::NoConfiguration};
+  const std::optional<ServiceIndex> Service =
+      Book_.services().find(Seen.Destination_);
+  if (!Service)
+    return Drop{DropReason::UnknownAddress};
+  const FlowId Id{*Service, hashFlow(Seen.Source_, Seen.Destination_)};
+  FlowRecord *Record = Book_.table().find(Id);
+  const bool Own = Record != nullptr && !Record->has(FlowRecord::Copy);
+  if (Own && (!Seen.first() || ownsFirst(Id, *Record)))
+    return onRecord(*Record, Seen);
+  return route(Id, Own ? nullptr : Record, Seen, Via);
+}
+
+/// A first packet is this entry's to judge when it is the flow's home, or when
+/// it repeats one that this entry has forwarded just now.
+bool Director::ownsFirst(FlowId Id, const FlowRecord &Record) {
+  const bool Recent =
+      secondsBetween(Record.Seen_, Stamp_) <= RepetitionSeconds &&
+      !Record.has(FlowRecord::Closing);
+  return Recent || Homes_.isSelf(Homes_.home(Id, Book_.serviceOf(Id).seed()));
+}
+
+Decision Director::onRecord(FlowRecord &Record, const Packet &Seen) {
+  if (Seen.first())
+    return onRepeatedFirst(Record, Seen);
+  if (!Record.has(FlowRecord::Progressed) && !Seen.Rst_)
+    progress(Record);
+  Record.Seen_ = Stamp_;
+  const Decision Out = forward(Record);
+  if (Seen.Fin_)
+    Book_.close(Record);
+  if (!Seen.Rst_)
+    return Out;
+  if (Record.has(FlowRecord::Copied))
+    Replicator_.ended(Record);
+  Book_.erase(&Record);
+  return Out;
+}
+
+Decision Director::onRepeatedFirst(FlowRecord &Record, const Packet &Seen) {
+  const UpstreamState &Of = Book_.upstreamOf(Record);
+  const bool Recent = secondsBetween(Record.Seen_, Stamp_) <= RepetitionSeconds;
+  const bool Established = Record.has(FlowRecord::Progressed);
+  const bool Closed = Record.has(FlowRecord::Closing);
+  const bool Drained = Of.Life_.phase() != LifecyclePhase::Silent &&
+                       !Of.Life_.takesNew() &&
+                       Now_ - Of.DrainedAt_ > DrainSettles;
+  if (!Established)
+    stalled(Record);
+  const bool Silent = Of.Life_.phase() == LifecyclePhase::Silent;
+  const bool Stays =
+      !Of.Foreign_ && !Closed &&
+      (Established ? Recent || Of.Life_.takesNew() : !Drained && !Silent);
+  if (Stays) {
+    Record.Seen_ = Stamp_;
+    return forward(Record);
+  }
+  const bool WasCopied = Record.has(FlowRecord::Copied);
+  const FlowId Id = Record.id();
+  Book_.erase(&Record);
+  Decision Out = openFlow(Id, Seen);
+  FlowRecord *Fresh = Book_.table().find(Id);
+  if (WasCopied && Fresh != nullptr) {
+    Fresh->set(FlowRecord::Pinned);
+    Replicator_.queue(*Fresh);
+  }
+  return Out;
+}
+
+Decision Director::route(FlowId Id, FlowRecord *Copy, const Packet &Seen,
+                         const Arrival &Via) {
+  const std::uint64_t Seed = Book_.serviceOf(Id).seed();
+  const PeerIntent Intent = Via.Header_.Intent_;
+  const bool Passable = Via.Header_.Hops_ < MaxHops;
+  const bool Active = Homes_.active(Now_);
+  if (Active && Via.Sender_ != nullptr && Intent == PeerIntent::Yours)
+    return decideHere(Id, Copy, Seen);
+  const bool Asked = Intent == PeerIntent::ToPrevious && Via.Sender_ != nullptr;
+  const Member *Home = Asked ? Homes_.homeWithout(Id, Seed, Via.Sender_->Name_)
+                             : Homes_.home(Id, Seed);
+  if (Home == nullptr && Asked && Passable)
+    return passOn(*Via.Sender_, Via, PeerIntent::Yours);
+  if (Home == nullptr || (!Active && Homes_.isSelf(Home)))
+    return Drop{DropReason::NoHome};
+  if (!Homes_.isSelf(Home)) {
+    if (!Passable)
+      return Active ? decideHere(Id, Copy, Seen)
+                    : Decision(Drop{DropReason::TooManyHops});
+    const bool GivenAway = Active && Copy == nullptr && wasMine(Id, *Home);
+    return passOn(*Home, Via,
+                  GivenAway ? PeerIntent::Yours : PeerIntent::ToHome);
+  }
+  const Member *Previous =
+      Copy != nullptr ? nullptr : Homes_.previous(Id, Seed, Seen.first());
+  if (Previous != nullptr && Passable && !Asked)
+    return passOn(*Previous, Via, PeerIntent::ToPrevious);
+  return decideHere(Id, Copy, Seen);
+}
+
+/// True when this entry would be the flow's home if Home were not there: what
+/// it does not know, nobody before Home knows.
+bool Director::wasMine(FlowId Id, const Member &Home) {
+  const std::uint64_t Seed = Book_.serviceOf(Id).seed();
+  if (Homes_.leaving())
+    return Homes_.isSelf(Homes_.rawHome(Id, Seed));
+  return Homes_.isSelf(Homes_.homeWithout(Id, Seed, Home.Name_));
+}
+
+Decision Director::passOn(const Member &To, const Arrival &Via,
+                          PeerIntent Intent) const {
+  const auto Hops = static_cast<std::uint8_t>(Via.Header_.Hops_ + 1);
+  return ToEntry{To.Address_, {Hops, Intent}};
+}
+
+Decision Director::decideHere(FlowId Id, FlowRecord *Copy, const Packet &Seen) {
+  if (Copy == nullptr)
+    return Seen.first() ? openFlow(Id, Seen) : continueFlow(Id, Seen);
+  if (Seen.first() && !Book_.upstreamOf(*Copy).Life_.takesNew()) {
+    Book_.erase(Copy);
+    return openFlow(Id, Seen);
+  }
+  Book_.promote(*Copy);
+  recorded(*Copy);
+  return onRecord(*Copy, Seen);
+}
+
+Decision Director::openFlow(FlowId Id, const Packet &Seen) {
+  const std::variant<Choice, RefuseReason> Chosen =
+      choose(Book_.serviceOf(Id), Id.Hash_, homeShare(), Now_);
+  if (const RefuseReason *Reason = std::get_if<RefuseReason>(&Chosen))
+    return Refuse{*Reason, Seen};
+  const Choice &Taken = *std::get_if<Choice>(&Chosen);
+  FlowRecord *Record = Book_.open(Id, Taken.Upstream_, Taken.Rule_);
+  if (Record == nullptr)
+    return Refuse{RefuseReason::TableFull, Seen};
+  recorded(*Record);
+  return forward(*Record);
+}
+
+Decision Director::continueFlow(FlowId Id, const Packet &Seen) {
+  ServiceState &Service = Book_.serviceOf(Id);
+  const std::optional<UpstreamIndex> Upstream =
+      Service.establishedDefaultOf(Id.Hash_);
+  if (!Upstream)
+    return Drop{DropReason::NoUpstream};
+  if (!Seen.Rst_ && !Seen.Fin_) {
+    FlowRecord *Record = Book_.open(Id, *Upstream, Rule::EstablishedDefault);
+    if (Record != nullptr) {
+      Record->set(FlowRecord::Progressed);
+      recorded(*Record);
+    }
+  }
+  return ToUpstream{Service.upstreams()[*Upstream].Config_.Packets_};
+}
+
+Decision Director::forward(const FlowRecord &Record) {
+  const UpstreamState &To = Book_.upstreamOf(Record);
+  if (To.Foreign_)
+    return Drop{DropReason::UpstreamGone};
+  return ToUpstream{To.Config_.Packets_};
+}
+
+/// Notes when and under which view a record was made, and whom to tell.
+void Director::recorded(FlowRecord &Record) {
+  Record.Seen_ = Stamp_;
+  Record.View_ = ViewTag_;
+  if (!Book_.exceptional(Record))
+    return;
+  const FlowId Id = Record.id();
+  if (Homes_.isSelf(Homes_.home(Id, Book_.serviceOf(Id).seed())))
+    Replicator_.queue(Record);
+  else
+    Replicator_.tellHome(Record);
+}
+
+void Director::progress(FlowRecord &Record) {
+  Record.set(FlowRecord::Progressed);
+  UpstreamState &Of = Book_.upstreamOf(Record);
+  Of.Stalled_ = 0;
+  if (Of.Life_.phase() == LifecyclePhase::Ready)
+    return;
+  if (Of.Life_.phase() == LifecyclePhase::Silent)
+    Of.Successes_ = 0;
+  Of.Life_.apply(LifecycleEvent::Answered);
+  if (++Of.Successes_ >= WarmSuccesses)
+    Of.Life_.apply(LifecycleEvent::Warmed);
+}
+
+void Director::stalled(FlowRecord &Record) {
+  UpstreamState &Of = Book_.upstreamOf(Record);
+  if (Record.has(FlowRecord::Repeated))
+    return;
+  Record.set(FlowRecord::Repeated);
+  if (Of.Stalled_++ == 0)
+    Of.StalledSince_ = Now_;
+  if (Of.Stalled_ >= SilentFlows && Now_ - Of.StalledSince_ >= SilentAfter)
+    Of.Life_.apply(LifecycleEvent::FellSilent);
+}
+
+HomeShare Director::homeShare() const {
+  const auto Turn =
+      std::chrono::duration_cast<Seconds>(Clock_.wallNow().time_since_epoch());
+  return {std::max<std::size_t>(Homes_.liveCount(), 1), Homes_.livePlace(),
+          static_cast<std::uint64_t>(Turn.count())};
+}
+
+void Director::adopt(const config::InForce &Document) {
+  if (!Book_.services().adopt(Document, Now_))
+    return;
+  Replicator_.adoptConfiguration();
+  sweepFast();
+}
+
+void Director::adopt(const membership::View &Members) {
+  const bool Anew = Homes_.suspended();
+  Homes_.adopt(Members, Now_);
+  ViewTag_ = static_cast<std::uint16_t>(Members.id().value());
+  if (Homes_.suspended() && !Anew)
+    forgetAll();
+  Replicator_.adoptView(false);
+  sweepFast();
+}
+
+void Director::receive(const wire::Incoming &Message) {
+  const auto *Packed = std::get_if<wire::FlowUpdate>(&Message.Message_);
+  if (Packed == nullptr)
+    return;
+  if (const std::optional<Update> Told = Update::decode(Packed->Bytes_))
+    Replicator_.receive(Message.From_, *Told, Now_);
+}
+
+std::vector<wire::Outgoing> Director::takeOutgoing() {
+  return Replicator_.takeOutgoing();
+}
+
+void Director::leave() {
+  if (Homes_.leaving())
+    return;
+  Homes_.leave();
+  Replicator_.leave();
+}
+
+bool Director::handedOver() const noexcept { return Replicator_.handedOver(); }
+
+void Director::forgetAll() {
+  Book_.clear();
+  Replicator_.adoptView(true);
+}
+
+} // namespace medlarmoor::flow
--- /dev/null
+++ b/src/medlarmoor/flow/director.hpp
@@ -0,0 +1,120 @@
+#ifndef MEDLARMOOR_FLOW_DIRECTOR_HPP
+#define MEDLARMOOR_FLOW_DIRECTOR_HPP
+
+#include <medlarmoor/config/in_force.hpp>
+#include <medlarmoor/config/settings.hpp>
+#include <medlarmoor/core/clock.hpp>
+#include <medlarmoor/core/random.hpp>
+#include <medlarmoor/flow/chooser.hpp>
+#include <medlarmoor/flow/decision.hpp>
+#include <medlarmoor/flow/flow_book.hpp>
+#include <medlarmoor/flow/homes.hpp>
+#include <medlarmoor/flow/replicator.hpp>
+#include <medlarmoor/wire/incoming.hpp>
+
+#include <optional>
+#include <span>
+#include <string>
+
+namespace medlarmoor::flow {
+
+/// Decides for each packet where it goes. Takes packets, views,
+/// configurations, messages of other entries and the passing of time; gives
+/// decisions and messages. Does no I/O.
+class Director {
+public:
+  /// How often tick() is to be called.
+  static constexpr Nanos TickPeriod = Millis(100);
+
+  Director(const config::Settings &Told, Clock Time, Random Draw);
+  Director(const Director &) = delete;
+  Director &operator=(const Director &) = delete;
+
+  /// Reads the clock; call it before each batch of packets. After a pause
+  /// longer than the lease allows, this entry is nobody's home until the next
+  /// view.
+  void begin();
+  /// True between a pause and the next view.
+  [[nodiscard]] bool suspended() const noexcept { return Homes_.suspended(); }
+  /// Decides for a packet that the fabric brought. Inner is the IPv4 packet.
+  [[nodiscard]] Decision decide(std::span<const std::byte> Inner);
+  /// Decides for a packet that the entry at From passed on.
+  [[nodiscard]] Decision decide(std::span<const std::byte> Inner,
+                                const PeerHeader &Header, Ipv4 From);
+
+  void adopt(const config::InForce &Document);
+  void adopt(const membership::View &Members);
+  void receive(const wire::Incoming &Message);
+  /// Expires, replicates, claims.
+  void tick();
+  /// Messages to send, in order.
+  [[nodiscard]] std::vector<wire::Outgoing> takeOutgoing();
+
+  /// Begins the planned hand-over.
+  void leave();
+  /// The others have acknowledged all that was handed over.
+  [[nodiscard]] bool handedOver() const noexcept;
+
+  /// Which rule chose the upstream of the flow "address:port-address:port",
+  /// under which view and version, as JSON text.
+  [[nodiscard]] std::string explain(std::string_view Flow);
+
+  [[nodiscard]] FlowBook &book() noexcept { return Book_; }
+  [[nodiscard]] Homes &homes() noexcept { return Homes_; }
+  [[nodiscard]] const Replicator &replicator() const noexcept {
+    return Replicator_;
+  }
+
+private:
+  /// How a packet came to this entry.
+  struct Arrival {
+    PeerHeader Header_;
+    /// The entry that passed it on; null for the fabric and for an entry that
+    /// is not in the view.
+    const membership::Member *Sender_ = nullptr;
+  };
+
+  [[nodiscard]] Decision decideParsed(const Packet &Seen, const Arrival &Via);
+  [[nodiscard]] Decision onRecord(FlowRecord &Record, const Packet &Seen);
+  [[nodiscard]] Decision onRepeatedFirst(FlowRecord &Record,
+                                         const Packet &Seen);
+  [[nodiscard]] Decision route(FlowId Id, FlowRecord *Copy, const Packet &Seen,
+                               const Arrival &Via);
+  [[nodiscard]] Decision decideHere(FlowId Id, FlowRecord *Copy,
+                                    const Packet &Seen);
+  [[nodiscard]] Decision openFlow(FlowId Id, const Packet &Seen);
+  [[nodiscard]] Decision continueFlow(FlowId Id, const Packet &Seen);
+  [[nodiscard]] Decision passOn(const membership::Member &To,
+                                const Arrival &Via, PeerIntent Intent) const;
+  [[nodiscard]] bool wasMine(FlowId Id, const membership::Member &Home);
+  [[nodiscard]] bool ownsFirst(FlowId Id, const FlowRecord &Record);
+  [[nodiscard]] Decision forward(const FlowRecord &Record);
+  void recorded(FlowRecord &Record);
+  void progress(FlowRecord &Record);
+  void stalled(FlowRecord &Record);
+  [[nodiscard]] HomeShare homeShare() const;
+
+  void sweep();
+  [[nodiscard]] bool sweepRecord(FlowRecord &Record);
+  [[nodiscard]] bool expired(const FlowRecord &Record) const noexcept;
+  void auditOwn(FlowRecord &Record, const membership::Member *Next);
+  void sweepFast() noexcept { FastUntil_ = Now_ + Seconds(1); }
+  void forgetAll();
+
+  Clock Clock_;
+  Random Draw_;
+  Nanos Idle_;
+  Nanos LongestPause_;
+  FlowBook Book_;
+  Homes Homes_;
+  Replicator Replicator_;
+  TimePoint Now_;
+  Stamp Stamp_ = 0;
+  std::uint16_t ViewTag_ = 0;
+  TimePoint FastUntil_;
+  TimePoint RetiredAt_;
+};
+
+} // namespace medlarmoor::flow
+
+#endif // MEDLARMOOR_FLOW_DIRECTOR_HPP
--- /dev/null
+++ b/src/medlarmoor/flow/director_explain.cpp
@@ -0,0 +1,67 @@
+#include <medlarmoor/flow/director.hpp>
+
+#include <nlohmann/json.hpp>
+
+namespace medlarmoor::flow {
+
+namespace {
+
+using Json = nlohmann::ordered_json;
+
+std::string failure(const std::string &Why) {
+  return Json{{"error", Why}}.dump();
+}
+
+/// The two ends that "address:port-address:port" names.
+std::optional<std::pair<Endpoint, Endpoint>> parseFlow(std::string_view Text) {
+  const std::size_t Dash = Text.find('-');
+  if (Dash == std::string_view::npos)
+    return std::nullopt;
+  const std::optional<Endpoint> Source = Endpoint::parse(Text.substr(0, Dash));
+  const std::optional<Endpoint> Destination =
+      Endpoint::parse(Text.substr(Dash + 1));
+  if (!Source || !Destination)
+    return std::nullopt;
+  return std::pair(*Source, *Destination);
+}
+
+Json describeRecord(const FlowRecord &Record, const UpstreamState &Upstream) {
+  return {{"upstream", Upstream.Config_.Name_.value()},
+          {"phase", name(Upstream.Life_.phase())},
+          {"rule", name(Record.Rule_)},
+          {"copy", Record.has(FlowRecord::Copy)},
+          {"replicated", Record.has(FlowRecord::Copied)},
+          {"closing", Record.has(FlowRecord::Closing)},
+          {"chosenUnderConfig", Record.Version_},
+          {"chosenUnderViewLow16", Record.View_}};
+}
+
+} // namespace
+
+std::string Director::explain(std::string_view Flow) {
+  const auto Ends = parseFlow(Flow);
+  if (!Ends)
+    return failure("expected address:port-address:port");
+  const std::optional<ServiceIndex> Index = Book_.services().find(Ends->second);
+  if (!Index)
+    return failure(name(DropReason::UnknownAddress));
+  ServiceState &Service = Book_.services().at(*Index);
+  const FlowId Id{*Index, hashFlow(Ends->first, Ends->second)};
+  const membership::Member *Home = Homes_.home(Id, Service.seed());
+  Json Out{{"flow", std::string(Flow)},
+           {"service", Service.name().value()},
+           {"entry", Homes_.view().self().value()},
+           {"home", Home == nullptr ? "" : Home->Name_.value()},
+           {"view", Homes_.view().id().value()},
+           {"config", Book_.services().version().value()},
+           {"tables", Service.generations().size()}};
+  if (const auto Default = Service.defaultOf(Id.Hash_))
+    Out["default"] = Service.upstreams()[*Default].Config_.Name_.value();
+  if (const FlowRecord *Record = Book_.table().find(Id))
+    Out["record"] = describeRecord(*Record, Book_.upstreamOf(*Record));
+  else
+    Out["record"] = nullptr;
+  return Out.dump();
+}
+
+} // namespace medlarmoor::flow
--- /dev/null
+++ b/src/medlarmoor/flow/flow_id.hpp
@@ -0,0 +1,50 @@
+#ifndef MEDLARMOOR_FLOW_FLOW_ID_HPP
+#define MEDLARMOOR_FLOW_FLOW_ID_HPP
+
+#include <medlarmoor/core/endpoint.hpp>
+#include <medlarmoor/core/hash.hpp>
+
+#include <cstdint>
+
+namespace medlarmoor::flow {
+
+/// Place of a service in the entry's own list of services. Two entries may
+/// number the same service differently; messages carry hashes of the names.
+using ServiceIndex = std::uint16_t;
+/// Place of an upstream in its service's own list.
+using UpstreamIndex = std::uint16_t;
+
+/// Bits of a flow's hash. Entries name flows to each other by it.
+inline constexpr unsigned FlowHashBits = 40;
+inline constexpr std::uint64_t FlowHashMask = (1ULL << FlowHashBits) - 1;
+
+/// Names one flow inside one entry.
+struct FlowId {
+  ServiceIndex Service_ = 0;
+  /// The flow's hash, FlowHashBits wide, equal on all entries.
+  std::uint64_t Hash_ = 0;
+
+  /// Service and hash in one number below 2^56.
+  [[nodiscard]] std::uint64_t key() const noexcept {
+    return (std::uint64_t{Service_} << FlowHashBits) | Hash_;
+  }
+  /// The flow that key() names.
+  [[nodiscard]] static FlowId ofKey(std::uint64_t Key) noexcept {
+    return {static_cast<ServiceIndex>(Key >> FlowHashBits), Key & FlowHashMask};
+  }
+
+  friend bool operator==(const FlowId &, const FlowId &) = default;
+};
+
+/// Hash of a flow's two ends, FlowHashBits wide.
+[[nodiscard]] inline std::uint64_t hashFlow(Endpoint Source,
+                                            Endpoint Destination) noexcept {
+  const auto Pack = [](Endpoint Each) {
+    return (std::uint64_t{Each.address().value()} << 16U) | Each.port();
+  };
+  return mix(Pack(Source), Pack(Destination)) >> (64U - FlowHashBits);
+}
+
+} // namespace medlarmoor::flow
+
+#endif // MEDLARMOOR_FLOW_FLOW_ID_HPP
--- /dev/null
+++ b/src/medlarmoor/flow/homes.cpp
@@ -0,0 +1,222 @@
+#include <medlarmoor/flow/homes.hpp>
+
+#include <algorithm>
+
+namespace medlarmoor::flow {
+
+namespace {
+
+using membership::Member;
+using membership::MemberState;
+using membership::View;
+
+/// A home before may still pass on a first packet that it took just before it
+/// granted; the record of it arrives within this time.
+constexpr Nanos LatePackets = Seconds(1);
+/// View changes whose homes before are awaited at once.
+constexpr std::size_t MostPriors = 2;
+
+/// The members of All with Name no longer live.
+View without(const View &All, const EntryName &Name) {
+  std::vector<Member> Members(All.members().begin(), All.members().end());
+  for (Member &Each : Members)
+    if (Each.Name_ == Name)
+      Each.State_ = MemberState::Leaving;
+  return {All.self(), std::move(Members)};
+}
+
+} // namespace
+
+Homes::Homes(EntryName Self, Nanos SoloWait)
+    : Self_(std::move(Self)), SoloWait_(SoloWait) {}
+
+void Homes::adopt(const View &Members, TimePoint Now) {
+  const View Before = Raw_.view();
+  const bool Resumes = Suspended_ || !FirstView_;
+  Raw_ = HomeMap(Members);
+  if (!FirstView_)
+    FirstView_ = Now;
+  const Member *Own = Members.find(Self_);
+  if (Own == nullptr) {
+    suspend();
+    return;
+  }
+  Suspended_ = false;
+  if (Resumes)
+    startJoining();
+  else
+    followChange(Before);
+  dropAbsent();
+  endPriors();
+  rebuild();
+}
+
+void Homes::suspend() {
+  Suspended_ = true;
+  Priors_.clear();
+  rebuild();
+}
+
+void Homes::leave() {
+  Leaving_ = true;
+  for (const Member &Each : Raw_.view().members())
+    Granted_.insert(Each.Name_);
+  rebuild();
+}
+
+void Homes::startJoining() {
+  Joining_ = true;
+  Granted_.clear();
+  GrantedBy_.clear();
+  Priors_.clear();
+  std::vector<Awaited> Others;
+  for (const Member &Each : Raw_.view().members()) {
+    if (Each.Name_ == Self_)
+      continue;
+    Granted_.insert(Each.Name_);
+    Others.push_back({Each.Name_, std::nullopt});
+  }
+  addPrior(without(Raw_.view(), Self_), std::move(Others));
+}
+
+void Homes::followChange(const View &Before) {
+  std::vector<Awaited> Stopping;
+  for (const Member &Each : Raw_.view().members()) {
+    const Member *Earlier = Before.find(Each.Name_);
+    const bool Stops = Earlier != nullptr &&
+                       Earlier->State_ == MemberState::Live &&
+                       Each.State_ == MemberState::Leaving;
+    if (Stops && Each.Name_ != Self_ && !Left_.contains(Each.Name_))
+      Stopping.push_back({Each.Name_, std::nullopt});
+  }
+  if (!Stopping.empty())
+    addPrior(Before, std::move(Stopping));
+}
+
+void Homes::dropAbsent() {
+  const View &Members = Raw_.view();
+  const auto Absent = [&](const EntryName &Name) {
+    return Members.find(Name) == nullptr;
+  };
+  std::erase_if(Granted_, Absent);
+  std::erase_if(GrantedBy_, Absent);
+  std::erase_if(Left_, Absent);
+  for (Prior &Each : Priors_) {
+    View Map = Each.Map_.view();
+    for (const Member &Old : Each.Map_.view().members())
+      if (Absent(Old.Name_))
+        Map = without(Map, Old.Name_);
+    Each.Map_ = HomeMap(Map);
+    std::erase_if(Each.Awaited_,
+                  [&](const Awaited &One) { return Absent(One.Name_); });
+  }
+}
+
+void Homes::addPrior(View Map, std::vector<Awaited> Of) {
+  Priors_.push_back({HomeMap(std::move(Map)), std::move(Of)});
+  if (Priors_.size() > MostPriors)
+    Priors_.erase(Priors_.begin());
+}
+
+void Homes::grant(const EntryName &Name) {
+  if (Granted_.insert(Name).second)
+    rebuild();
+}
+
+void Homes::granted(const EntryName &Name, ViewId Seen, bool FromJoining,
+                    TimePoint Now) {
+  if (Seen != Raw_.view().id())
+    return;
+  GrantedBy_.insert(Name);
+  for (Prior &Each : Priors_) {
+    if (FromJoining)
+      Each.Map_ = HomeMap(without(Each.Map_.view(), Name));
+    std::erase_if(Each.Awaited_, [&](const Awaited &One) {
+      return FromJoining && One.Name_ == Name;
+    });
+    for (Awaited &One : Each.Awaited_)
+      if (One.Name_ == Name && !One.GrantedAt_)
+        One.GrantedAt_ = Now;
+  }
+  endPriors();
+}
+
+void Homes::left(const EntryName &Name) {
+  Left_.insert(Name);
+  for (Prior &Each : Priors_)
+    std::erase_if(Each.Awaited_,
+                  [&](const Awaited &One) { return One.Name_ == Name; });
+  endPriors();
+  rebuild();
+}
+
+void Homes::tick(TimePoint Now) {
+  for (Prior &Each : Priors_)
+    std::erase_if(Each.Awaited_, [&](const Awaited &One) {
+      return One.GrantedAt_ && Now - *One.GrantedAt_ > LatePackets;
+    });
+  endPriors();
+}
+
+void Homes::endPriors() {
+  std::erase_if(Priors_,
+                [](const Prior &Each) { return Each.Awaited_.empty(); });
+  if (Priors_.empty())
+    Joining_ = false;
+}
+
+bool Homes::active(TimePoint Now) const noexcept {
+  if (!FirstView_ || Suspended_)
+    return false;
+  return LiveCount_ > 1 || Now - *FirstView_ >= SoloWait_;
+}
+
+const Member *Homes::previous(FlowId Flow, std::uint64_t ServiceSeed,
+                              bool FirstPacket) {
+  for (auto Each = Priors_.rbegin(); Each != Priors_.rend(); ++Each) {
+    const Member *Before = Each->Map_.home(Flow, ServiceSeed);
+    if (Before == nullptr)
+      continue;
+    if (Before->Name_ == Self_)
+      return nullptr;
+    for (const Awaited &One : Each->Awaited_)
+      if (One.Name_ == Before->Name_ && !(FirstPacket && One.GrantedAt_))
+        return Before;
+  }
+  return nullptr;
+}
+
+std::vector<EntryName> Homes::unclaimed() const {
+  std::vector<EntryName> Out;
+  if (Suspended_ || Leaving_)
+    return Out;
+  for (const Member &Each : Raw_.view().members())
+    if (Each.Name_ != Self_ && !GrantedBy_.contains(Each.Name_) &&
+        !Left_.contains(Each.Name_))
+      Out.push_back(Each.Name_);
+  return Out;
+}
+
+void Homes::rebuild() {
+  const View &Members = Raw_.view();
+  std::vector<Member> Out(Members.members().begin(), Members.members().end());
+  LiveCount_ = 0;
+  LivePlace_ = 0;
+  for (Member &Each : Out) {
+    if (Each.State_ != MemberState::Live)
+      continue;
+    const bool Own = Each.Name_ == Self_;
+    if (Each.Name_ < Self_)
+      ++LivePlace_;
+    ++LiveCount_;
+    const bool Excluded =
+        Own ? Suspended_ || Leaving_
+            : Left_.contains(Each.Name_) ||
+                  (!Suspended_ && !Granted_.contains(Each.Name_));
+    if (Excluded)
+      Each.State_ = MemberState::Leaving;
+  }
+  Effective_ = HomeMap(View(Self_, std::move(Out)));
+}
+
+} // namespace medlarmoor::flow
--- /dev/null
+++ b/src/medlarmoor/flow/service_book.cpp
@@ -0,0 +1,75 @@
+#include <medlarmoor/flow/service_book.hpp>
+
+#include <vector>
+
+namespace medlarmoor::flow {
+
+ServiceBook::ServiceBook(DomainName Domain) : Domain_(std::move(Domain)) {}
+
+bool ServiceBook::adopt(const config::InForce &Document, TimePoint Now) {
+  if (Version_ && Document.Version_ <= *Version_)
+    return false;
+  Version_ = Document.Version_;
+  ByAddress_.clear();
+  std::vector<bool> Present(Services_.size() +
+                            Document.Environment_.Services_.size());
+  for (const config::Service &Each : Document.Environment_.Services_) {
+    const ServiceIndex Index = place(Each.Name_);
+    Present[Index] = true;
+    Services_[Index].adopt(Each, Domain_, Document.Version_, Now);
+    for (const Endpoint &Address : Each.Addresses_)
+      ByAddress_[Address] = Index;
+  }
+  for (std::size_t I = 0; I < Services_.size(); ++I)
+    if (!Present[I])
+      Services_[I].remove();
+  markForeign(Document.Environment_);
+  return true;
+}
+
+void ServiceBook::retire(TimePoint Now, Nanos Kept) {
+  for (ServiceState &Each : Services_)
+    Each.retire(Now, Kept);
+}
+
+std::optional<ServiceIndex>
+ServiceBook::find(Endpoint Destination) const noexcept {
+  const auto At = ByAddress_.find(Destination);
+  if (At == ByAddress_.end())
+    return std::nullopt;
+  return At->second;
+}
+
+std::optional<ServiceIndex>
+ServiceBook::findWire(std::uint32_t WireId) const noexcept {
+  const auto At = ByWireId_.find(WireId);
+  if (At == ByWireId_.end())
+    return std::nullopt;
+  return At->second;
+}
+
+ServiceIndex ServiceBook::place(const ServiceName &Name) {
+  const ServiceState Fresh(Name);
+  if (const auto Known = findWire(Fresh.wireId());
+      Known && Services_[*Known].name() == Name)
+    return *Known;
+  const auto Index = static_cast<ServiceIndex>(Services_.size());
+  Services_.emplace_back(Name);
+  ByWireId_[Fresh.wireId()] = Index;
+  return Index;
+}
+
+void ServiceBook::markForeign(const config::Environment &Document) {
+  boost::unordered_flat_map<Endpoint, ServiceIndex, std::hash<Endpoint>> Owner;
+  for (const config::Service &Each : Document.Services_)
+    for (const config::Upstream &One : Each.Upstreams_)
+      Owner[One.Packets_] = place(Each.Name_);
+  for (std::size_t I = 0; I < Services_.size(); ++I) {
+    for (UpstreamState &Each : Services_[I].upstreams()) {
+      const auto At = Owner.find(Each.Config_.Packets_);
+      Each.Foreign_ = At != Owner.end() && At->second != I;
+    }
+  }
+}
+
+} // namespace medlarmoor::flow
--- /dev/null
+++ b/src/medlarmoor/flow/service_book.hpp
@@ -0,0 +1,54 @@
+#ifndef MEDLARMOOR_FLOW_SERVICE_BOOK_HPP
+#define MEDLARMOOR_FLOW_SERVICE_BOOK_HPP
+
+#include <medlarmoor/config/in_force.hpp>
+#include <medlarmoor/flow/service_state.hpp>
+
+#include <boost/unordered/unordered_flat_map.hpp>
+
+#include <deque>
+#include <optional>
+
+namespace medlarmoor::flow {
+
+/// The services of the document in force, found by their addresses. A service
+/// keeps its index for as long as the entry runs.
+class ServiceBook {
+public:
+  /// Domain is the entry's own failure domain.
+  explicit ServiceBook(DomainName Domain);
+
+  /// Takes a document whose version is higher than the present one; false,
+  /// and nothing changed, for others.
+  bool adopt(const config::InForce &Document, TimePoint Now);
+  /// Forgets tables that were replaced longer than Kept ago.
+  void retire(TimePoint Now, Nanos Kept);
+
+  [[nodiscard]] bool empty() const noexcept { return !Version_; }
+  [[nodiscard]] ConfigVersion version() const noexcept {
+    return Version_.value_or(ConfigVersion(0));
+  }
+  [[nodiscard]] std::optional<ServiceIndex>
+  find(Endpoint Destination) const noexcept;
+  [[nodiscard]] std::optional<ServiceIndex>
+  findWire(std::uint32_t WireId) const noexcept;
+  [[nodiscard]] ServiceState &at(ServiceIndex Index) noexcept {
+    return Services_[Index];
+  }
+  [[nodiscard]] std::size_t size() const noexcept { return Services_.size(); }
+
+private:
+  [[nodiscard]] ServiceIndex place(const ServiceName &Name);
+  void markForeign(const config::Environment &Document);
+
+  DomainName Domain_;
+  std::optional<ConfigVersion> Version_;
+  std::deque<ServiceState> Services_;
+  boost::unordered_flat_map<Endpoint, ServiceIndex, std::hash<Endpoint>>
+      ByAddress_;
+  boost::unordered_flat_map<std::uint32_t, ServiceIndex> ByWireId_;
+};
+
+} // namespace medlarmoor::flow
+
+#endif // MEDLARMOOR_FLOW_SERVICE_BOOK_HPP
--- /dev/null
+++ b/src/medlarmoor/flow/upstream_state.hpp
@@ -0,0 +1,49 @@
+#ifndef MEDLARMOOR_FLOW_UPSTREAM_STATE_HPP
+#define MEDLARMOOR_FLOW_UPSTREAM_STATE_HPP
+
+#include <medlarmoor/config/upstream.hpp>
+#include <medlarmoor/core/time.hpp>
+#include <medlarmoor/upstream/lifecycle.hpp>
+
+#include <cstdint>
+
+namespace medlarmoor::flow {
+
+/// An upstream as the flow door of one entry sees it.
+struct UpstreamState {
+  config::Upstream Config_;
+  /// Hash of the name.
+  std::uint64_t Seed_ = 0;
+  /// Names it in messages, among the upstreams of its service.
+  std::uint16_t WireId_ = 0;
+  upstream::Lifecycle Life_;
+  /// Flows that this entry holds open as home.
+  std::uint32_t Open_ = 0;
+  /// Records of any kind that name it.
+  std::uint32_t Held_ = 0;
+  /// Open_ as the other homes were last told.
+  std::uint32_t Shared_ = 0;
+  /// Flows that other homes hold open, as last told by them.
+  std::uint32_t Peers_ = 0;
+  /// Flows that were established while it warms.
+  std::uint32_t Successes_ = 0;
+  /// Flows whose first packet was repeated since it last answered any.
+  std::uint32_t Stalled_ = 0;
+  /// When Stalled_ left 0.
+  TimePoint StalledSince_;
+  /// When a silent one was last tried.
+  TimePoint ProbedAt_;
+  /// When it began to drain.
+  TimePoint DrainedAt_;
+  /// The newest table has slots of it.
+  bool Shares_ = false;
+  /// It has left and another service has its address now.
+  bool Foreign_ = false;
+
+  /// Flows open over all homes, as far as this entry knows.
+  [[nodiscard]] std::uint32_t open() const noexcept { return Open_ + Peers_; }
+};
+
+} // namespace medlarmoor::flow
+
+#endif // MEDLARMOOR_FLOW_UPSTREAM_STATE_HPP
--- /dev/null
+++ b/src/medlarmoor/upstream/lifecycle.hpp
@@ -0,0 +1,35 @@
+#ifndef MEDLARMOOR_UPSTREAM_LIFECYCLE_HPP
+#define MEDLARMOOR_UPSTREAM_LIFECYCLE_HPP
+
+#include <medlarmoor/upstream/lifecycle_event.hpp>
+#include <medlarmoor/upstream/lifecycle_phase.hpp>
+
+#include <memory>
+
+namespace medlarmoor::upstream {
+
+/// The state machine of one upstream. It starts Warming.
+class Lifecycle {
+public:
+  Lifecycle();
+  ~Lifecycle();
+  Lifecycle(Lifecycle &&) noexcept;
+  Lifecycle &operator=(Lifecycle &&) noexcept;
+
+  [[nodiscard]] LifecyclePhase phase() const noexcept { return Phase_; }
+  /// Moves on; an event that means nothing in this phase changes nothing.
+  void apply(LifecycleEvent Event);
+  /// True while new work may go to it.
+  [[nodiscard]] bool takesNew() const noexcept {
+    return Phase_ == LifecyclePhase::Warming || Phase_ == LifecyclePhase::Ready;
+  }
+
+private:
+  struct Machine;
+  std::unique_ptr<Machine> Machine_;
+  LifecyclePhase Phase_ = LifecyclePhase::Warming;
+};
+
+} // namespace medlarmoor::upstream
+
+#endif // MEDLARMOOR_UPSTREAM_LIFECYCLE_HPP
