--- a/src/medlarmoor/flow/chooser.cpp
+++ b/src/medlarmoor/flow/chooser.cpp
@@ -17,6 +17,9 @@
 constexpr double WarmSuccesses = 32;
 /// A silent upstream is tried this often.
 constexpr Nanos ProbePeriod = Seconds(1);
+/// By then the homes have told each other what they took before connections
+/// became scarce.
+constexpr Nanos ScarceSettles = Seconds(2);
 /// Table slots that are tried for a deviating flow.
 constexpr std::uint64_t Probes = 2;
 
@@ -127,30 +130,28 @@
 } // namespace
 
 bool hasRoom(const UpstreamState &Each, const HomeShare &Share) noexcept {
-  const std::uint32_t Limit = Each.Config_.Connections_;
-  if (Each.open() >= Limit)
+  if (Each.open() >= Each.Config_.Connections_)
     return false;
   if (Share.Homes_ == 1)
     return true;
-  const std::uint32_t Told = Each.Shared_ + Each.Peers_;
-  const std::uint32_t Room = Limit > Told ? Limit - Told : 0;
+  const std::uint32_t Room = Each.toldRoom();
   const std::uint32_t Untold =
       Each.Open_ > Each.Shared_ ? Each.Open_ - Each.Shared_ : 0;
-  if (Room >= 2 * Share.Homes_)
+  if (!Share.scarce(Room))
     return Untold < Room / (2 * Share.Homes_);
-  return Untold == 0 &&
-         (Share.Turn_ + Each.WireId_) % Share.Homes_ == Share.Place_;
+  const bool AllTold =
+      Each.ScarceSince_ && Share.Now_ - *Each.ScarceSince_ >= ScarceSettles;
+  return AllTold && Untold == 0 && Room > 0 && Share.Turn_ &&
+         (*Share.Turn_ + Each.WireId_) % Share.Homes_ == Share.Place_;
 }
 
-std::variant<Choice, RefuseReason> choose(ServiceState &Service,
-                                          std::uint64_t FlowHash,
-                                          const HomeShare &Share,
-                                          TimePoint Now) {
+std::variant<Choice, RefuseReason>
+choose(ServiceState &Service, std::uint64_t FlowHash, const HomeShare &Share) {
   const std::optional<UpstreamIndex> Default = Service.defaultOf(FlowHash);
   if (!Default)
     return RefuseReason::NoneReady;
   const Chooser Decide(Service, FlowHash, Share);
-  if (!Decide.anyReady() || probe(Service.upstreams()[*Default], Now))
+  if (!Decide.anyReady() || probe(Service.upstreams()[*Default], Share.Now_))
     return Choice{*Default, Rule::Default};
   const Rule Objection = Decide.objection(*Default);
   if (Objection == Rule::Default)
--- a/src/medlarmoor/flow/chooser.hpp
+++ b/src/medlarmoor/flow/chooser.hpp
@@ -17,9 +17,15 @@
   std::size_t Homes_ = 1;
   /// This entry's place among them, below Homes_.
   std::size_t Place_ = 0;
-  /// Whose turn it is when fewer connections than homes are left; equal on
-  /// all entries at about the same time.
-  std::uint64_t Turn_ = 0;
+  /// Whose turn it is when few connections are left, by wall clock. Nothing
+  /// between two turns, so that the counts arrive before the next.
+  std::optional<std::uint64_t> Turn_;
+  TimePoint Now_;
+
+  /// True when so few connections are left that the homes take turns.
+  [[nodiscard]] bool scarce(std::uint32_t Room) const noexcept {
+    return Homes_ > 1 && Room < 2 * Homes_;
+  }
 };
 
 /// An upstream for a new flow and the rule that chose it.
@@ -31,16 +37,14 @@
 /// True when this home may open one more flow to the upstream. The homes tell
 /// each other their counts now and then; between two tellings each may use its
 /// part of half of the connections left, so that all together stay below the
-/// upstream's limit.
+/// upstream's limit. They take turns for the last few.
 [[nodiscard]] bool hasRoom(const UpstreamState &Each,
                            const HomeShare &Share) noexcept;
 
 /// Chooses the upstream of a new flow: the table's, unless that is full, not
 /// ready or above its bound of flows.
-[[nodiscard]] std::variant<Choice, RefuseReason> choose(ServiceState &Service,
-                                                        std::uint64_t FlowHash,
-                                                        const HomeShare &Share,
-                                                        TimePoint Now);
+[[nodiscard]] std::variant<Choice, RefuseReason>
+choose(ServiceState &Service, std::uint64_t FlowHash, const HomeShare &Share);
 
 } // namespace medlarmoor::flow
 
--- a/src/medlarmoor/flow/director.cpp
+++ b/src/medlarmoor/flow/director.cpp
@@ -21,11 +21,6 @@
 /// Established flows after which an upstream is warm.
 constexpr std::uint32_t WarmSuccesses = 32;
 
-Stamp stampOf(TimePoint When) {
-  return static_cast<Stamp>(
-      std::chrono::duration_cast<Seconds>(When.time_since_epoch()).count());
-}
-
 /// Others may take over once they miss this entry's heartbeats for the lease;
 /// the last heartbeat may be one period old when a pause begins, and the next
 /// is due one period after.
@@ -202,7 +197,7 @@
 
 Decision Director::openFlow(FlowId Id, const Packet &Seen) {
   const std::variant<Choice, RefuseReason> Chosen =
-      choose(Book_.serviceOf(Id), Id.Hash_, homeShare(), Now_);
+      choose(Book_.serviceOf(Id), Id.Hash_, homeShare());
   if (const RefuseReason *Reason = std::get_if<RefuseReason>(&Chosen))
     return Refuse{*Reason, Seen};
   const Choice &Taken = *std::get_if<Choice>(&Chosen);
@@ -269,21 +264,28 @@
   Record.set(FlowRecord::Repeated);
   if (Of.Stalled_++ == 0)
     Of.StalledSince_ = Now_;
-  if (Of.Stalled_ >= SilentFlows && Now_ - Of.StalledSince_ >= SilentAfter)
+  if (Of.Stalled_ >= SilentFlows && Now_ - Of.StalledSince_ >= SilentAfter) {
     Of.Life_.apply(LifecycleEvent::FellSilent);
+    Of.ProbedAt_ = Now_;
+  }
 }
 
 HomeShare Director::homeShare() const {
   const auto Turn =
       std::chrono::duration_cast<Seconds>(Clock_.wallNow().time_since_epoch());
-  return {std::max<std::size_t>(Homes_.liveCount(), 1), Homes_.livePlace(),
-          static_cast<std::uint64_t>(Turn.count())};
+  constexpr std::int64_t TurnSeconds = 4;
+  constexpr std::int64_t OpenSecond = 2;
+  HomeShare Out{std::max<std::size_t>(Homes_.liveCount(), 1),
+                Homes_.livePlace(), std::nullopt, Now_};
+  if (Turn.count() % TurnSeconds == OpenSecond)
+    Out.Turn_ = static_cast<std::uint64_t>(Turn.count() / TurnSeconds);
+  return Out;
 }
 
 void Director::adopt(const config::InForce &Document) {
   if (!Book_.services().adopt(Document, Now_))
     return;
-  Replicator_.adoptConfiguration();
+  Replicator_.adoptConfiguration(Now_);
   sweepFast();
 }
 
@@ -299,7 +301,8 @@
 
 void Director::receive(const wire::Incoming &Message) {
   const auto *Packed = std::get_if<wire::FlowUpdate>(&Message.Message_);
-  if (Packed == nullptr)
+  // Nothing is acknowledged while suspended; it comes again.
+  if (Packed == nullptr || Homes_.suspended())
     return;
   if (const std::optional<Update> Told = Update::decode(Packed->Bytes_))
     Replicator_.receive(Message.From_, *Told, Now_);
--- a/src/medlarmoor/flow/flow_book.cpp
+++ b/src/medlarmoor/flow/flow_book.cpp
@@ -33,7 +33,7 @@
   return Out;
 }
 
-FlowRecord *FlowBook::keepCopy(FlowId Id, UpstreamIndex Upstream) {
+FlowRecord *FlowBook::keepCopy(FlowId Id, UpstreamIndex Upstream, Stamp At) {
   FlowRecord *Out = Table_.find(Id);
   if (Out != nullptr) {
     release(*Out);
@@ -47,6 +47,7 @@
     return nullptr;
   Out->Upstream_ = Upstream;
   Out->Rule_ = Rule::Replicated;
+  Out->Seen_ = At;
   Out->Version_ = static_cast<std::uint32_t>(Services_.version().value());
   Out->set(FlowRecord::Copy);
   Out->set(FlowRecord::Progressed);
--- a/src/medlarmoor/flow/flow_book.hpp
+++ b/src/medlarmoor/flow/flow_book.hpp
@@ -28,7 +28,7 @@
   /// Adds an open flow; null when the table is full.
   [[nodiscard]] FlowRecord *open(FlowId Id, UpstreamIndex Upstream, Rule Why);
   /// Adds or replaces a copy that is kept for another home; null when full.
-  FlowRecord *keepCopy(FlowId Id, UpstreamIndex Upstream);
+  FlowRecord *keepCopy(FlowId Id, UpstreamIndex Upstream, Stamp At);
   /// Makes a copy an open flow of this entry.
   void promote(FlowRecord &Record) noexcept;
   /// Makes an open flow a copy for its new home.
--- a/src/medlarmoor/flow/flow_record.hpp
+++ b/src/medlarmoor/flow/flow_record.hpp
@@ -1,6 +1,7 @@
 #ifndef MEDLARMOOR_FLOW_FLOW_RECORD_HPP
 #define MEDLARMOOR_FLOW_FLOW_RECORD_HPP
 
+#include <medlarmoor/core/time.hpp>
 #include <medlarmoor/flow/flow_id.hpp>
 #include <medlarmoor/flow/rule.hpp>
 
@@ -11,6 +12,12 @@
 /// Seconds of the steady clock, modulo 2^16.
 using Stamp = std::uint16_t;
 
+/// The stamp of a moment.
+[[nodiscard]] constexpr Stamp stampOf(TimePoint When) noexcept {
+  return static_cast<Stamp>(
+      std::chrono::duration_cast<Seconds>(When.time_since_epoch()).count());
+}
+
 /// Seconds from Earlier to Later; both lie within nine hours.
 [[nodiscard]] constexpr Stamp secondsBetween(Stamp Earlier,
                                              Stamp Later) noexcept {
--- a/src/medlarmoor/flow/replicator.cpp
+++ b/src/medlarmoor/flow/replicator.cpp
@@ -1,4 +1,5 @@
 #include <medlarmoor/core/hash.hpp>
+#include <medlarmoor/flow/chooser.hpp>
 #include <medlarmoor/flow/replicator.hpp>
 
 #include <algorithm>
@@ -45,6 +46,15 @@
   return Change >= std::max(1U, std::min(ByRoom, BySize));
 }
 
+/// Remembers since when connections have been scarce.
+void noteScarcity(UpstreamState &Each, std::size_t Homes, TimePoint Now) {
+  const HomeShare Share{std::max<std::size_t>(Homes, 1), 0, {}, Now};
+  if (!Share.scarce(Each.toldRoom()))
+    Each.ScarceSince_.reset();
+  else if (!Each.ScarceSince_)
+    Each.ScarceSince_ = Now;
+}
+
 bool empty(const Update &Each) { return Each == Update(); }
 
 std::uint32_t countKey(ServiceIndex Service, UpstreamIndex Upstream) {
@@ -127,9 +137,9 @@
   Unresolved_.clear();
 }
 
-void Replicator::adoptConfiguration() {
-  std::erase_if(Unresolved_, [this](const WireException &Each) {
-    return takeException(Each);
+void Replicator::adoptConfiguration(TimePoint Now) {
+  std::erase_if(Unresolved_, [this, Now](const WireException &Each) {
+    return takeException(Each, Now);
   });
 }
 
@@ -141,7 +151,7 @@
   if (Told.Place_ && !Sender.Link_.accept(*Told.Place_))
     return;
   for (const WireException &Each : Told.Exceptions_)
-    if (!takeException(Each) && Unresolved_.size() < MostUnresolved)
+    if (!takeException(Each, Now) && Unresolved_.size() < MostUnresolved)
       Unresolved_.push_back(Each);
   for (const WireFlow &Each : Told.Ended_) {
     const std::optional<FlowId> Id = localFlow(Each);
@@ -267,7 +277,7 @@
   To.Transfer_.reset();
 }
 
-bool Replicator::takeException(const WireException &Told) {
+bool Replicator::takeException(const WireException &Told, TimePoint Now) {
   const std::optional<FlowId> Id = localFlow(Told.Flow_);
   if (!Id)
     return false;
@@ -278,7 +288,7 @@
   const FlowRecord *Known = Book_.table().find(*Id);
   if (Known != nullptr && !Known->has(FlowRecord::Copy))
     return true; // what this entry has seen itself counts more
-  Book_.keepCopy(*Id, *Upstream);
+  Book_.keepCopy(*Id, *Upstream, stampOf(Now));
   return true;
 }
 
@@ -336,7 +346,7 @@
     return;
   batchExceptions(Now);
   batchEnded();
-  batchCounts();
+  batchCounts(Now);
   for (auto &[Name, Each] : Peers_)
     sendBatch(Name, std::exchange(Each.Next_, {}));
 }
@@ -355,8 +365,7 @@
 }
 
 void Replicator::batchExceptions(TimePoint Now) {
-  const auto At = static_cast<Stamp>(
-      std::chrono::duration_cast<Seconds>(Now.time_since_epoch()).count());
+  const Stamp At = stampOf(Now);
   while (!Queue_.empty() && Tokens_ > 0) {
     const FlowId Id = FlowId::ofKey(Queue_.front());
     Queue_.pop_front();
@@ -389,7 +398,7 @@
   }
 }
 
-void Replicator::batchCounts() {
+void Replicator::batchCounts(TimePoint Now) {
   const std::size_t Services = Book_.services().size();
   const std::size_t Others = Homes_.view().members().size() - 1;
   for (std::size_t I = 0; I < Services && Tokens_ > 0; ++I) {
@@ -397,6 +406,7 @@
     ServiceState &Service =
         Book_.services().at(static_cast<ServiceIndex>(CountCursor_));
     for (UpstreamState &Each : Service.upstreams()) {
+      noteScarcity(Each, Homes_.liveCount(), Now);
       if (!worthTelling(Each, Homes_.liveCount()))
         continue;
       Each.Shared_ = Each.Open_;
--- a/src/medlarmoor/flow/replicator.hpp
+++ b/src/medlarmoor/flow/replicator.hpp
@@ -38,7 +38,7 @@
   /// this entry starts anew.
   void adoptView(bool Anew);
   /// Tries again what named upstreams that were not known yet.
-  void adoptConfiguration();
+  void adoptConfiguration(TimePoint Now);
 
   void receive(const EntryName &From, const Update &Told, TimePoint Now);
   /// Sends what is due.
@@ -80,7 +80,7 @@
   void startTransfer(const EntryName &To, Update Last);
   void grantTo(const EntryName &To, ViewId Seen);
   void continueTransfer(Peer &To);
-  bool takeException(const WireException &Told);
+  bool takeException(const WireException &Told, TimePoint Now);
   void takeCount(Peer &From, const WireCount &Told);
   void forgetCounts(Peer &From);
 
@@ -89,7 +89,7 @@
   void batch(TimePoint Now);
   void batchExceptions(TimePoint Now);
   void batchEnded();
-  void batchCounts();
+  void batchCounts(TimePoint Now);
   void sendBatch(const EntryName &To, Update Batch);
   void send(const EntryName &To, Update Out);
 
--- a/src/medlarmoor/flow/upstream_state.hpp
+++ b/src/medlarmoor/flow/upstream_state.hpp
@@ -6,6 +6,7 @@
 #include <medlarmoor/upstream/lifecycle.hpp>
 
 #include <cstdint>
+#include <optional>
 
 namespace medlarmoor::flow {
 
@@ -35,6 +36,8 @@
   TimePoint ProbedAt_;
   /// When it began to drain.
   TimePoint DrainedAt_;
+  /// Since when the homes take turns for its last connections.
+  std::optional<TimePoint> ScarceSince_;
   /// The newest table has slots of it.
   bool Shares_ = false;
   /// It has left and another service has its address now.
@@ -42,6 +45,11 @@
 
   /// Flows open over all homes, as far as this entry knows.
   [[nodiscard]] std::uint32_t open() const noexcept { return Open_ + Peers_; }
+  /// Connections left, by what the homes have told each other.
+  [[nodiscard]] std::uint32_t toldRoom() const noexcept {
+    const std::uint32_t Told = Shared_ + Peers_;
+    return Config_.Connections_ > Told ? Config_.Connections_ - Told : 0;
+  }
 };
 
 } // namespace medlarmoor::flow
--- /dev/null
+++ b/test/flow/director_test.cpp
@@ -0,0 +1,272 @@
+#include <harness/flow_fleet.hpp>
+#include <harness/flow_load.hpp>
+
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+
+using namespace medlarmoor;
+using namespace medlarmoor::harness;
+
+namespace {
+
+using Kind = Delivery::Kind;
+
+const Endpoint Address(Ipv4(0xC0000200), 443);
+
+Endpoint caller(std::uint16_t Port) { return {Ipv4(0x0A000001), Port}; }
+
+/// A fleet whose entries see each other and have settled.
+FlowFleet settled(std::size_t Entries, const config::InForcePtr &Document,
+                  config::Settings Told = {}) {
+  FlowFleet Fleet(std::move(Told), 1);
+  Fleet.document(Document);
+  for (std::size_t I = 0; I < Entries; ++I)
+    Fleet.add();
+  Fleet.showAll();
+  Fleet.run(Seconds(3));
+  return Fleet;
+}
+
+std::set<std::size_t> range(std::size_t Count) {
+  std::set<std::size_t> Out;
+  for (std::size_t I = 0; I < Count; ++I)
+    Out.insert(I);
+  return Out;
+}
+
+} // namespace
+
+TEST_CASE("a flow reaches one upstream over any entry") {
+  DocumentBuilder Doc;
+  FlowFleet Fleet = settled(5, Doc.service("booking", 15, 0.25).build());
+  for (std::uint16_t Port = 2000; Port < 2500; ++Port) {
+    const Delivery First = Fleet.send(Port % 5U, caller(Port), Address, Syn);
+    REQUIRE(First.Kind_ == Kind::Upstream);
+    for (std::size_t Entry = 0; Entry < 5; ++Entry) {
+      const Delivery Next = Fleet.send(Entry, caller(Port), Address, Ack);
+      REQUIRE(Next.Kind_ == Kind::Upstream);
+      REQUIRE(Next.Upstream_ == First.Upstream_);
+      REQUIRE(Next.Entries_ <= 2);
+    }
+  }
+}
+
+TEST_CASE("packets that cannot be judged are dropped with their reason") {
+  DocumentBuilder Doc;
+  Doc.service("booking", 2, 0.25);
+  FlowFleet Fleet({}, 1);
+  Fleet.add();
+  CHECK(Fleet.send(0, caller(1), Address, Syn).Reason_ ==
+        flow::DropReason::NoConfiguration);
+  Fleet.document(Doc.build());
+  Fleet.showAll();
+  // A lone entry first listens for others.
+  CHECK(Fleet.send(0, caller(1), Address, Syn).Reason_ ==
+        flow::DropReason::NoHome);
+  Fleet.run(Seconds(2));
+  CHECK(Fleet.send(0, caller(1), Address, Syn).Kind_ == Kind::Upstream);
+  const Endpoint Elsewhere(Address.address(), 80);
+  CHECK(Fleet.send(0, caller(1), Elsewhere, Syn).Reason_ ==
+        flow::DropReason::UnknownAddress);
+}
+
+TEST_CASE("a drained upstream keeps its flows and gets no new one") {
+  DocumentBuilder Doc;
+  FlowFleet Fleet = settled(3, Doc.service("booking", 4, 0.25).build());
+  std::map<std::uint16_t, Endpoint> Where;
+  for (std::uint16_t Port = 2000; Port < 2400; ++Port) {
+    Where[Port] = Fleet.send(0, caller(Port), Address, Syn).Upstream_;
+    Fleet.send(1, caller(Port), Address, Ack);
+  }
+  Doc.at(0).Upstreams_[1].Drain_ = true;
+  const Endpoint Drained = Doc.at(0).Upstreams_[1].Packets_;
+  Fleet.document(Doc.build());
+  Fleet.run(Seconds(4));
+  int Stayed = 0;
+  for (const auto &[Port, Upstream] : Where) {
+    REQUIRE(Fleet.send(2, caller(Port), Address, Ack).Upstream_ == Upstream);
+    Stayed += Upstream == Drained ? 1 : 0;
+  }
+  CHECK(Stayed > 50);
+  for (std::uint16_t Port = 3000; Port < 3400; ++Port)
+    REQUIRE(Fleet.send(0, caller(Port), Address, Syn).Upstream_ != Drained);
+  // Even when the document no longer names it.
+  Doc.at(0).Upstreams_.erase(Doc.at(0).Upstreams_.begin() + 1);
+  Fleet.document(Doc.build());
+  Fleet.run(Seconds(1));
+  for (const auto &[Port, Upstream] : Where)
+    REQUIRE(Fleet.send(1, caller(Port), Address, Ack).Upstream_ == Upstream);
+}
+
+TEST_CASE("an address that moves to another service gets no old flow") {
+  DocumentBuilder Doc;
+  FlowFleet Fleet = settled(
+      3, Doc.service("booking", 2, 0.25).service("archive", 2, 0.25).build());
+  for (std::uint16_t Port = 2000; Port < 2100; ++Port)
+    Fleet.send(0, caller(Port), Address, Syn);
+  const config::Upstream Moved = Doc.at(0).Upstreams_[0];
+  Doc.at(0).Upstreams_.erase(Doc.at(0).Upstreams_.begin());
+  Doc.at(1).Upstreams_.push_back(Moved);
+  Doc.at(1).Upstreams_.back().Name_ = UpstreamName("archive-new");
+  Fleet.document(Doc.build());
+  int Dropped = 0;
+  for (std::uint16_t Port = 2000; Port < 2100; ++Port) {
+    const Delivery Got = Fleet.send(1, caller(Port), Address, Ack);
+    if (Got.Kind_ == Kind::Upstream)
+      REQUIRE(Got.Upstream_ != Moved.Packets_);
+    else
+      Dropped += Got.Reason_ == flow::DropReason::UpstreamGone ? 1 : 0;
+  }
+  CHECK(Dropped > 20);
+}
+
+TEST_CASE("a full service refuses first packets and forwards none beyond") {
+  DocumentBuilder Doc;
+  FlowFleet Fleet = settled(3, Doc.service("booking", 2, 0.25, 100).build());
+  std::map<Endpoint, int> Open;
+  int Refused = 0;
+  for (std::uint16_t Port = 2000; Port < 2400; ++Port) {
+    const Delivery Got = Fleet.send(Port % 3U, caller(Port), Address, Syn);
+    if (Got.Kind_ == Kind::Upstream) {
+      ++Open[Got.Upstream_];
+      Fleet.send(0, caller(Port), Address, Ack);
+    }
+    Refused += Got.Kind_ == Kind::Refused ? 1 : 0;
+    Fleet.step();
+  }
+  for (const auto &[Upstream, Count] : Open) {
+    CHECK(Count <= 100);
+    CHECK(Count >= 94); // all but two for each home
+  }
+  CHECK(Refused == 400 - Open.begin()->second - Open.rbegin()->second);
+}
+
+TEST_CASE("a full table refuses new flows and forwards established ones") {
+  DocumentBuilder Doc;
+  config::Settings Told;
+  Told.Flow_.Flows_ = 50;
+  FlowFleet Fleet = settled(1, Doc.service("booking", 2, 0.25).build(), Told);
+  int Refused = 0;
+  for (std::uint16_t Port = 2000; Port < 2080; ++Port)
+    Refused += Fleet.send(0, caller(Port), Address, Syn).Kind_ == Kind::Refused;
+  CHECK(Refused == 30);
+  CHECK(Fleet.send(0, caller(9000), Address, Ack).Kind_ == Kind::Upstream);
+  // Idle flows make room.
+  Fleet.run(Seconds(45));
+  CHECK(Fleet.send(0, caller(9001), Address, Syn).Kind_ == Kind::Upstream);
+}
+
+TEST_CASE("a planned leave hands over before it is complete") {
+  DocumentBuilder Doc;
+  FlowFleet Fleet = settled(4, Doc.service("redaccion", 15, 0.02).build());
+  std::map<std::uint16_t, Endpoint> Where;
+  for (std::uint16_t Port = 2000; Port < 5000; ++Port) {
+    Where[Port] = Fleet.send(Port % 4U, caller(Port), Address, Syn).Upstream_;
+    Fleet.send(0, caller(Port), Address, Ack);
+  }
+  Fleet.leave(2);
+  CHECK_FALSE(Fleet.director(2).handedOver());
+  for (int I = 0; I < 100 && !Fleet.director(2).handedOver(); ++I)
+    Fleet.step();
+  REQUIRE(Fleet.director(2).handedOver());
+  Fleet.kill(2);
+  Fleet.showAll();
+  for (const auto &[Port, Upstream] : Where)
+    REQUIRE(Fleet.send(3, caller(Port), Address, Ack).Upstream_ == Upstream);
+}
+
+TEST_CASE("a joining entry asks before it decides, also while views differ") {
+  DocumentBuilder Doc;
+  FlowFleet Fleet = settled(3, Doc.service("redaccion", 15, 0.02).build());
+  std::map<std::uint16_t, Endpoint> Where;
+  for (std::uint16_t Port = 2000; Port < 4000; ++Port)
+    Where[Port] = Fleet.send(Port % 3U, caller(Port), Address, Syn).Upstream_;
+  const auto CheckAll = [&] {
+    for (const auto &[Port, Upstream] : Where)
+      for (std::size_t Entry = 0; Entry < 4; ++Entry)
+        REQUIRE(Fleet.send(Entry, caller(Port), Address, Ack).Upstream_ ==
+                Upstream);
+  };
+  Fleet.add();
+  Fleet.show(3, range(4)); // the others do not know of it yet
+  Fleet.run(Millis(500));
+  CheckAll();
+  Fleet.show(0, range(4)); // one of them does
+  Fleet.run(Millis(500));
+  CheckAll();
+  Fleet.showAll();
+  Fleet.run(Millis(200));
+  CheckAll();
+  Fleet.run(Seconds(5));
+  CheckAll();
+  CHECK(Fleet.director(3).book().openFlows() > 200);
+  CHECK_FALSE(Fleet.director(3).homes().waiting());
+}
+
+TEST_CASE("an entry that was paused is nobody's home until a view names it") {
+  DocumentBuilder Doc;
+  FlowFleet Fleet = settled(3, Doc.service("booking", 15, 0.25).build());
+  std::map<std::uint16_t, Endpoint> Where;
+  for (std::uint16_t Port = 2000; Port < 3000; ++Port)
+    Where[Port] = Fleet.send(Port % 3U, caller(Port), Address, Syn).Upstream_;
+  Fleet.run(Seconds(2)); // the exceptions are replicated
+  Fleet.pause(1);
+  Fleet.run(Seconds(1));
+  Fleet.show(0, {0, 2});
+  Fleet.show(2, {0, 2});
+  Fleet.run(Seconds(9));
+  Fleet.wake(1);
+  CHECK(Fleet.director(1).suspended());
+  CHECK(Fleet.director(1).book().table().size() == 0);
+  Fleet.run(Seconds(1));
+  for (const auto &[Port, Upstream] : Where)
+    REQUIRE(Fleet.send(1, caller(Port), Address, Ack).Upstream_ == Upstream);
+  CHECK(Fleet.director(1).book().table().size() == 0);
+  Fleet.showAll();
+  Fleet.run(Seconds(5));
+  CHECK_FALSE(Fleet.director(1).suspended());
+  for (const auto &[Port, Upstream] : Where)
+    REQUIRE(Fleet.send(0, caller(Port), Address, Ack).Upstream_ == Upstream);
+  CHECK(Fleet.director(1).book().openFlows() > 200);
+}
+
+TEST_CASE("repeated first packets make an upstream silent and leave it") {
+  DocumentBuilder Doc;
+  FlowFleet Fleet = settled(1, Doc.service("booking", 2, 4.0).build());
+  const Endpoint Silent = Doc.at(0).Upstreams_[0].Packets_;
+  std::vector<std::uint16_t> Stuck;
+  for (std::uint16_t Port = 2000; Port < 2040; ++Port) {
+    if (Fleet.send(0, caller(Port), Address, Syn).Upstream_ == Silent)
+      Stuck.push_back(Port);
+    else
+      Fleet.send(0, caller(Port), Address, Ack);
+  }
+  REQUIRE(Stuck.size() > 8);
+  Fleet.run(Seconds(1));
+  for (std::size_t I = 0; I < 6; ++I)
+    Fleet.send(0, caller(Stuck[I]), Address, Syn);
+  Fleet.run(Seconds(2));
+  Fleet.send(0, caller(Stuck[6]), Address, Syn);
+  // Now the flows that never began go elsewhere, and so do new ones.
+  CHECK(Fleet.send(0, caller(Stuck[0]), Address, Syn).Upstream_ != Silent);
+  Fleet.run(Seconds(1));
+  int Probes = 0;
+  for (std::uint16_t Port = 3000; Port < 3100; ++Port)
+    Probes += Fleet.send(0, caller(Port), Address, Syn).Upstream_ == Silent;
+  CHECK(Probes == 1);
+}
+
+TEST_CASE("an explanation names the rule, the view and the version") {
+  DocumentBuilder Doc;
+  FlowFleet Fleet = settled(1, Doc.service("booking", 3, 0.25).build());
+  Fleet.send(0, caller(2000), Address, Syn);
+  const auto Told = nlohmann::json::parse(
+      Fleet.director(0).explain("10.0.0.1:2000-192.0.2.0:443"));
+  CHECK(Told["service"] == "booking");
+  CHECK(Told["home"] == "entry-0");
+  CHECK(Told["record"]["rule"] == "default");
+  CHECK(Told["record"]["chosenUnderConfig"] == 1);
+  CHECK(Told["view"] == Fleet.director(0).homes().view().id().value());
+  CHECK(
+      nlohmann::json::parse(Fleet.director(0).explain("x")).contains("error"));
+}
--- a/test/flow/packet_test.cpp
+++ b/test/flow/packet_test.cpp
@@ -1,4 +1,4 @@
-#include "packet_builder.hpp"
+#include <harness/packet_builder.hpp>
 
 #include <medlarmoor/flow/encapsulation.hpp>
 #include <medlarmoor/flow/packet.hpp>
@@ -10,7 +10,7 @@
 
 using namespace medlarmoor;
 using namespace medlarmoor::flow;
-using namespace medlarmoor::flow::test;
+using namespace medlarmoor::harness;
 
 namespace {
 
--- a/test/flow/packet_builder.hpp
+++ b/test/harness/packet_builder.hpp
@@ -1,5 +1,5 @@
-#ifndef MEDLARMOOR_TEST_FLOW_PACKET_BUILDER_HPP
-#define MEDLARMOOR_TEST_FLOW_PACKET_BUILDER_HPP
+#ifndef MEDLARMOOR_HARNESS_PACKET_BUILDER_HPP
+#define MEDLARMOOR_HARNESS_PACKET_BUILDER_HPP
 
 #include <medlarmoor/core/endpoint.hpp>
 
@@ -11,7 +11,7 @@
 #include <cstring>
 #include <vector>
 
-namespace medlarmoor::flow::test {
+namespace medlarmoor::harness {
 
 /// Which TCP flags a built packet carries.
 struct Flags {
@@ -51,6 +51,6 @@
   return Out;
 }
 
-} // namespace medlarmoor::flow::test
+} // namespace medlarmoor::harness
 
-#endif // MEDLARMOOR_TEST_FLOW_PACKET_BUILDER_HPP
+#endif // MEDLARMOOR_HARNESS_PACKET_BUILDER_HPP
