Add the client of the platform's object API

Every caller of the platform has to tell apart what did not take effect (conflict, refused) from what may have (no usable answer), so each call has a typed result and an answer without the documented shape counts as none. Calls are counted by kind.

--- /dev/null
+++ b/src/medlarmoor/platform/client.hpp
@@ -0,0 +1,64 @@
+#ifndef MEDLARMOOR_PLATFORM_CLIENT_HPP
+#define MEDLARMOOR_PLATFORM_CLIENT_HPP
+
+#include <medlarmoor/core/endpoint.hpp>
+#include <medlarmoor/core/ids.hpp>
+#include <medlarmoor/core/time.hpp>
+#include <medlarmoor/net/http_client.hpp>
+#include <medlarmoor/platform/result.hpp>
+#include <medlarmoor/telemetry/fwd.hpp>
+
+#include <functional>
+#include <optional>
+#include <string>
+
+namespace medlarmoor::platform {
+
+/// Asynchronous calls to the platform's object API. Each Done runs once on the
+/// io_context's thread, never within the call. Calls are counted in the metric
+/// medlarmoor_platform_calls_total by kind of call.
+class Client {
+public:
+  /// Where is the API, Source the local address of connections, Timeout the
+  /// time that one call may take (a watch: beyond the time it asks for).
+  Client(boost::asio::io_context &Io, Endpoint Where, Ipv4 Source,
+         Millis Timeout, telemetry::Registry &Metrics);
+
+  /// Reads one object.
+  void get(const std::string &Kind, const std::string &Name,
+           std::function<void(GetResult)> Done);
+  /// Writes one object. With IfVersion only when it has that version now; 0
+  /// only when it does not exist.
+  void put(const std::string &Kind, const std::string &Name, std::string Value,
+           std::optional<std::uint64_t> IfVersion,
+           std::function<void(PutResult)> Done);
+  /// Deletes one object when it has the version IfVersion.
+  void remove(const std::string &Kind, const std::string &Name,
+              std::uint64_t IfVersion, std::function<void(RemoveResult)> Done);
+  /// Reads all objects of Kind whose name begins with Prefix.
+  void list(const std::string &Kind, const std::string &Prefix,
+            std::function<void(ListResult)> Done);
+  /// Waits up to Wait for changes after revision After.
+  void watch(const std::string &Kind, const std::string &Prefix,
+             std::uint64_t After, Millis Wait,
+             std::function<void(WatchResult)> Done);
+  /// Reads the list of instances: those of Domain, or all.
+  void instances(const std::optional<DomainName> &Domain,
+                 std::function<void(InstancesResult)> Done);
+
+private:
+  void send(std::string Method, std::string Target, std::string Body,
+            Millis Timeout, net::HttpDone Done);
+
+  net::HttpClient Http_;
+  Endpoint Where_;
+  Millis Timeout_;
+  telemetry::Counter &Reads_;
+  telemetry::Counter &Writes_;
+  telemetry::Counter &Lists_;
+  telemetry::Counter &Watches_;
+};
+
+} // namespace medlarmoor::platform
+
+#endif // MEDLARMOOR_PLATFORM_CLIENT_HPP
