Tell an HTTP server's handler whom it has a request from

The platform stand-in counts calls by caller and had no way to see them. HttpRequest gains From_, set by the server and unused by the client.

--- a/src/medlarmoor/net/http_request.hpp
+++ b/src/medlarmoor/net/http_request.hpp
@@ -1,6 +1,7 @@
 #ifndef MEDLARMOOR_NET_HTTP_REQUEST_HPP
 #define MEDLARMOOR_NET_HTTP_REQUEST_HPP
 
+#include <medlarmoor/core/endpoint.hpp>
 #include <medlarmoor/net/http_headers.hpp>
 
 #include <optional>
@@ -16,6 +17,8 @@
   std::string Target_ = "/";
   HttpHeaders Headers_;
   std::string Body_;
+  /// Whom a server has it from; not used by a client.
+  Endpoint From_{};
 
   /// The target up to the question mark, percent escapes not decoded.
   [[nodiscard]] std::string_view path() const noexcept;
--- a/src/medlarmoor/net/http_server.cpp
+++ b/src/medlarmoor/net/http_server.cpp
@@ -76,6 +76,10 @@
   Session(std::shared_ptr<Impl> Owner, Tcp::socket Socket)
       : Owner_(std::move(Owner)), Stream_(std::move(Socket)) {
     Owner_->opened();
+    Error Ignored;
+    const Tcp::endpoint Remote = Stream_.socket().remote_endpoint(Ignored);
+    if (Remote.address().is_v4())
+      From_ = {Ipv4(Remote.address().to_v4().to_uint()), Remote.port()};
   }
   ~Session() { Owner_->closed(); }
   Session(const Session &) = delete;
@@ -107,7 +111,7 @@
     const bool KeepAlive = Message.keep_alive();
     HttpRequest Request{
         std::string(Message.method_string()), std::string(Message.target()),
-        internal::copyFields(Message), std::move(Message.body())};
+        internal::copyFields(Message), std::move(Message.body()), From_};
     Stream_.expires_never();
     Owner_->handle(std::move(Request),
                    [Self = shared_from_this(), KeepAlive](HttpResponse Out) {
@@ -139,6 +143,7 @@
 
   std::shared_ptr<Impl> Owner_;
   beast::tcp_stream Stream_;
+  Endpoint From_;
   beast::flat_buffer Buffer_;
   std::optional<http::request_parser<http::string_body>> Parser_;
   std::optional<http::response<http::string_body>> Response_;
