--- a/test/harness/raw_http_server.cpp
+++ b/test/harness/raw_http_server.cpp
@@ -20,14 +20,16 @@
 using Error = boost::system::error_code;
 
 std::string renderHttp(const net::HttpResponse &Response) {
-  std::string Out = "HTTP/1.1 " + std::to_string(Response.Status_) + " " +
-                    std::string(http::obsolete_reason(
-                        static_cast<http::status>(Response.Status_))) +
-                    "\r\n";
+  const auto Status = static_cast<http::status>(Response.Status_);
+  std::string Out = "HTTP/1.1 " + std::to_string(Response.Status_);
+  Out += " ";
+  Out += http::obsolete_reason(Status);
+  Out += "\r\n";
   for (const auto &[Name, Value] : Response.Headers_)
-    Out += Name + ": " + Value + "\r\n";
-  Out += "Connection: close\r\nContent-Length: " +
-         std::to_string(Response.Body_.size()) + "\r\n\r\n";
+    Out.append(Name).append(": ").append(Value).append("\r\n");
+  Out += "Connection: close\r\nContent-Length: ";
+  Out += std::to_string(Response.Body_.size());
+  Out += "\r\n\r\n";
   return Out + Response.Body_;
 }
 
