Add the inner protocol: CBOR codec and signed messages

Entries need messages that nobody else can forge, replay or prolong.

The time of sending is under the MAC, so that a receiver that starts afresh refuses an old recording; it remembers a sender for twice the clock bound. The heartbeat lost its incarnation (it is in the envelope) and gained a phase and news of others, which large domains need. CBOR nesting is bounded before the parser runs, since that recurses.

--- a/src/medlarmoor/wire/fwd.hpp
+++ b/src/medlarmoor/wire/fwd.hpp
@@ -1,14 +1,25 @@
 #ifndef MEDLARMOOR_WIRE_FWD_HPP
 #define MEDLARMOOR_WIRE_FWD_HPP
 
+#include <cstdint>
+
 namespace medlarmoor::wire {
 
+enum class Phase : std::uint8_t;
 struct ConfigNotice;
+struct Envelope;
 struct Farewell;
 struct FlowUpdate;
 struct Heartbeat;
 struct Incoming;
+struct MemberNews;
+struct MemberTable;
 struct Outgoing;
+struct TableRequest;
+class HttpSeal;
+class KeyRing;
+class ReplayGuard;
+class Sealer;
 
 } // namespace medlarmoor::wire
 
--- a/src/medlarmoor/wire/incoming.hpp
+++ b/src/medlarmoor/wire/incoming.hpp
@@ -6,10 +6,12 @@
 
 namespace medlarmoor::wire {
 
-/// A message that the control thread has received and verified.
+/// A message that was received and verified.
 struct Incoming {
   EntryName From_;
   Message Message_;
+  /// The run of the sender that sent it.
+  Incarnation Incarnation_;
 };
 
 } // namespace medlarmoor::wire
--- a/src/medlarmoor/wire/message.hpp
+++ b/src/medlarmoor/wire/message.hpp
@@ -5,13 +5,17 @@
 #include <medlarmoor/wire/farewell.hpp>
 #include <medlarmoor/wire/flow_update.hpp>
 #include <medlarmoor/wire/heartbeat.hpp>
+#include <medlarmoor/wire/member_table.hpp>
+#include <medlarmoor/wire/table_request.hpp>
 
 #include <variant>
 
 namespace medlarmoor::wire {
 
-/// Every control message that one entry sends to another over UDP.
-using Message = std::variant<Heartbeat, Farewell, FlowUpdate, ConfigNotice>;
+/// Every control message that one entry sends to another over UDP. The place
+/// in the list is the number of the type on the network.
+using Message = std::variant<Heartbeat, Farewell, FlowUpdate, ConfigNotice,
+                             TableRequest, MemberTable>;
 
 } // namespace medlarmoor::wire
 
