--- a/src/medlarmoor/telemetry/fwd.hpp
+++ b/src/medlarmoor/telemetry/fwd.hpp
@@ -7,7 +7,10 @@
 class EventLog;
 class Gauge;
 class Registry;
+class SpanLog;
+class TraceContext;
 struct Field;
+struct Span;
 
 } // namespace medlarmoor::telemetry
 
