--- a/test/flow/director_test.cpp
+++ b/test/flow/director_test.cpp
@@ -1,5 +1,5 @@
 #include <harness/flow_fleet.hpp>
-#include <harness/flow_load.hpp>
+#include <harness/sprayed_load.hpp>
 
 #include <catch2/catch.hpp>
 #include <nlohmann/json.hpp>
--- a/test/flow/flow_thread_test.cpp
+++ b/test/flow/flow_thread_test.cpp
@@ -37,9 +37,9 @@
     REQUIRE(Between_.ConfigToFlow_.push(Doc_.build()));
   }
 
-  void show(std::vector<membership::Member> Members) {
+  void show(const std::vector<membership::Member> &Members) {
     REQUIRE(Between_.ControlViewToFlow_.push(
-        std::make_shared<membership::View>(Told_.Name_, std::move(Members))));
+        std::make_shared<membership::View>(Told_.Name_, Members)));
   }
   [[nodiscard]] membership::Member self() const {
     return {Told_.Name_, Told_.Address_, membership::MemberState::Live};
--- a/test/flow/table_test.cpp
+++ b/test/flow/table_test.cpp
@@ -51,6 +51,7 @@
 
 std::vector<TableShare> shares(int Count) {
   std::vector<TableShare> Out;
+  Out.reserve(static_cast<std::size_t>(Count));
   for (int I = 0; I < Count; ++I)
     Out.push_back({static_cast<UpstreamIndex>(I),
                    hashText("upstream-" + std::to_string(I)), 1.0});
--- a/test/harness/flow_fleet.cpp
+++ b/test/harness/flow_fleet.cpp
@@ -69,6 +69,7 @@
                      const std::set<std::size_t> &Leaving) {
   using membership::MemberState;
   std::vector<membership::Member> Out;
+  Out.reserve(Members.size());
   for (const std::size_t Each : Members)
     Out.push_back(
         {nameOf(Each), at(Each).Address_,
@@ -129,7 +130,8 @@
         std::get<wire::FlowUpdate>(Each.Message_).Bytes_.size();
     if (To == size() || !at(To).Alive_ || Cut_.contains({From, To}))
       continue;
-    at(To).Messages_.push_back({nameOf(From), std::move(Each.Message_)});
+    at(To).Messages_.push_back(
+        {nameOf(From), std::move(Each.Message_), Incarnation(From)});
   }
 }
 
--- a/test/harness/flow_load.cpp
+++ b/test/harness/sprayed_load.cpp
@@ -1,4 +1,4 @@
-#include <harness/flow_load.hpp>
+#include <harness/sprayed_load.hpp>
 
 #include <algorithm>
 
@@ -18,12 +18,12 @@
 
 } // namespace
 
-FlowLoad::FlowLoad(LoadShape Shape, std::uint64_t Seed, Carrier Carry,
-                   Spray Over)
+SprayedLoad::SprayedLoad(LoadShape Shape, std::uint64_t Seed, Carrier Carry,
+                         Spray Over)
     : Shape_(Shape), Draw_(Seed), Carry_(std::move(Carry)),
       Over_(std::move(Over)) {}
 
-void FlowLoad::document(const config::Environment &Document) {
+void SprayedLoad::document(const config::Environment &Document) {
   Targets_.clear();
   for (const config::Service &Each : Document.Services_) {
     Target Made{Each.Addresses_.front(), {}, 0};
@@ -37,13 +37,13 @@
   }
 }
 
-void FlowLoad::fill(std::size_t Count, TimePoint Now) {
+void SprayedLoad::fill(std::size_t Count, TimePoint Now) {
   for (std::size_t I = 0; I < Count; ++I)
     openFlow(Now);
   NextOpen_ = Now + draw(1 / Shape_.Opens_);
 }
 
-void FlowLoad::advance(TimePoint Now) {
+void SprayedLoad::advance(TimePoint Now) {
   while (true) {
     const bool Opens = NextOpen_ <= Now;
     const bool Sends = !Due_.empty() && Due_.top().When_ <= Now;
@@ -60,7 +60,7 @@
   }
 }
 
-void FlowLoad::touchAll(TimePoint) {
+void SprayedLoad::touchAll(TimePoint) {
   std::vector<std::uint64_t> Ids;
   for (const auto &[Id, Each] : Flows_)
     Ids.push_back(Id);
@@ -69,7 +69,7 @@
     judge(Flows_[Id], carry(Flows_[Id], Ack));
 }
 
-double FlowLoad::imbalance(std::size_t Service) const {
+double SprayedLoad::imbalance(std::size_t Service) const {
   const Target &Of = Targets_[Service];
   double Most = 0;
   double Sum = 0;
@@ -82,18 +82,18 @@
   return Sum == 0 ? 1 : Most * static_cast<double>(Of.Upstreams_.size()) / Sum;
 }
 
-Nanos FlowLoad::draw(double MeanSeconds) {
+Nanos SprayedLoad::draw(double MeanSeconds) {
   std::exponential_distribution<double> Distribution(1 / MeanSeconds);
   return std::chrono::duration_cast<Nanos>(
       std::chrono::duration<double>(Distribution(Draw_)));
 }
 
-std::size_t FlowLoad::drawEntry() {
+std::size_t SprayedLoad::drawEntry() {
   const std::vector<std::size_t> Over = Over_();
   return Over[Draw_() % Over.size()];
 }
 
-void FlowLoad::openFlow(TimePoint When) {
+void SprayedLoad::openFlow(TimePoint When) {
   Flow Fresh;
   Fresh.From_ = callerOf(Made_);
   // Upstreams share the load evenly, so a service draws by its upstreams.
@@ -120,7 +120,7 @@
   Due_.push({std::min(When + draw(Shape_.PacketSeconds_), Fresh.Ends_), Made_});
 }
 
-void FlowLoad::sendDue(const Due &Next) {
+void SprayedLoad::sendDue(const Due &Next) {
   const auto At = Flows_.find(Next.Flow_);
   if (At == Flows_.end())
     return;
@@ -140,7 +140,7 @@
   Due_.push({Then, Next.Flow_});
 }
 
-Delivery FlowLoad::carry(const Flow &Each, Flags Set) {
+Delivery SprayedLoad::carry(const Flow &Each, Flags Set) {
   const Delivery Out =
       Carry_(drawEntry(), Each.From_, Targets_[Each.Service_].Address_, Set);
   ++Figures_.Packets_;
@@ -163,7 +163,7 @@
   return Out;
 }
 
-void FlowLoad::judge(Flow &Each, const Delivery &Got) {
+void SprayedLoad::judge(Flow &Each, const Delivery &Got) {
   const bool Elsewhere =
       Got.Kind_ == Delivery::Kind::Upstream && Got.Upstream_ != Each.Upstream_;
   if (Each.Broken_ || (!Elsewhere && Got.Kind_ != Delivery::Kind::Refused))
@@ -172,7 +172,7 @@
   ++Figures_.Broken_;
 }
 
-void FlowLoad::end(std::uint64_t Id) {
+void SprayedLoad::end(std::uint64_t Id) {
   --OpenAt_[Flows_[Id].Upstream_];
   Flows_.erase(Id);
 }
