Let homes that join and leave at the same moment find each other's flows

Random orders of joins and leaves with lagging views broke flows in ways that single changes did not: a packet given to an entry that leaves was decided by it; a joining entry asked another joining one and stopped there; an entry that leaves handed flows to one that others had not handed over to yet; a copy that came after a grant stayed behind. Now who gives a flow away is believed only by an entry that stays, chains of homes before are followed, handed over exceptions are relayed to the home that the receiver knows, the message of a leave names its view, and a former home is asked for a second more.

--- a/src/medlarmoor/flow/director.cpp
+++ b/src/medlarmoor/flow/director.cpp
@@ -144,11 +144,21 @@
   const PeerIntent Intent = Via.Header_.Intent_;
   const bool Passable = Via.Header_.Hops_ < MaxHops;
   const bool Active = Homes_.active(Now_);
-  if (Active && Via.Sender_ != nullptr && Intent == PeerIntent::Yours)
-    return decideHere(Id, Copy, Seen);
   const bool Asked = Intent == PeerIntent::ToPrevious && Via.Sender_ != nullptr;
+  const bool Given = Intent == PeerIntent::Yours && Via.Sender_ != nullptr;
+  if (Intent == PeerIntent::Contend && Via.Sender_ != nullptr && Passable) {
+    const bool Mine = Active && Homes_.isSelf(Homes_.home(Id, Seed)) &&
+                      Homes_.previous(Id, Seed, Seen.first()) == nullptr;
+    return Mine ? decideHere(Id, Copy, Seen)
+                : passOn(*Via.Sender_, Via, PeerIntent::Yours);
+  }
   const Member *Home = Asked ? Homes_.homeWithout(Id, Seed, Via.Sender_->Name_)
                              : Homes_.home(Id, Seed);
+  // Who gives a flow away is not its home, whatever this entry's view says;
+  // but one that leaves is no home for what it is given either.
+  if (Given && Home != nullptr && Home->Name_ == Via.Sender_->Name_ &&
+      !Homes_.leaving())
+    Home = Homes_.homeWithout(Id, Seed, Via.Sender_->Name_);
   if (Home == nullptr && Asked && Passable)
     return passOn(*Via.Sender_, Via, PeerIntent::Yours);
   if (Home == nullptr || (!Active && Homes_.isSelf(Home)))
@@ -157,26 +167,25 @@
     if (!Passable)
       return Active ? decideHere(Id, Copy, Seen)
                     : Decision(Drop{DropReason::TooManyHops});
-    const bool GivenAway = Active && Copy == nullptr && wasMine(Id, *Home);
+    const bool GivenAway = Active && Copy == nullptr && !Homes_.waiting() &&
+                           Homes_.ownBut(*Home, Id, Seed);
     return passOn(*Home, Via,
                   GivenAway ? PeerIntent::Yours : PeerIntent::ToHome);
   }
+  const EntryName Except = Asked ? Via.Sender_->Name_ : EntryName();
   const Member *Previous =
-      Copy != nullptr ? nullptr : Homes_.previous(Id, Seed, Seen.first());
-  if (Previous != nullptr && Passable && !Asked)
+      Copy != nullptr || Given
+          ? nullptr
+          : Homes_.previous(Id, Seed, Seen.first(), Except);
+  if (Previous != nullptr && Passable)
     return passOn(*Previous, Via, PeerIntent::ToPrevious);
+  const Member *Contender =
+      Copy != nullptr || Given || Asked ? nullptr : Homes_.contender(Id, Seed);
+  if (Contender != nullptr && Passable)
+    return passOn(*Contender, Via, PeerIntent::Contend);
   return decideHere(Id, Copy, Seen);
 }
 
-/// True when this entry would be the flow's home if Home were not there: what
-/// it does not know, nobody before Home knows.
-bool Director::wasMine(FlowId Id, const Member &Home) {
-  const std::uint64_t Seed = Book_.serviceOf(Id).seed();
-  if (Homes_.leaving())
-    return Homes_.isSelf(Homes_.rawHome(Id, Seed));
-  return Homes_.isSelf(Homes_.homeWithout(Id, Seed, Home.Name_));
-}
-
 Decision Director::passOn(const Member &To, const Arrival &Via,
                           PeerIntent Intent) const {
   const auto Hops = static_cast<std::uint8_t>(Via.Header_.Hops_ + 1);
--- a/src/medlarmoor/flow/director.hpp
+++ b/src/medlarmoor/flow/director.hpp
@@ -86,7 +86,6 @@
   [[nodiscard]] Decision continueFlow(FlowId Id, const Packet &Seen);
   [[nodiscard]] Decision passOn(const membership::Member &To,
                                 const Arrival &Via, PeerIntent Intent) const;
-  [[nodiscard]] bool wasMine(FlowId Id, const membership::Member &Home);
   [[nodiscard]] bool ownsFirst(FlowId Id, const FlowRecord &Record);
   [[nodiscard]] Decision forward(const FlowRecord &Record);
   void recorded(FlowRecord &Record);
--- a/src/medlarmoor/flow/director_explain.cpp
+++ b/src/medlarmoor/flow/director_explain.cpp
@@ -55,6 +55,9 @@
            {"view", Homes_.view().id().value()},
            {"config", Book_.services().version().value()},
            {"tables", Service.generations().size()}};
+  Out["awaits"] = Json::array();
+  for (const EntryName &Each : Homes_.awaited())
+    Out["awaits"].push_back(Each.value());
   if (const auto Default = Service.defaultOf(Id.Hash_))
     Out["default"] = Service.upstreams()[*Default].Config_.Name_.value();
   if (const FlowRecord *Record = Book_.table().find(Id))
--- a/src/medlarmoor/flow/encapsulation.cpp
+++ b/src/medlarmoor/flow/encapsulation.cpp
@@ -36,7 +36,7 @@
   const bool Known = Datagram[0] == PeerFirst && Datagram[1] == Ipv4InGue &&
                      Datagram[2] == std::byte{0} &&
                      Datagram[3] == PrivateFlag &&
-                     Intent <= static_cast<unsigned char>(PeerIntent::Yours);
+                     Intent <= static_cast<unsigned char>(PeerIntent::Contend);
   if (!Known)
     return DropReason::UnknownEncapsulation;
   const auto Hops = std::to_integer<std::uint8_t>(Datagram[HopsByte]);
--- a/src/medlarmoor/flow/encapsulation.hpp
+++ b/src/medlarmoor/flow/encapsulation.hpp
@@ -16,8 +16,8 @@
 /// Bytes of the GUE header between entries, with its one private word.
 inline constexpr std::size_t PeerGueBytes = 8;
 /// A packet is passed on between entries at most this often: to its home, from
-/// there to the home before, and once more while two changes overlap.
-inline constexpr std::uint8_t MaxHops = 3;
+/// there to the home before, and further while several changes overlap.
+inline constexpr std::uint8_t MaxHops = 6;
 
 /// Why an entry passes a packet to another.
 enum class PeerIntent : unsigned char {
@@ -27,6 +27,9 @@
   ToPrevious = 1,
   /// The sender has handed the flow's home over to the receiver.
   Yours = 2,
+  /// The receiver would be home by the sender's view, but the sender has not
+  /// handed over to it; the flow's former home, which has left, may have.
+  Contend = 3,
 };
 
 /// The private word of the GUE header between entries.
--- a/src/medlarmoor/flow/homes.cpp
+++ b/src/medlarmoor/flow/homes.cpp
@@ -14,7 +14,7 @@
 /// granted; the record of it arrives within this time.
 constexpr Nanos LatePackets = Seconds(1);
 /// View changes whose homes before are awaited at once.
-constexpr std::size_t MostPriors = 2;
+constexpr std::size_t MostPriors = 16;
 
 /// The members of All with Name no longer live.
 View without(const View &All, const EntryName &Name) {
@@ -59,6 +59,14 @@
 
 void Homes::leave() {
   Leaving_ = true;
+  rebuild();
+  const auto Members = Effective_.view().members();
+  const bool Anyone =
+      std::any_of(Members.begin(), Members.end(), [](const Member &Each) {
+        return Each.State_ == MemberState::Live;
+      });
+  if (Anyone)
+    return;
   for (const Member &Each : Raw_.view().members())
     Granted_.insert(Each.Name_);
   rebuild();
@@ -69,6 +77,7 @@
   Granted_.clear();
   GrantedBy_.clear();
   Priors_.clear();
+  Former_.clear();
   std::vector<Awaited> Others;
   for (const Member &Each : Raw_.view().members()) {
     if (Each.Name_ == Self_)
@@ -141,12 +150,23 @@
   endPriors();
 }
 
-void Homes::left(const EntryName &Name) {
+void Homes::left(const EntryName &Name, ViewId Seen, bool ToSelf,
+                 TimePoint Now) {
   Left_.insert(Name);
-  for (Prior &Each : Priors_)
-    std::erase_if(Each.Awaited_,
-                  [&](const Awaited &One) { return One.Name_ == Name; });
-  endPriors();
+  Former_.try_emplace(Name, Staying_);
+  // Under another view it may have handed this entry's flows to one that is
+  // not known here yet; then it is asked as long as it is there.
+  std::optional<TimePoint> HandedAt;
+  if (Seen == Raw_.view().id())
+    HandedAt = Now;
+  if (HandedAt)
+    for (Prior &Each : Priors_) {
+      if (!ToSelf)
+        Each.Map_ = HomeMap(without(Each.Map_.view(), Name));
+      std::erase_if(Each.Awaited_,
+                    [&](const Awaited &One) { return One.Name_ == Name; });
+    }
+  addPrior(Staying_.view(), {{Name, HandedAt}});
   rebuild();
 }
 
@@ -165,6 +185,20 @@
     Joining_ = false;
 }
 
+/// Former homes matter as long as some live member was not handed over to.
+void Homes::endFormer() {
+  const auto Members = Raw_.view().members();
+  const bool AllGranted =
+      std::all_of(Members.begin(), Members.end(), [this](const Member &Each) {
+        return Each.Name_ == Self_ || Each.State_ != MemberState::Live ||
+               Left_.contains(Each.Name_) || Granted_.contains(Each.Name_);
+      });
+  if (AllGranted)
+    std::erase_if(Former_, [this](const auto &Each) {
+      return Raw_.view().find(Each.first) == nullptr;
+    });
+}
+
 bool Homes::active(TimePoint Now) const noexcept {
   if (!FirstView_ || Suspended_)
     return false;
@@ -172,13 +206,11 @@
 }
 
 const Member *Homes::previous(FlowId Flow, std::uint64_t ServiceSeed,
-                              bool FirstPacket) {
+                              bool FirstPacket, const EntryName &Except) const {
   for (auto Each = Priors_.rbegin(); Each != Priors_.rend(); ++Each) {
-    const Member *Before = Each->Map_.home(Flow, ServiceSeed);
-    if (Before == nullptr)
-      continue;
-    if (Before->Name_ == Self_)
-      return nullptr;
+    const Member *Before = Each->Map_.homeWithout(Flow, ServiceSeed, Except);
+    if (Before == nullptr || Before->Name_ == Self_)
+      continue; // what this entry was home of it may have had from others
     for (const Awaited &One : Each->Awaited_)
       if (One.Name_ == Before->Name_ && !(FirstPacket && One.GrantedAt_))
         return Before;
@@ -186,6 +218,35 @@
   return nullptr;
 }
 
+bool Homes::wasBefore(const Member &Home, const EntryName &Name, FlowId Flow,
+                      std::uint64_t ServiceSeed) const {
+  const auto Of = Former_.find(Name);
+  if (Of == Former_.end())
+    return false;
+  const Member *Before = Of->second.homeWithout(Flow, ServiceSeed, Home.Name_);
+  return Before != nullptr && Before->Name_ == Name;
+}
+
+const Member *Homes::contender(FlowId Flow, std::uint64_t ServiceSeed) {
+  for (auto &[Name, Map] : Former_) {
+    const Member *Then = Map.home(Flow, ServiceSeed);
+    if (Then == nullptr || Then->Name_ != Name)
+      continue;
+    const Member *Now = Remaining_.home(Flow, ServiceSeed);
+    if (Now != nullptr && Now->Name_ != Self_ && !Granted_.contains(Now->Name_))
+      return Now;
+  }
+  return nullptr;
+}
+
+std::set<EntryName> Homes::awaited() const {
+  std::set<EntryName> Out;
+  for (const Prior &Each : Priors_)
+    for (const Awaited &One : Each.Awaited_)
+      Out.insert(One.Name_);
+  return Out;
+}
+
 std::vector<EntryName> Homes::unclaimed() const {
   std::vector<EntryName> Out;
   if (Suspended_ || Leaving_)
@@ -206,17 +267,20 @@
     if (Each.State_ != MemberState::Live)
       continue;
     const bool Own = Each.Name_ == Self_;
-    if (Each.Name_ < Self_)
-      ++LivePlace_;
+    LivePlace_ += Each.Name_ < Self_ ? 1 : 0;
     ++LiveCount_;
-    const bool Excluded =
-        Own ? Suspended_ || Leaving_
-            : Left_.contains(Each.Name_) ||
-                  (!Suspended_ && !Granted_.contains(Each.Name_));
-    if (Excluded)
+    const bool Unready = !Suspended_ && !Granted_.contains(Each.Name_);
+    if (Own ? Suspended_ : Left_.contains(Each.Name_) || Unready)
       Each.State_ = MemberState::Leaving;
   }
-  Effective_ = HomeMap(View(Self_, std::move(Out)));
+  const View Staying(Self_, std::move(Out));
+  Staying_ = HomeMap(Staying);
+  Effective_ = HomeMap(Leaving_ ? without(Staying, Self_) : Staying);
+  View Remaining = Members;
+  for (const EntryName &Each : Left_)
+    Remaining = without(Remaining, Each);
+  Remaining_ = HomeMap(std::move(Remaining));
+  endFormer();
 }
 
 } // namespace medlarmoor::flow
--- a/src/medlarmoor/flow/homes.hpp
+++ b/src/medlarmoor/flow/homes.hpp
@@ -5,6 +5,7 @@
 #include <medlarmoor/flow/home_map.hpp>
 #include <medlarmoor/membership/view.hpp>
 
+#include <map>
 #include <optional>
 #include <set>
 #include <vector>
@@ -37,8 +38,9 @@
   /// own, being new itself.
   void granted(const EntryName &Name, ViewId Seen, bool FromJoining,
                TimePoint Now);
-  /// Name has handed over and leaves.
-  void left(const EntryName &Name);
+  /// Name has handed over to the members of the view Seen and leaves. ToSelf:
+  /// this entry was among those that it handed over to.
+  void left(const EntryName &Name, ViewId Seen, bool ToSelf, TimePoint Now);
   /// Ends the waiting for late packets of homes before.
   void tick(TimePoint Now);
 
@@ -69,18 +71,32 @@
               const EntryName &Without) const {
     return Effective_.homeWithout(Flow, ServiceSeed, Without);
   }
-  /// The home by the view alone.
-  [[nodiscard]] const membership::Member *rawHome(FlowId Flow,
-                                                  std::uint64_t ServiceSeed) {
-    return Raw_.home(Flow, ServiceSeed);
+  /// True when this entry would be home of the flow if To were not there, and
+  /// if it did not leave itself.
+  [[nodiscard]] bool ownBut(const membership::Member &To, FlowId Flow,
+                            std::uint64_t ServiceSeed) const {
+    return isSelf(Staying_.homeWithout(Flow, ServiceSeed, To.Name_));
   }
   [[nodiscard]] bool isSelf(const membership::Member *Member) const noexcept {
     return Member != nullptr && Member->Name_ == Self_;
   }
   /// The home before this entry that may still know the flow, or null. It no
-  /// longer decides on first packets once it has granted.
+  /// longer decides on first packets once it has granted. Except is an entry
+  /// that is known not to know the flow.
   [[nodiscard]] const membership::Member *
-  previous(FlowId Flow, std::uint64_t ServiceSeed, bool FirstPacket);
+  previous(FlowId Flow, std::uint64_t ServiceSeed, bool FirstPacket,
+           const EntryName &Except = EntryName()) const;
+  /// True when Name, which has left, would be home of the flow if Home were
+  /// not there.
+  [[nodiscard]] bool wasBefore(const membership::Member &Home,
+                               const EntryName &Name, FlowId Flow,
+                               std::uint64_t ServiceSeed) const;
+  /// A member that this entry has not handed over to, but to which the former
+  /// home of the flow may have before it left; or null.
+  [[nodiscard]] const membership::Member *contender(FlowId Flow,
+                                                    std::uint64_t ServiceSeed);
+  /// The homes before that have not handed over yet, by name.
+  [[nodiscard]] std::set<EntryName> awaited() const;
   /// Members that this entry has to claim from.
   [[nodiscard]] std::vector<EntryName> unclaimed() const;
   /// Live members that admit flows, and this entry's place among them.
@@ -105,11 +121,16 @@
   void addPrior(membership::View Map, std::vector<Awaited> Of);
   void rebuild();
   void endPriors();
+  void endFormer();
 
   EntryName Self_;
   Nanos SoloWait_;
   HomeMap Raw_;
   HomeMap Effective_;
+  /// As Effective_, but this entry does not leave.
+  HomeMap Staying_;
+  /// The view without those that have left.
+  HomeMap Remaining_;
   std::optional<TimePoint> FirstView_;
   bool Joining_ = true;
   bool Suspended_ = false;
@@ -119,6 +140,9 @@
   std::set<EntryName> GrantedBy_;
   std::set<EntryName> Left_;
   std::vector<Prior> Priors_;
+  /// For each member that left, the homes while it was there. Kept until this
+  /// entry has handed over to all others.
+  std::map<EntryName, HomeMap> Former_;
   std::size_t LiveCount_ = 1;
   std::size_t LivePlace_ = 0;
 };
--- a/src/medlarmoor/flow/replicator.cpp
+++ b/src/medlarmoor/flow/replicator.cpp
@@ -23,6 +23,7 @@
 /// Records in one update, so that it fits a datagram.
 constexpr std::size_t RecordsPerUpdate = 120;
 constexpr std::size_t MostQueued = 65'536;
+constexpr std::uint8_t MostRelays = 4;
 constexpr std::size_t MostUnresolved = 4096;
 /// A count is told when it has changed by this part of itself.
 constexpr std::uint32_t CountDivisor = 16;
@@ -107,11 +108,16 @@
 
 void Replicator::leave() {
   LeaveStarted_ = true;
+  leaveTo();
+}
+
+/// Hands over to each member that has not been handed anything yet.
+void Replicator::leaveTo() {
   for (const membership::Member &Each : Homes_.view().members()) {
-    if (Homes_.isSelf(&Each))
+    if (Homes_.isSelf(&Each) || !LeftTo_.insert(Each.Name_).second)
       continue;
     Update Last;
-    Last.Left_ = true;
+    Last.Left_ = Leave{Homes_.view().id(), Homes_.isGranted(Each.Name_)};
     startTransfer(Each.Name_, Last);
   }
 }
@@ -130,6 +136,8 @@
   std::erase_if(Peers_, [&](const auto &Each) {
     return Anew || Homes_.view().find(Each.first) == nullptr;
   });
+  if (LeaveStarted_)
+    leaveTo();
   if (!Anew)
     return;
   Queue_.clear();
@@ -150,9 +158,12 @@
     Sender.Link_.acknowledged(*Told.Acknowledged_);
   if (Told.Place_ && !Sender.Link_.accept(*Told.Place_))
     return;
-  for (const WireException &Each : Told.Exceptions_)
+  for (const WireException &Each : Told.Exceptions_) {
+    if (Told.Place_)
+      relay(From, Each, Told.Relays_);
     if (!takeException(Each, Now) && Unresolved_.size() < MostUnresolved)
       Unresolved_.push_back(Each);
+  }
   for (const WireFlow &Each : Told.Ended_) {
     const std::optional<FlowId> Id = localFlow(Each);
     FlowRecord *Known = Id ? Book_.table().find(*Id) : nullptr;
@@ -161,8 +172,10 @@
   }
   for (const WireCount &Each : Told.Counts_)
     takeCount(Sender, Each);
-  if (Told.Left_)
-    Homes_.left(From);
+  if (Told.Left_) {
+    Homes_.left(From, Told.Left_->View_, Told.Left_->ToReceiver_, Now);
+    passOnCopies(From);
+  }
   if (Told.Grant_)
     Homes_.granted(From, Told.Grant_->View_, Told.Grant_->Joining_, Now);
   if (Told.Claim_)
@@ -229,8 +242,8 @@
     const membership::Member *Home = Homes_.home(Id, Seed);
     if (Home == nullptr || Home->Name_ != To || !Book_.exceptional(Each))
       return;
-    if (!Each.has(FlowRecord::Copy) ||
-        Homes_.isSelf(Homes_.homeWithout(Id, Seed, To)))
+    // A copy goes along when this entry is, or was, the home but for To.
+    if (!Each.has(FlowRecord::Copy) || Homes_.ownBut(*Home, Id, Seed))
       Out.Exceptions_.push_back(wireException(Each));
   });
   for (std::size_t I = 0; I < Book_.services().size(); ++I) {
@@ -286,12 +299,52 @@
   if (!Upstream)
     return false;
   const FlowRecord *Known = Book_.table().find(*Id);
-  if (Known != nullptr && !Known->has(FlowRecord::Copy))
-    return true; // what this entry has seen itself counts more
-  Book_.keepCopy(*Id, *Upstream, stampOf(Now));
+  const bool Own = Known != nullptr && !Known->has(FlowRecord::Copy);
+  if (!Own) // what this entry has seen itself counts more
+    Book_.keepCopy(*Id, *Upstream, stampOf(Now));
   return true;
 }
 
+/// What was handed over to this entry as the home of a flow goes on to the
+/// home that this entry knows.
+void Replicator::relay(const EntryName &From, const WireException &Told,
+                       std::uint8_t Relays) {
+  const std::optional<FlowId> Id = localFlow(Told.Flow_);
+  if (!Id || Relays >= MostRelays)
+    return;
+  const membership::Member *Home =
+      Homes_.home(*Id, Book_.serviceOf(*Id).seed());
+  if (Home == nullptr || Homes_.isSelf(Home) || Home->Name_ == From)
+    return;
+  Update Next;
+  Next.Relays_ = static_cast<std::uint8_t>(Relays + 1);
+  Next.Exceptions_.push_back(Told);
+  peer(Home->Name_).Link_.push(std::move(Next));
+}
+
+/// Flows of a home that has left may belong to one that this entry has handed
+/// over to before it heard of that.
+void Replicator::passOnCopies(const EntryName &Of) {
+  std::map<EntryName, std::deque<WireException>> For;
+  Book_.table().forEach([&](FlowRecord &Each) {
+    const FlowId Id = Each.id();
+    const std::uint64_t Seed = Book_.serviceOf(Id).seed();
+    const membership::Member *Home = Homes_.home(Id, Seed);
+    if (!Each.has(FlowRecord::Copy) || Home == nullptr || Homes_.isSelf(Home))
+      return;
+    if (Homes_.wasBefore(*Home, Of, Id, Seed))
+      For[Home->Name_].push_back(wireException(Each));
+  });
+  for (auto &[Name, Exceptions] : For) {
+    while (!Exceptions.empty()) {
+      Update Part;
+      Part.Relays_ = 1;
+      moveFront(Exceptions, Part.Exceptions_, RecordsPerUpdate);
+      peer(Name).Link_.push(std::move(Part));
+    }
+  }
+}
+
 void Replicator::takeCount(Peer &From, const WireCount &Told) {
   const std::optional<ServiceIndex> Service =
       Book_.services().findWire(Told.Service_);
--- a/src/medlarmoor/flow/replicator.hpp
+++ b/src/medlarmoor/flow/replicator.hpp
@@ -10,6 +10,7 @@
 
 #include <deque>
 #include <map>
+#include <set>
 #include <vector>
 
 namespace medlarmoor::flow {
@@ -77,10 +78,14 @@
   [[nodiscard]] std::optional<FlowId> localFlow(const WireFlow &Flow) const;
   [[nodiscard]] const membership::Member *nextHome(FlowId Id);
 
+  void leaveTo();
   void startTransfer(const EntryName &To, Update Last);
   void grantTo(const EntryName &To, ViewId Seen);
   void continueTransfer(Peer &To);
   bool takeException(const WireException &Told, TimePoint Now);
+  void relay(const EntryName &From, const WireException &Told,
+             std::uint8_t Relays);
+  void passOnCopies(const EntryName &Of);
   void takeCount(Peer &From, const WireCount &Told);
   void forgetCounts(Peer &From);
 
@@ -109,6 +114,8 @@
   std::vector<wire::Outgoing> Outgoing_;
   std::size_t CountCursor_ = 0;
   bool LeaveStarted_ = false;
+  /// Members that were handed what is theirs, or are being handed it.
+  std::set<EntryName> LeftTo_;
   std::uint64_t BytesSent_ = 0;
   std::uint64_t UpdatesSent_ = 0;
 };
--- a/src/medlarmoor/flow/update.cpp
+++ b/src/medlarmoor/flow/update.cpp
@@ -136,12 +136,16 @@
     To.Place_ = placeOf(In["s"]);
   if (In.contains("a"))
     To.Acknowledged_ = placeOf(In["a"]);
+  if (In.contains("r"))
+    To.Relays_ = In["r"].get<std::uint8_t>();
   if (In.contains("q"))
     To.Claim_ = ViewId(In["q"].get<std::uint64_t>());
   if (In.contains("g"))
     To.Grant_ = Grant{ViewId(In["g"].at(0).get<std::uint64_t>()),
                       In["g"].at(1).get<bool>()};
-  To.Left_ = In.contains("l");
+  if (In.contains("l"))
+    To.Left_ = Leave{ViewId(In["l"].at(0).get<std::uint64_t>()),
+                     In["l"].at(1).get<bool>()};
 }
 
 } // namespace
@@ -152,12 +156,14 @@
     Out["s"] = placeJson(*Place_);
   if (Acknowledged_)
     Out["a"] = placeJson(*Acknowledged_);
+  if (Relays_ > 0)
+    Out["r"] = Relays_;
   if (Claim_)
     Out["q"] = Claim_->value();
   if (Grant_)
     Out["g"] = Json::array({Grant_->View_.value(), Grant_->Joining_});
   if (Left_)
-    Out["l"] = true;
+    Out["l"] = Json::array({Left_->View_.value(), Left_->ToReceiver_});
   encodeFlows(Out, *this);
   const Bytes Packed = Json::to_cbor(Out);
   const auto *First = reinterpret_cast<const std::byte *>(Packed.data());
--- a/src/medlarmoor/flow/update.hpp
+++ b/src/medlarmoor/flow/update.hpp
@@ -56,6 +56,16 @@
   friend bool operator==(const Grant &, const Grant &) = default;
 };
 
+/// The sender has handed over to others and leaves.
+struct Leave {
+  /// The view that it saw.
+  ViewId View_;
+  /// The receiver is among those that it handed over to.
+  bool ToReceiver_ = false;
+
+  friend bool operator==(const Leave &, const Leave &) = default;
+};
+
 /// What one entry's flow door tells another's. Sent in CBOR; flows are packed
 /// into byte strings: a service (4 bytes), a count, then for each flow 5 bytes
 /// of hash and, in exceptions, 2 bytes of upstream.
@@ -66,6 +76,8 @@
   std::optional<StreamPlace> Acknowledged_;
   /// Exceptions to keep for their home, or as their new home.
   std::vector<WireException> Exceptions_;
+  /// How often the exceptions were relayed to a further home.
+  std::uint8_t Relays_ = 0;
   /// Exceptions whose flows have ended.
   std::vector<WireFlow> Ended_;
   std::vector<WireCount> Counts_;
@@ -73,7 +85,7 @@
   std::optional<ViewId> Claim_;
   std::optional<Grant> Grant_;
   /// The sender leaves and has handed over all it had.
-  bool Left_ = false;
+  std::optional<Leave> Left_;
 
   friend bool operator==(const Update &, const Update &) = default;
 
