Decide membership by heartbeats: mesh, lifecycle, views

Entries of a failure domain need one picture of who lives without a message per flow or a second store. Heartbeats decide; the platform's list only names whom to contact, so that a list that lags removes nobody. Up to 8 peers each sends to all; above, to 2 successors and 2 random peers, and news spread from member to member, so that the cost does not grow with the domain. Silence for half a lease makes a suspect, which has the other half to refute.

Ruled out: removal by one watcher's silence alone (one cut path would remove a member that lives); heartbeats to all in large domains (bytes grow with size).

A process that did not run for longer than its lease goes on as a new run and leaves itself out of its view until it has joined again. An entry that knows neither list nor neighbour does not become live.

--- a/src/medlarmoor/membership/fwd.hpp
+++ b/src/medlarmoor/membership/fwd.hpp
@@ -5,8 +5,19 @@
 
 namespace medlarmoor::membership {
 
+enum class EntryState : unsigned char;
 enum class MemberState : unsigned char;
+enum class Verdict : unsigned char;
+struct ControlMailboxes;
+struct ListedInstance;
 struct Member;
+struct Peer;
+class ControlThread;
+class EntryLifecycle;
+class ListSchedule;
+class Mesh;
+class PeerTable;
+class Rumours;
 class View;
 using ViewPtr = std::shared_ptr<const View>;
 
--- /dev/null
+++ b/src/medlarmoor/membership/mesh.cpp
@@ -0,0 +1,488 @@
+#include <medlarmoor/core/hash.hpp>
+#include <medlarmoor/membership/mesh.hpp>
+#include <medlarmoor/membership/targets.hpp>
+
+#include <algorithm>
+#include <iterator>
+
+namespace medlarmoor::membership {
+
+namespace {
+
+using wire::Phase;
+
+/// How long one that has gone is remembered, and tried now and then.
+constexpr Nanos GoneRemembered = Seconds(600);
+/// News in an ordinary heartbeat at most.
+constexpr std::size_t NewsPerBeat = 8;
+/// Contacts that are no peers yet which one heartbeat tries.
+constexpr std::size_t ContactsPerBeat = 4;
+/// While two views differ the table is asked for in steps of this to that.
+constexpr Nanos FirstTableBackoff = Seconds(2);
+constexpr Nanos LongestTableBackoff = Seconds(60);
+/// Its two highest members read the platform's list for the domain.
+const std::uint64_t ListWatchKey = hashText("platform list");
+
+/// Silence after which a peer is suspected; it has as long again to refute.
+Nanos suspectAfter(const config::MembershipSettings &Timing) {
+  return Timing.Lease_ / 2;
+}
+
+} // namespace
+
+Mesh::Mesh(EntryName Self, Ipv4 Address, config::MembershipSettings Timing,
+           Incarnation Run, Clock Time, Random Source,
+           std::vector<ListedInstance> Seeds)
+    : Self_(std::move(Self)), Address_(Address), Timing_(Timing), Run_(Run),
+      Time_(std::move(Time)), Source_(std::move(Source)),
+      Peers_(MaxPeers, GoneRemembered), Schedule_(Timing.ListPeriod_),
+      Listed_(std::move(Seeds)),
+      View_(std::make_shared<const View>(Self_, std::vector<Member>())),
+      LastTick_(Time_.now()), NextBeat_(LastTick_) {}
+
+Actions Mesh::tick() {
+  Actions Out;
+  checkLease(Out);
+  const TimePoint Now = Time_.now();
+  advanceLifecycle(Out);
+  if (Now >= NextBeat_)
+    beat(Out);
+  judge(Out);
+  flushUrgent(Out);
+  readList(Out);
+  publish(Out);
+  LastTick_ = Now;
+  return Out;
+}
+
+Actions Mesh::onMessage(const wire::Incoming &Each) {
+  Actions Out;
+  checkLease(Out);
+  if (state() == EntryState::Stopped)
+    return Out;
+  std::visit([&](const auto &Message) { receive(Each, Message, Out); },
+             Each.Message_);
+  publish(Out);
+  return Out;
+}
+
+Actions Mesh::onList(const std::optional<std::vector<ListedInstance>> &List) {
+  Actions Out;
+  checkLease(Out);
+  Schedule_.finished(Time_.now(), List.has_value(), Source_);
+  if (!List)
+    return Out;
+  Listed_ = *List;
+  std::erase_if(Listed_,
+                [this](const auto &Each) { return Each.Name_ == Self_; });
+  if (Lifecycle_.state() == EntryState::Starting && Lifecycle_.contacted())
+    JoinedAt_ = Time_.now();
+  return Out;
+}
+
+Actions Mesh::onStaleRun(const EntryName &From) {
+  Actions Out;
+  const Peer *Known = Peers_.find(From);
+  if (!Known)
+    return Out;
+  wire::Heartbeat Answer = heartbeat(0);
+  Answer.News_ = {Known->news()};
+  Out.emplace_back(Send{{Known->Address_}, std::move(Answer)});
+  return Out;
+}
+
+void Mesh::setConfig(ConfigVersion Version) {
+  if (Version <= Config_)
+    return;
+  Config_ = Version;
+  Urgent_ = true;
+}
+
+Actions Mesh::leave() {
+  Actions Out;
+  if (!Lifecycle_.leave())
+    return Out;
+  changePhase(Phase::Leaving);
+  flushUrgent(Out);
+  publish(Out);
+  return Out;
+}
+
+Actions Mesh::farewell() {
+  Actions Out;
+  if (!Lifecycle_.handedOver())
+    return Out;
+  std::vector<EntryName> To = successors(activeNames(), Self_);
+  addRandom(To, activeNames(), UrgentTargets, Source_);
+  if (!To.empty())
+    Out.emplace_back(Send{addresses(To), wire::Farewell{}});
+  changePhase(Phase::Gone);
+  publish(Out);
+  return Out;
+}
+
+bool Mesh::leaseValid() const {
+  return state() == EntryState::Live &&
+         Time_.now() - LastTick_ <= Timing_.Lease_;
+}
+
+std::optional<Ipv4> Mesh::address(const EntryName &Name) const {
+  const Peer *Each = Peers_.find(Name);
+  if (!Each || !Each->active())
+    return std::nullopt;
+  return Each->Address_;
+}
+
+std::vector<Ipv4> Mesh::others() const {
+  std::vector<Ipv4> Out;
+  for (const Member &Each : View_->members())
+    if (Each.Name_ != Self_)
+      Out.push_back(Each.Address_);
+  return Out;
+}
+
+bool Mesh::large() const { return Peers_.active() > FullMeshPeers; }
+
+std::size_t Mesh::listDisagreements() const {
+  std::size_t Out = 0;
+  for (const ListedInstance &Each : Listed_)
+    if (!Each.Leaving_ && !View_->find(Each.Name_))
+      ++Out;
+  for (const Member &Each : View_->members())
+    if (Each.Name_ != Self_ &&
+        std::none_of(Listed_.begin(), Listed_.end(), [&](const auto &Listed) {
+          return Listed.Name_ == Each.Name_;
+        }))
+      ++Out;
+  return Out;
+}
+
+/// A gap since the last tick that is longer than the lease means that this
+/// process did not run and that the others have removed it.
+void Mesh::checkLease(Actions &Out) {
+  const TimePoint Now = Time_.now();
+  if (Now - LastTick_ <= Timing_.Lease_)
+    return;
+  LastTick_ = Now;
+  if (Lifecycle_.state() == EntryState::Stopped)
+    return;
+  Peers_.forgive(Now);
+  restart(Incarnation(Run_.value() + 1), Out);
+}
+
+/// Goes on as a new run, which has to join again.
+void Mesh::restart(Incarnation Run, Actions &Out) {
+  Run_ = Run;
+  Generation_ = 0;
+  Out.emplace_back(Renew{Run});
+  const TimePoint Now = Time_.now();
+  NextBeat_ = Now;
+  if (Lifecycle_.state() == EntryState::Leaving)
+    return;
+  Lifecycle_.lapsed();
+  if (Lifecycle_.woken()) {
+    JoinedAt_ = Now;
+    HasTable_ = false;
+    changePhase(Phase::Joining);
+  }
+  publish(Out);
+}
+
+void Mesh::advanceLifecycle(Actions &Out) {
+  const TimePoint Now = Time_.now();
+  if (state() != EntryState::Joining)
+    return;
+  const bool AnyLive =
+      std::any_of(Peers_.peers().begin(), Peers_.peers().end(),
+                  [](const auto &Pair) { return Pair.second.counts(); });
+  if (AnyLive && !HasTable_ && Now >= NextTableRequest_)
+    requestTable(Out);
+  const Nanos Waited = Now - JoinedAt_;
+  const bool Known = HasTable_ || !AnyLive || Waited >= 4 * Timing_.Lease_;
+  if (Waited < Timing_.Lease_ || !Known || !Lifecycle_.learned())
+    return;
+  changePhase(Phase::Live);
+}
+
+void Mesh::beat(Actions &Out) {
+  NextBeat_ = std::max(NextBeat_ + Timing_.Heartbeat_,
+                       Time_.now() + Timing_.Heartbeat_ / 2);
+  if (state() == EntryState::Stopped)
+    return;
+  const std::vector<EntryName> Names = activeNames();
+  std::vector<EntryName> To = successors(Names, Self_);
+  if (Names.size() > FullMeshPeers)
+    addRandom(To, Names, RandomTargets, Source_);
+  if (!To.empty())
+    Out.emplace_back(Send{addresses(To), heartbeat(To.size())});
+  contact(Out);
+  Peers_.forgetGone(Time_.now());
+}
+
+/// Tries some of those that the list or an earlier view names but that take no
+/// part: it lags, they are about to join, or a cut between us has ended.
+void Mesh::contact(Actions &Out) {
+  std::vector<Ipv4> Silent;
+  for (const ListedInstance &Each : Listed_) {
+    const Peer *Known = Peers_.find(Each.Name_);
+    if (!Known || !Known->active())
+      Silent.push_back(Each.Address_);
+  }
+  for (const auto &[Name, Each] : Peers_.peers())
+    if (!Each.active() &&
+        std::find(Silent.begin(), Silent.end(), Each.Address_) == Silent.end())
+      Silent.push_back(Each.Address_);
+  if (Silent.empty())
+    return;
+  // One that learns the members tries several; a member tries one.
+  const std::size_t Count =
+      state() == EntryState::Starting || state() == EntryState::Joining
+          ? ContactsPerBeat
+          : 1;
+  std::shuffle(Silent.begin(), Silent.end(), Source_);
+  Silent.resize(std::min(Silent.size(), Count));
+  Out.emplace_back(Send{std::move(Silent), heartbeat(0)});
+}
+
+void Mesh::judge(Actions &Out) {
+  const TimePoint Now = Time_.now();
+  if (state() == EntryState::Stopped)
+    return;
+  for (Peer *Each : Peers_.suspectSilent(Now, suspectAfter(Timing_))) {
+    Rumours_.add(Each->Name_, Peers_.active());
+    Urgent_ = true;
+    wire::Heartbeat Probe = heartbeat(0);
+    Probe.News_ = {Each->news()};
+    Out.emplace_back(Send{{Each->Address_}, std::move(Probe)});
+  }
+  if (!Peers_.expireSuspected(Now, suspectAfter(Timing_)).empty())
+    membersChanged();
+}
+
+/// News are passed on at once, not with the next heartbeat, so that a
+/// refutation arrives before a suspicion takes effect.
+void Mesh::flushUrgent(Actions &Out) {
+  if (!Urgent_)
+    return;
+  Urgent_ = false;
+  const std::vector<EntryName> Names = activeNames();
+  std::vector<EntryName> To;
+  if (Names.size() <= FullMeshPeers)
+    To = Names;
+  else
+    addRandom(To, Names, UrgentTargets, Source_);
+  if (!To.empty())
+    Out.emplace_back(Send{addresses(To), heartbeat(To.size())});
+}
+
+void Mesh::readList(Actions &Out) {
+  if (state() != EntryState::Stopped &&
+      Schedule_.due(Time_.now(), watchesList(), Source_))
+    Out.emplace_back(ReadList{});
+}
+
+void Mesh::publish(Actions &Out) {
+  if (!Changed_)
+    return;
+  Changed_ = false;
+  rewatch();
+  std::vector<Member> Members;
+  for (const auto &[Name, Each] : Peers_.peers())
+    if (Each.counts())
+      Members.push_back({Name, Each.Address_,
+                         Each.Phase_ == Phase::Leaving ? MemberState::Leaving
+                                                       : MemberState::Live});
+  if (Phase_ == Phase::Live || Phase_ == Phase::Leaving)
+    Members.push_back(
+        {Self_, Address_,
+         Phase_ == Phase::Leaving ? MemberState::Leaving : MemberState::Live});
+  auto Next = std::make_shared<const View>(Self_, std::move(Members));
+  if (std::ranges::equal(Next->members(), View_->members()))
+    return;
+  View_ = std::move(Next);
+  ViewChanged_ = Time_.now();
+  Out.emplace_back(Publish{View_});
+}
+
+void Mesh::receive(const wire::Incoming &From, const wire::Heartbeat &Each,
+                   Actions &Out) {
+  learn({From.From_, Each.Address_, From.Incarnation_, Each.Generation_,
+         Each.Phase_},
+        Out);
+  Peer *Sender = Peers_.find(From.From_);
+  if (!Sender)
+    return;
+  if (Sender->Run_ != From.Incarnation_) {
+    std::ranges::move(onStaleRun(From.From_), std::back_inserter(Out));
+    return;
+  }
+  const bool Accused = Sender->Suspected_ || !Sender->active();
+  if (Accused) {
+    // It lives but may not know what is said of it, which it has to refute.
+    wire::Heartbeat Answer = heartbeat(0);
+    Answer.News_ = {Sender->news()};
+    Out.emplace_back(Send{{Each.Address_}, std::move(Answer)});
+  }
+  if (Sender->active())
+    Peers_.heard(*Sender, Time_.now());
+  for (const wire::MemberNews &Fact : Each.News_)
+    learn(Fact, Out);
+  if (Each.Phase_ == Phase::Live)
+    compareViews(*Sender, Each.View_, Out);
+}
+
+void Mesh::receive(const wire::Incoming &From, const wire::Farewell &,
+                   Actions &Out) {
+  const Peer *Sender = Peers_.find(From.From_);
+  if (!Sender || Sender->Run_ != From.Incarnation_)
+    return;
+  wire::MemberNews Fact = Sender->news();
+  Fact.Phase_ = Phase::Gone;
+  learn(Fact, Out);
+}
+
+void Mesh::receive(const wire::Incoming &From, const wire::TableRequest &,
+                   Actions &Out) {
+  const Peer *Sender = Peers_.find(From.From_);
+  if (!Sender || !Sender->active())
+    return;
+  std::vector<wire::MemberNews> All{ownNews()};
+  for (const auto &[Name, Each] : Peers_.peers())
+    if (Each.active())
+      All.push_back(Each.news());
+  for (std::size_t At = 0; At < All.size(); At += wire::MaxNews) {
+    const std::size_t End = std::min(All.size(), At + wire::MaxNews);
+    Out.emplace_back(Send{
+        {Sender->Address_},
+        wire::MemberTable{{All.begin() + static_cast<std::ptrdiff_t>(At),
+                           All.begin() + static_cast<std::ptrdiff_t>(End)}}});
+  }
+}
+
+void Mesh::receive(const wire::Incoming &, const wire::MemberTable &Each,
+                   Actions &Out) {
+  HasTable_ = true;
+  for (const wire::MemberNews &Fact : Each.Members_)
+    learn(Fact, Out);
+}
+
+void Mesh::learn(const wire::MemberNews &Fact, Actions &Out) {
+  if (Fact.Name_ == Self_)
+    return learnOfSelf(Fact, Out);
+  switch (Peers_.apply(Fact, Time_.now())) {
+  case Verdict::New:
+    break;
+  case Verdict::Stale:
+    ++Stale_;
+    return;
+  case Verdict::Known:
+  case Verdict::Full:
+    return;
+  }
+  Rumours_.add(Fact.Name_, Peers_.active());
+  Urgent_ = true;
+  membersChanged();
+  if (Lifecycle_.state() == EntryState::Starting && Lifecycle_.contacted())
+    JoinedAt_ = Time_.now();
+}
+
+void Mesh::learnOfSelf(const wire::MemberNews &Fact, Actions &Out) {
+  if (Fact.Incarnation_ < Run_)
+    return;
+  // An earlier run of this name had a clock that was ahead.
+  if (Fact.Incarnation_ > Run_)
+    return restart(Incarnation(Fact.Incarnation_.value() + 1), Out);
+  const bool Accused =
+      Fact.Phase_ == Phase::Suspected || Fact.Phase_ == Phase::Gone;
+  if (!Accused || Fact.Generation_ < Generation_)
+    return;
+  Generation_ = Fact.Generation_ + 1;
+  Urgent_ = true;
+  Rumours_.add(Self_, Peers_.active());
+}
+
+/// Views that differ for longer than news take to arrive are compared in full.
+void Mesh::compareViews(const Peer &From, ViewId Theirs, Actions &Out) {
+  if (Theirs == View_->id()) {
+    TableBackoff_ = FirstTableBackoff;
+    return;
+  }
+  const TimePoint Now = Time_.now();
+  TableBackoff_ = std::max(TableBackoff_, FirstTableBackoff);
+  if (Now - ViewChanged_ < FirstTableBackoff || Now < NextTableRequest_)
+    return;
+  NextTableRequest_ = Now + TableBackoff_;
+  TableBackoff_ = std::min(2 * TableBackoff_, LongestTableBackoff);
+  Out.emplace_back(Send{{From.Address_}, wire::TableRequest{}});
+}
+
+void Mesh::requestTable(Actions &Out) {
+  std::vector<Ipv4> Live;
+  for (const auto &[Name, Each] : Peers_.peers())
+    if (Each.counts())
+      Live.push_back(Each.Address_);
+  NextTableRequest_ = Time_.now() + Timing_.Lease_ / 2;
+  Out.emplace_back(Send{{Live[Source_() % Live.size()]}, wire::TableRequest{}});
+}
+
+void Mesh::changePhase(Phase Next) {
+  Phase_ = Next;
+  ++Generation_;
+  Urgent_ = true;
+  Rumours_.add(Self_, Peers_.active());
+  membersChanged();
+}
+
+void Mesh::membersChanged() { Changed_ = true; }
+
+wire::Heartbeat Mesh::heartbeat(std::size_t Messages) {
+  wire::Heartbeat Out{Address_, View_->id(), Config_, Generation_, Phase_, {}};
+  for (const EntryName &Name : Rumours_.take(NewsPerBeat, Messages)) {
+    if (Name == Self_)
+      Out.News_.push_back(ownNews());
+    else if (const Peer *Each = Peers_.find(Name))
+      Out.News_.push_back(Each->news());
+  }
+  return Out;
+}
+
+wire::MemberNews Mesh::ownNews() const {
+  return {Self_, Address_, Run_, Generation_, Phase_};
+}
+
+std::vector<EntryName> Mesh::activeNames() const {
+  std::vector<EntryName> Out;
+  for (const auto &[Name, Each] : Peers_.peers())
+    if (Each.active())
+      Out.push_back(Name);
+  return Out;
+}
+
+std::vector<Ipv4> Mesh::addresses(const std::vector<EntryName> &Names) const {
+  std::vector<Ipv4> Out;
+  Out.reserve(Names.size());
+  for (const EntryName &Name : Names)
+    Out.push_back(Peers_.find(Name)->Address_);
+  return Out;
+}
+
+bool Mesh::watchesList() const {
+  const Member *First = View_->home(ListWatchKey);
+  if (!First || First->Name_ == Self_)
+    return true;
+  const Member *Second = View_->homeWithout(ListWatchKey, First->Name_);
+  return Second && Second->Name_ == Self_;
+}
+
+/// A peer that comes to be watched gets a full lease before its silence counts.
+void Mesh::rewatch() {
+  const std::vector<EntryName> Now = predecessors(activeNames(), Self_);
+  for (auto &[Name, Each] : Peers_.peers()) {
+    const bool Watch = std::find(Now.begin(), Now.end(), Name) != Now.end();
+    if (Watch && !Each.Watched_)
+      Each.Heard_ = std::max(Each.Heard_, Time_.now());
+    Each.Watched_ = Watch;
+  }
+}
+
+} // namespace medlarmoor::membership
--- a/src/medlarmoor/wire/sealer.cpp
+++ b/src/medlarmoor/wire/sealer.cpp
@@ -47,8 +47,12 @@
   if (Opened->From_ == Self_)
     return refuse("own");
   if (!Guard_.admit(Opened->From_, Opened->Incarnation_, Opened->Sequence_,
-                    Opened->SentSeconds_))
-    return refuse(Guard_.lastReason());
+                    Opened->SentSeconds_)) {
+    refuse(Guard_.lastReason());
+    if (Reason_ == "incarnation")
+      StaleSender_ = std::move(Opened->From_);
+    return std::nullopt;
+  }
   return Incoming{std::move(Opened->From_), std::move(Opened->Message_),
                   Opened->Incarnation_};
 }
@@ -60,6 +64,7 @@
 
 std::nullopt_t Sealer::refuse(std::string Reason) {
   Reason_ = std::move(Reason);
+  StaleSender_ = EntryName();
   return std::nullopt;
 }
 
--- a/src/medlarmoor/wire/sealer.hpp
+++ b/src/medlarmoor/wire/sealer.hpp
@@ -35,6 +35,11 @@
   [[nodiscard]] const std::string &lastReason() const noexcept {
     return Reason_;
   }
+  /// The sender whose earlier run the last refused message names; empty for
+  /// any other reason.
+  [[nodiscard]] const EntryName &staleSender() const noexcept {
+    return StaleSender_;
+  }
 
   /// Signs as a new run from now on; the sequence starts again.
   void renew(Incarnation Run);
@@ -50,6 +55,7 @@
   ReplayGuard Guard_;
   std::uint64_t Sequence_ = 0;
   std::string Reason_;
+  EntryName StaleSender_;
 };
 
 } // namespace medlarmoor::wire
