--- a/src/medlarmoor/membership/fwd.hpp
+++ b/src/medlarmoor/membership/fwd.hpp
@@ -9,6 +9,7 @@
 enum class MemberState : unsigned char;
 enum class Verdict : unsigned char;
 struct ControlMailboxes;
+struct ControlStatus;
 struct ListedInstance;
 struct Member;
 struct Peer;
--- a/src/medlarmoor/membership/list_schedule.cpp
+++ b/src/medlarmoor/membership/list_schedule.cpp
@@ -6,8 +6,10 @@
 
 namespace {
 
-/// Between two reads of an entry that is no watcher.
-constexpr Millis SeldomPeriod = Seconds(60);
+/// One that is no watcher reads so many times less often.
+constexpr int SeldomFactor = 30;
+/// A list of this many instances doubles the period.
+constexpr std::size_t LongList = 32;
 constexpr Millis FirstRetry{250};
 constexpr Millis LongestRetry = Seconds(5);
 
@@ -22,18 +24,20 @@
 
 bool ListSchedule::due(TimePoint Now, bool Watcher, Random &Source) {
   // An entry that becomes a watcher does not wait out its long period.
-  if (Watcher && Succeeded_ && Next_ - Now > Period_ * 2)
-    Next_ = Now + jittered(Period_, Source);
+  if (Watcher && Succeeded_ && Next_ - Now > 2 * period(true))
+    Next_ = Now + jittered(period(true), Source);
   if (Reading_ || Now < Next_)
     return false;
   Reading_ = true;
-  Next_ = Now + jittered(Watcher ? Period_ : SeldomPeriod, Source);
+  Next_ = Now + jittered(period(Watcher), Source);
   return true;
 }
 
-void ListSchedule::finished(TimePoint Now, bool Succeeded, Random &Source) {
+void ListSchedule::finished(TimePoint Now, std::optional<std::size_t> Instances,
+                            Random &Source) {
   Reading_ = false;
-  if (Succeeded) {
+  if (Instances) {
+    Instances_ = *Instances;
     Succeeded_ = true;
     Retry_ = Millis(0);
     return;
@@ -44,4 +48,9 @@
   Next_ = Now + jittered(Retry_, Source);
 }
 
+Millis ListSchedule::period(bool Watcher) const noexcept {
+  const auto Scale = static_cast<Millis::rep>(1 + Instances_ / LongList);
+  return Period_ * Scale * (Watcher ? 1 : SeldomFactor);
+}
+
 } // namespace medlarmoor::membership
--- a/src/medlarmoor/membership/mesh.cpp
+++ b/src/medlarmoor/membership/mesh.cpp
@@ -34,9 +34,8 @@
            Incarnation Run, Clock Time, Random Source,
            std::vector<ListedInstance> Seeds)
     : Self_(std::move(Self)), Address_(Address), Timing_(Timing), Run_(Run),
-      Time_(std::move(Time)), Source_(std::move(Source)),
-      Peers_(MaxPeers, GoneRemembered), Schedule_(Timing.ListPeriod_),
-      Listed_(std::move(Seeds)),
+      Time_(std::move(Time)), Source_(Source), Peers_(MaxPeers, GoneRemembered),
+      Schedule_(Timing.ListPeriod_), Listed_(std::move(Seeds)),
       View_(std::make_shared<const View>(Self_, std::vector<Member>())),
       LastTick_(Time_.now()), NextBeat_(LastTick_) {}
 
@@ -69,7 +68,8 @@
 Actions Mesh::onList(const std::optional<std::vector<ListedInstance>> &List) {
   Actions Out;
   checkLease(Out);
-  Schedule_.finished(Time_.now(), List.has_value(), Source_);
+  Schedule_.finished(
+      Time_.now(), List ? std::optional(List->size()) : std::nullopt, Source_);
   if (!List)
     return Out;
   Listed_ = *List;
