--- /dev/null
+++ b/apps/medlarmoord.cpp
@@ -0,0 +1,47 @@
+#include <medlarmoor/config/read_settings.hpp>
+#include <medlarmoor/core/clock.hpp>
+#include <medlarmoor/core/findings.hpp>
+#include <medlarmoor/core/stop_signal.hpp>
+#include <medlarmoor/daemon/daemon.hpp>
+
+#include <gflags/gflags.h>
+
+#include <cstdio>
+
+DEFINE_string(settings, "", "TOML file with the settings of this entry");
+DEFINE_string(spans, "", "file for trace spans; standard error when empty");
+
+namespace {
+
+constexpr int ExitFindings = 2;
+
+int refuse(const medlarmoor::Findings &Found) {
+  std::fputs(Found.text().c_str(), stderr);
+  return ExitFindings;
+}
+
+} // namespace
+
+int main(int Argc, char **Argv) {
+  using namespace medlarmoor;
+  gflags::SetUsageMessage("the entry daemon\n"
+                          "  medlarmoord --settings FILE [--spans FILE]");
+  gflags::SetVersionString(MEDLARMOOR_VERSION);
+  gflags::ParseCommandLineFlags(&Argc, &Argv, true);
+
+  Findings Found;
+  if (Argc > 1)
+    Found.add({"command line", 0, 0},
+              std::string("unexpected word '") + Argv[1] + "'");
+  const auto Given = config::readSettingsFile(FLAGS_settings, Found);
+  if (!Given || !Found.empty())
+    return refuse(Found);
+
+  StopSignal Stop;
+  daemon::Daemon Entry(*Given, Clock(), FLAGS_spans);
+  if (!Entry.start(FLAGS_settings, Found))
+    return refuse(Found);
+  Stop.wait();
+  Entry.leave();
+  return 0;
+}
--- a/src/medlarmoor/membership/control_status.hpp
+++ b/src/medlarmoor/membership/control_status.hpp
@@ -1,6 +1,7 @@
 #ifndef MEDLARMOOR_MEMBERSHIP_CONTROL_STATUS_HPP
 #define MEDLARMOOR_MEMBERSHIP_CONTROL_STATUS_HPP
 
+#include <medlarmoor/config/fwd.hpp>
 #include <medlarmoor/core/ids.hpp>
 #include <medlarmoor/core/time.hpp>
 #include <medlarmoor/membership/entry_state.hpp>
@@ -16,8 +17,8 @@
   Incarnation Run_;
   /// Null before the first tick.
   ViewPtr View_;
-  /// The version in force; 0 for none.
-  ConfigVersion Config_;
+  /// The document in force; null for none.
+  config::InForcePtr InForce_;
   std::size_t ListDisagreements_ = 0;
   TimePoint TickedAt_;
   /// The own lease was valid at that tick.
--- a/src/medlarmoor/membership/control_thread.cpp
+++ b/src/medlarmoor/membership/control_thread.cpp
@@ -100,7 +100,7 @@
 
   std::array<bool, 3> ViewDue_{};
   EntryState LastState_ = EntryState::Starting;
-  ConfigVersion Config_;
+  config::InForcePtr InForce_;
   telemetry::Counter &BytesOut_;
   telemetry::Counter &BytesIn_;
   telemetry::Counter &Sent_;
@@ -344,8 +344,8 @@
 void ControlThread::Impl::onConfig(const config::InForcePtr &Next) {
   if (!Next)
     return;
-  Config_ = Next->Version_;
-  Mesh_.setConfig(Config_);
+  InForce_ = Next;
+  Mesh_.setConfig(Next->Version_);
 }
 
 /// Keeps what other threads may ask for, and logs a change of state.
@@ -359,7 +359,7 @@
   Status_ = {State,
              Mesh_.incarnation(),
              Mesh_.view(),
-             Config_,
+             InForce_,
              Mesh_.listDisagreements(),
              Time_.now(),
              Mesh_.leaseValid()};
