Count the own lease from the last heartbeat sent

A paused entry that woke 0.8 s after its last tick took its lease for valid, while the others, who count from its last heartbeat, had removed it. It now counts from the last heartbeat it sent, so its own lease ends no later than theirs. Seen by the test over real processes; a test at six lengths of pause brings it about on a manual clock.

--- a/src/medlarmoor/membership/mesh.cpp
+++ b/src/medlarmoor/membership/mesh.cpp
@@ -37,7 +37,7 @@
       Time_(std::move(Time)), Source_(Source), Peers_(MaxPeers, GoneRemembered),
       Schedule_(Timing.ListPeriod_), Listed_(std::move(Seeds)),
       View_(std::make_shared<const View>(Self_, std::vector<Member>())),
-      LastTick_(Time_.now()), NextBeat_(LastTick_) {}
+      LastBeat_(Time_.now()), NextBeat_(LastBeat_) {}
 
 Actions Mesh::tick() {
   Actions Out;
@@ -50,7 +50,6 @@
   flushUrgent(Out);
   readList(Out);
   publish(Out);
-  LastTick_ = Now;
   return Out;
 }
 
@@ -123,7 +122,7 @@
 
 bool Mesh::leaseValid() const {
   return state() == EntryState::Live &&
-         Time_.now() - LastTick_ <= Timing_.Lease_;
+         Time_.now() - LastBeat_ <= Timing_.Lease_;
 }
 
 std::optional<Ipv4> Mesh::address(const EntryName &Name) const {
@@ -157,13 +156,13 @@
   return Out;
 }
 
-/// A gap since the last tick that is longer than the lease means that this
-/// process did not run and that the others have removed it.
+/// The others count the lease from a heartbeat's arrival, so one that has sent
+/// none for a lease did not run, and may have been removed.
 void Mesh::checkLease(Actions &Out) {
   const TimePoint Now = Time_.now();
-  if (Now - LastTick_ <= Timing_.Lease_)
+  if (Now - LastBeat_ <= Timing_.Lease_)
     return;
-  LastTick_ = Now;
+  LastBeat_ = Now;
   if (Lifecycle_.state() == EntryState::Stopped)
     return;
   Peers_.forgive(Now);
@@ -205,8 +204,9 @@
 }
 
 void Mesh::beat(Actions &Out) {
+  LastBeat_ = Time_.now();
   NextBeat_ = std::max(NextBeat_ + Timing_.Heartbeat_,
-                       Time_.now() + Timing_.Heartbeat_ / 2);
+                       LastBeat_ + Timing_.Heartbeat_ / 2);
   if (state() == EntryState::Stopped)
     return;
   const std::vector<EntryName> Names = activeNames();
--- a/src/medlarmoor/membership/mesh.hpp
+++ b/src/medlarmoor/membership/mesh.hpp
@@ -57,8 +57,8 @@
   [[nodiscard]] Actions farewell();
 
   [[nodiscard]] EntryState state() const noexcept { return Lifecycle_.state(); }
-  /// Whether this entry may act as a home now: it is live and its last tick is
-  /// no older than its lease.
+  /// Whether this entry may act as a home now: it is live and its last
+  /// heartbeat is no older than its lease.
   [[nodiscard]] bool leaseValid() const;
   [[nodiscard]] const ViewPtr &view() const noexcept { return View_; }
   [[nodiscard]] Incarnation incarnation() const noexcept { return Run_; }
@@ -128,7 +128,7 @@
 
   wire::Phase Phase_ = wire::Phase::Joining;
   std::uint32_t Generation_ = 0;
-  TimePoint LastTick_;
+  TimePoint LastBeat_;
   TimePoint NextBeat_;
   TimePoint JoinedAt_;
   TimePoint NextTableRequest_;
--- a/test/membership/mesh_test.cpp
+++ b/test/membership/mesh_test.cpp
@@ -86,6 +86,21 @@
   CHECK(Net->mesh(3).state() == EntryState::Joining);
 }
 
+TEST_CASE("whoever the others removed while it was paused knows it on waking") {
+  for (const Nanos Pause : {Millis(700), Millis(900), Millis(1000),
+                            Millis(1050), Millis(1100), Millis(1300)}) {
+    const auto Net = started(4, 12);
+    Net->run(Millis(150));
+    const Incarnation Before = Net->mesh(3).incarnation();
+    Net->pause(3);
+    Net->run(Pause);
+    const bool Removed = !Net->sees(0, 3);
+    Net->wake(3);
+    Net->perform(3, Net->mesh(3).tick());
+    CHECK((!Removed || Net->mesh(3).incarnation() > Before));
+  }
+}
+
 TEST_CASE("a list that lags or disagrees removes nobody") {
   const auto Net = started(4, 13);
   Net->unlist(2);
--- a/test/process/daemon_test.cpp
+++ b/test/process/daemon_test.cpp
@@ -73,7 +73,8 @@
     const auto Answer = get(I, "/status");
     if (!Answer)
       return Out;
-    for (const json &Each : json::parse(Answer->Body_)["members"])
+    const json Status = json::parse(Answer->Body_);
+    for (const json &Each : Status["members"])
       if (Each["state"] == "live")
         Out.push_back(Each["name"]);
     return Out;
