--- a/src/medlarmoor/membership/control_thread.cpp
+++ b/src/medlarmoor/membership/control_thread.cpp
@@ -242,13 +242,13 @@
 }
 
 void ControlThread::Impl::route(wire::Incoming Each) {
-  const bool ForFlow = std::holds_alternative<wire::FlowUpdate>(Each.Message_);
-  const bool ForConfig =
-      std::holds_alternative<wire::Heartbeat>(Each.Message_) ||
-      std::holds_alternative<wire::ConfigNotice>(Each.Message_);
-  if (ForFlow && !Mailboxes_.ToFlow_.push(std::move(Each)))
-    MailboxFull_.add();
-  else if (ForConfig && !Mailboxes_.ToConfig_.push(std::move(Each)))
+  Mailbox<wire::Incoming> *To = nullptr;
+  if (std::holds_alternative<wire::FlowUpdate>(Each.Message_))
+    To = &Mailboxes_.ToFlow_;
+  else if (std::holds_alternative<wire::Heartbeat>(Each.Message_) ||
+           std::holds_alternative<wire::ConfigNotice>(Each.Message_))
+    To = &Mailboxes_.ToConfig_;
+  if (To && !To->push(std::move(Each)))
     MailboxFull_.add();
 }
 
--- a/test/process/daemon_test.cpp
+++ b/test/process/daemon_test.cpp
@@ -27,7 +27,7 @@
 public:
   Domain() { REQUIRE(Platform_.waitHealthy(Harness_)); }
 
-  config::Settings settings(int I) const {
+  [[nodiscard]] config::Settings settings(int I) const {
     config::Settings Out;
     Out.Name_ = EntryName("seeb-" + std::to_string(I));
     Out.Domain_ = DomainName("seeb");
@@ -39,7 +39,7 @@
     return Out;
   }
 
-  Ipv4 address(int I) const {
+  [[nodiscard]] Ipv4 address(int I) const {
     return Subnet_->address(1, static_cast<std::uint8_t>(I));
   }
 
@@ -53,7 +53,7 @@
         Seconds(3), Reason));
   }
 
-  Process start(int I) const {
+  [[nodiscard]] Process start(int I) const {
     const std::string Name = "seeb-" + std::to_string(I);
     const std::string File =
         Folder_.write(Name + ".toml", config::writeSettings(settings(I)));
@@ -61,14 +61,15 @@
                           Folder_.path() / (Name + ".log"));
   }
 
-  std::optional<net::HttpResponse> get(int I, const std::string &Target) const {
+  [[nodiscard]] std::optional<net::HttpResponse>
+  get(int I, const std::string &Target) const {
     std::string Reason;
     return net::httpCall({address(I), settings(I).Ports_.Admin_},
                          {"GET", Target, {}, {}}, Seconds(1), Reason);
   }
 
   /// The names of live members that entry I sees.
-  std::vector<std::string> live(int I) const {
+  [[nodiscard]] std::vector<std::string> live(int I) const {
     std::vector<std::string> Out;
     const auto Answer = get(I, "/status");
     if (!Answer)
@@ -81,7 +82,7 @@
   }
 
   /// Whether each of Who sees exactly Who as live.
-  bool agree(const std::vector<int> &Who) const {
+  [[nodiscard]] bool agree(const std::vector<int> &Who) const {
     return std::all_of(Who.begin(), Who.end(), [&](int I) {
       const auto Seen = live(I);
       return Seen.size() == Who.size() &&
