--- a/test/harness/tcp_relay.cpp
+++ b/test/harness/tcp_relay.cpp
@@ -41,9 +41,10 @@
 class Connection : public std::enable_shared_from_this<Connection> {
 public:
   Connection(asio::io_context &Io, Tcp::socket Client, Endpoint Target,
-             std::string PortClass, const FaultRules &Rules)
+             std::string PortClass, const FaultRules &Rules,
+             PassedBytes &Passed)
       : Client_(std::move(Client)), Server_(Io), Target_(Target),
-        PortClass_(std::move(PortClass)), Rules_(Rules),
+        PortClass_(std::move(PortClass)), Rules_(Rules), Passed_(Passed),
         Source_(addressOf(Client_)),
         Up_(Io, Client_, Server_, Source_, Target.address()),
         Down_(Io, Server_, Client_, Target.address(), Source_) {}
@@ -122,6 +123,7 @@
       Which.Writes_.shutdown(Tcp::socket::shutdown_send, Ignored);
       return;
     }
+    Passed_[PortClass_] += Which.Size_;
     asio::async_write(
         Which.Writes_, asio::buffer(Which.Chunk_.data(), Which.Size_),
         [Self = shared_from_this(), &Which](Error Failed, std::size_t) {
@@ -155,6 +157,7 @@
   Endpoint Target_;
   std::string PortClass_;
   const FaultRules &Rules_;
+  PassedBytes &Passed_;
   Ipv4 Source_;
   Pump Up_;
   Pump Down_;
@@ -166,9 +169,10 @@
 class TcpRelay::Impl : public std::enable_shared_from_this<Impl> {
 public:
   Impl(asio::io_context &Io, Endpoint Listen, Endpoint Target,
-       std::string PortClass, const FaultRules &Rules)
+       std::string PortClass, const FaultRules &Rules, PassedBytes &Passed)
       : Io_(Io), Listen_(Listen), Target_(Target),
-        PortClass_(std::move(PortClass)), Rules_(Rules), Acceptor_(Io) {}
+        PortClass_(std::move(PortClass)), Rules_(Rules), Passed_(Passed),
+        Acceptor_(Io) {}
 
   bool listen() {
     Error Failed;
@@ -211,8 +215,8 @@
   }
 
   void carry(Tcp::socket Client) {
-    const auto New = std::make_shared<Connection>(Io_, std::move(Client),
-                                                  Target_, PortClass_, Rules_);
+    const auto New = std::make_shared<Connection>(
+        Io_, std::move(Client), Target_, PortClass_, Rules_, Passed_);
     std::erase_if(Connections_,
                   [](const auto &Each) { return Each.expired(); });
     Connections_.push_back(New);
@@ -224,15 +228,17 @@
   Endpoint Target_;
   std::string PortClass_;
   const FaultRules &Rules_;
+  PassedBytes &Passed_;
   Tcp::acceptor Acceptor_;
   std::string Reason_;
   std::list<std::weak_ptr<Connection>> Connections_;
 };
 
 TcpRelay::TcpRelay(asio::io_context &Io, Endpoint Listen, Endpoint Target,
-                   std::string PortClass, const FaultRules &Rules)
+                   std::string PortClass, const FaultRules &Rules,
+                   PassedBytes &Passed)
     : Impl_(std::make_shared<Impl>(Io, Listen, Target, std::move(PortClass),
-                                   Rules)) {}
+                                   Rules, Passed)) {}
 
 TcpRelay::~TcpRelay() { Impl_->close(); }
 
--- a/test/harness/tcp_relay.hpp
+++ b/test/harness/tcp_relay.hpp
@@ -2,6 +2,7 @@
 #define MEDLARMOOR_HARNESS_TCP_RELAY_HPP
 
 #include <harness/fault_rules.hpp>
+#include <harness/passed_bytes.hpp>
 #include <medlarmoor/core/endpoint.hpp>
 
 #include <memory>
@@ -19,7 +20,7 @@
 class TcpRelay {
 public:
   TcpRelay(boost::asio::io_context &Io, Endpoint Listen, Endpoint Target,
-           std::string PortClass, const FaultRules &Rules);
+           std::string PortClass, const FaultRules &Rules, PassedBytes &Passed);
   ~TcpRelay();
   TcpRelay(const TcpRelay &) = delete;
   TcpRelay &operator=(const TcpRelay &) = delete;
--- a/test/harness/udp_relay.cpp
+++ b/test/harness/udp_relay.cpp
@@ -10,9 +10,10 @@
 
 UdpRelay::UdpRelay(boost::asio::io_context &Io, Endpoint Listen,
                    Endpoint Target, std::string PortClass,
-                   const FaultRules &Rules, Random &Source)
+                   const FaultRules &Rules, PassedBytes &Passed, Random &Source)
     : Io_(Io), Listen_(Listen), Target_(Target),
-      PortClass_(std::move(PortClass)), Rules_(Rules), Random_(Source),
+      PortClass_(std::move(PortClass)), Rules_(Rules), Passed_(Passed),
+      Random_(Source),
       Port_(Io, [this](Endpoint From, std::span<const std::byte> Datagram) {
         onDatagram(From.address(), Datagram);
       }) {}
@@ -43,6 +44,7 @@
   net::UdpSocket &Socket = Sockets_[From];
   if (Socket.descriptor() < 0 && !Socket.open({From, 0}))
     return;
+  Passed_[PortClass_] += Datagram.size();
   Socket.send(Target_, Datagram);
 }
 
--- a/test/harness/udp_relay.hpp
+++ b/test/harness/udp_relay.hpp
@@ -2,6 +2,7 @@
 #define MEDLARMOOR_HARNESS_UDP_RELAY_HPP
 
 #include <harness/fault_rules.hpp>
+#include <harness/passed_bytes.hpp>
 #include <harness/udp_port.hpp>
 #include <medlarmoor/net/udp_socket.hpp>
 
@@ -15,7 +16,8 @@
 class UdpRelay {
 public:
   UdpRelay(boost::asio::io_context &Io, Endpoint Listen, Endpoint Target,
-           std::string PortClass, const FaultRules &Rules, Random &Source);
+           std::string PortClass, const FaultRules &Rules, PassedBytes &Passed,
+           Random &Source);
 
   /// Binds; false with lastReason().
   [[nodiscard]] bool listen();
@@ -30,6 +32,7 @@
   Endpoint Target_;
   std::string PortClass_;
   const FaultRules &Rules_;
+  PassedBytes &Passed_;
   Random &Random_;
   /// A sending socket for each sender's address.
   std::map<Ipv4, net::UdpSocket> Sockets_;
--- a/test/standin/fault_proxy.cpp
+++ b/test/standin/fault_proxy.cpp
@@ -72,6 +72,8 @@
       return jsonResponse(404, json::object());
     if (Path[0] == "healthz")
       return jsonResponse(200, json::object());
+    if (Path[0] == "counters")
+      return jsonResponse(200, {{"bytes", Passed_}});
     if (Path[0] == "instances" && Body.is_object())
       return addInstance(Body);
     if (Path[0] == "silence" && Body.is_object())
@@ -112,14 +114,14 @@
     const json Tcp = Asked.value("tcp", json::object());
     for (const auto &[Class, Port] : Tcp.items()) {
       Tcp_.emplace_back(Io_, Endpoint(Listen, Port), Endpoint(Target, Port),
-                        Class, Rules_);
+                        Class, Rules_, Passed_);
       if (!Tcp_.back().listen())
         return jsonResponse(409, {{"reason", Tcp_.back().lastReason()}});
     }
     const json Udp = Asked.value("udp", json::object());
     for (const auto &[Class, Port] : Udp.items()) {
       Udp_.emplace_back(Io_, Endpoint(Listen, Port), Endpoint(Target, Port),
-                        Class, Rules_, Random_);
+                        Class, Rules_, Passed_, Random_);
       if (!Udp_.back().listen())
         return jsonResponse(409, {{"reason", Udp_.back().lastReason()}});
     }
@@ -129,6 +131,7 @@
   asio::io_context &Io_;
   Random Random_;
   FaultRules Rules_;
+  PassedBytes Passed_;
   std::list<TcpRelay> Tcp_;
   std::list<UdpRelay> Udp_;
   net::HttpServer Harness_;
