--- a/src/medlarmoor/config/manifest.hpp
+++ b/src/medlarmoor/config/manifest.hpp
@@ -58,7 +58,7 @@
                                                    std::string &Reason);
 
 /// Accepted writes that a manifest remembers before its own.
-inline constexpr std::size_t WritesRemembered = 64;
+inline constexpr std::size_t WritesRemembered = 32;
 
 } // namespace medlarmoor::config
 
