--- a/src/medlarmoor/config/follower.cpp
+++ b/src/medlarmoor/config/follower.cpp
@@ -12,6 +12,10 @@
 constexpr Millis PauseGap{1000};
 constexpr Millis PartRetry{200};
 constexpr Millis DeafTime{10'000};
+/// Shortest time between two reports to the leader.
+constexpr Millis ReportPeriod{10'000};
+/// After a change of leader the reports of all members spread over this time.
+constexpr std::int64_t ReportSpreadMs = 2000;
 /// Parts read from the platform at once.
 constexpr std::size_t PartsAtOnce = 16;
 
@@ -21,7 +25,8 @@
                    Random Source)
     : Self_(std::move(Self)), Clock_(Time), Replica_(std::move(Environment)),
       Pulls_(Time, Random(Source())), Duty_(Time, Random(Source())),
-      RetryParts_(Time.now()), Started_(Time.now()), LastTick_(Time.now()) {}
+      Random_(Source()), RetryParts_(Time.now()), NextReport_(Time.now()),
+      Started_(Time.now()), LastTick_(Time.now()) {}
 
 bool Follower::isStranger() const {
   return Live_.empty() && Clock_.now() - Started_ >= LonelyAfter;
@@ -29,7 +34,7 @@
 
 bool Follower::watches() const { return Tree_.watches(Self_) || isStranger(); }
 
-bool Follower::leads() const { return Tree_.leads(Self_) || isStranger(); }
+bool Follower::leads() const { return Tree_.leader() == Self_ || isStranger(); }
 
 void Follower::replant() {
   const TimePoint Now = Clock_.now();
@@ -157,9 +162,30 @@
   LastTick_ = Now;
   replant();
   fetchMissing(Out);
+  report(Out);
   return after(std::move(Out));
 }
 
+/// Tells the leader which version is in force here. In a large domain the
+/// leader hears the heartbeats of few members only.
+void Follower::report(FollowerActions &Out) {
+  const std::optional<EntryName> Leader = Tree_.leader();
+  if (!Leader || *Leader == Self_ || Replica_.version() == ConfigVersion(0))
+    return;
+  const TimePoint Now = Clock_.now();
+  if (*Leader != ReportedTo_) {
+    std::uniform_int_distribution<std::int64_t> Spread(0, ReportSpreadMs);
+    ReportedTo_ = *Leader;
+    Reported_ = ConfigVersion(0);
+    NextReport_ = Now + Millis(Spread(Random_));
+  }
+  if (Reported_ == Replica_.version() || Now < NextReport_)
+    return;
+  Reported_ = Replica_.version();
+  NextReport_ = Now + ReportPeriod;
+  Out.emplace_back(Tell{*Leader, Reported_});
+}
+
 /// What may have become due by any event.
 FollowerActions Follower::after(FollowerActions Out) {
   for (FollowerAction &Each : Duty_.tick())
--- a/src/medlarmoor/config/follower.hpp
+++ b/src/medlarmoor/config/follower.hpp
@@ -72,6 +72,7 @@
   FollowerActions after(FollowerActions Out);
   void fetchMissing(FollowerActions &Out);
   void announce(FollowerActions &Out);
+  void report(FollowerActions &Out);
   void replant();
   [[nodiscard]] bool isStranger() const;
 
@@ -80,6 +81,7 @@
   Replica Replica_;
   PullPlan Pulls_;
   WatchDuty Duty_;
+  Random Random_;
   PushTree Tree_;
   std::vector<EntryName> Live_;
   /// Until when a member counts as unable to reach the platform.
@@ -87,6 +89,10 @@
   /// Parts being read, and those whose read failed until they may be retried.
   std::set<PartId> Reading_;
   TimePoint RetryParts_;
+  /// The leader to whom the version in force was told, and when.
+  EntryName ReportedTo_;
+  ConfigVersion Reported_;
+  TimePoint NextReport_;
   TimePoint Started_;
   TimePoint LastTick_;
 };
--- a/src/medlarmoor/config/internal_toml.cpp
+++ b/src/medlarmoor/config/internal_toml.cpp
@@ -41,6 +41,32 @@
   return {File, Where.begin.line, Where.begin.column};
 }
 
+bool asserts(std::string_view Text) {
+  try {
+    const toml::table Ignored = toml::parse(Text);
+  } catch (const toml::parse_error &) {
+    return false;
+  } catch (const ParserAssertion &) {
+    return true;
+  }
+  return false;
+}
+
+/// The first line with which the parser meets an assertion of its own, which
+/// does not tell the place. The parser reads from front to back, so the texts
+/// that end before that line do not.
+std::uint32_t assertingLine(std::string_view Text) {
+  std::vector<std::size_t> Ends;
+  for (std::size_t At = Text.find('\n'); At != std::string_view::npos;
+       At = Text.find('\n', At + 1))
+    Ends.push_back(At + 1);
+  const auto First =
+      std::partition_point(Ends.begin(), Ends.end(), [Text](std::size_t End) {
+        return !asserts(Text.substr(0, End));
+      });
+  return static_cast<std::uint32_t>(First - Ends.begin()) + 1;
+}
+
 std::string quoted(std::string_view Word) {
   return "'" + std::string(Word) + "'";
 }
@@ -53,6 +79,8 @@
 
 } // namespace
 
+void throwParserAssertion() { throw ParserAssertion(); }
+
 std::string nearest(std::string_view Word,
                     const std::vector<std::string> &Known) {
   std::string Best;
@@ -255,14 +283,16 @@
 
 std::optional<toml::table> parseToml(std::string_view Text,
                                      const std::string &File, Findings &Out) {
-  toml::parse_result Result = toml::parse(Text, std::string_view(File));
-  if (Result)
-    return std::move(Result).table();
-  const toml::parse_error &Error = Result.error();
-  Place Where = placeOf(Error.source(), File);
-  Where.Line_ = std::max(Where.Line_, 1U);
-  Where.Column_ = std::max(Where.Column_, 1U);
-  Out.add(Where, "not TOML: " + std::string(Error.description()));
+  try {
+    return toml::parse(Text, std::string_view(File));
+  } catch (const toml::parse_error &Error) {
+    Place Where = placeOf(Error.source(), File);
+    Where.Line_ = std::max(Where.Line_, 1U);
+    Where.Column_ = std::max(Where.Column_, 1U);
+    Out.add(Where, "not TOML: " + std::string(Error.description()));
+  } catch (const ParserAssertion &) {
+    Out.add({File, assertingLine(Text), 1}, "not TOML: malformed key");
+  }
   return std::nullopt;
 }
 
--- a/src/medlarmoor/config/internal_toml.hpp
+++ b/src/medlarmoor/config/internal_toml.hpp
@@ -1,7 +1,22 @@
 #ifndef MEDLARMOOR_CONFIG_INTERNAL_TOML_HPP
 #define MEDLARMOOR_CONFIG_INTERNAL_TOML_HPP
 
-#define TOML_EXCEPTIONS 0
+namespace medlarmoor::config::internal {
+
+/// Thrown where toml++ asserts what some malformed texts do not keep, for
+/// example "[=]".
+struct ParserAssertion {};
+
+/// Throws a ParserAssertion.
+[[noreturn]] void throwParserAssertion();
+
+} // namespace medlarmoor::config::internal
+
+// With NDEBUG toml++ would let the compiler assume its assertions.
+#undef NDEBUG
+#define TOML_ASSERT(Condition)                                                 \
+  ((Condition) ? static_cast<void>(0)                                          \
+               : medlarmoor::config::internal::throwParserAssertion())
 #include <toml++/toml.h>
 
 #include <medlarmoor/core/endpoint.hpp>
--- a/src/medlarmoor/config/push_tree.cpp
+++ b/src/medlarmoor/config/push_tree.cpp
@@ -29,8 +29,8 @@
   return std::find(Order_.begin(), End, Member) != End;
 }
 
-bool PushTree::leads(const EntryName &Member) const {
-  return !Order_.empty() && Order_.front() == Member;
+std::optional<EntryName> PushTree::leader() const {
+  return Order_.empty() ? std::nullopt : std::optional(Order_.front());
 }
 
 std::vector<EntryName> PushTree::children(const EntryName &Member) const {
--- a/src/medlarmoor/config/push_tree.hpp
+++ b/src/medlarmoor/config/push_tree.hpp
@@ -4,6 +4,7 @@
 #include <medlarmoor/core/ids.hpp>
 
 #include <cstddef>
+#include <optional>
 #include <set>
 #include <vector>
 
@@ -26,13 +27,10 @@
 
   /// The member watches the platform.
   [[nodiscard]] bool watches(const EntryName &Member) const;
-  /// The member is the first of the order.
-  [[nodiscard]] bool leads(const EntryName &Member) const;
+  /// The first of the order, who reports for all; nothing without members.
+  [[nodiscard]] std::optional<EntryName> leader() const;
   /// Whom the member tells of a new version.
   [[nodiscard]] std::vector<EntryName> children(const EntryName &Member) const;
-  [[nodiscard]] const std::vector<EntryName> &order() const noexcept {
-    return Order_;
-  }
 
 private:
   std::vector<EntryName> Order_;
--- a/src/medlarmoor/config/replica.hpp
+++ b/src/medlarmoor/config/replica.hpp
@@ -39,6 +39,8 @@
   [[nodiscard]] const std::string &token() const noexcept {
     return Manifest_.Token_;
   }
+  /// The parts of the version in force.
+  [[nodiscard]] const PartSet &parts() const noexcept { return Parts_; }
   /// What is in force, or null.
   [[nodiscard]] const InForcePtr &inForce() const noexcept { return InForce_; }
   /// The manifest in force with the delta that brings an entry with version
--- a/src/medlarmoor/core/findings.hpp
+++ b/src/medlarmoor/core/findings.hpp
@@ -16,6 +16,8 @@
   [[nodiscard]] const std::vector<Finding> &items() const noexcept {
     return Items_;
   }
+  /// The findings in the order of their places.
+  [[nodiscard]] std::vector<Finding> sorted() const;
   /// One line a finding, sorted by place.
   [[nodiscard]] std::string text() const;
 
--- a/test/config/read_environment_test.cpp
+++ b/test/config/read_environment_test.cpp
@@ -90,3 +90,9 @@
   REQUIRE(Found.items().size() == 1);
   CHECK(Found.items()[0].Place_.Line_ == 2);
 }
+
+TEST_CASE("a text on which the TOML parser asserts has its place") {
+  Findings Found;
+  CHECK_FALSE(readEnvironment("name = \"m\"\n\n[=]\n[[x]]\n", "m", Found));
+  CHECK(Found.text() == "m:3:1: not TOML: malformed key\n");
+}
