--- a/src/medlarmoor/config/publisher.hpp
+++ b/src/medlarmoor/config/publisher.hpp
@@ -74,7 +74,6 @@
   /// What was there when this write began.
   Manifest Base_;
   std::uint64_t BaseObject_ = 0;
-  bool HasBase_ = false;
   /// The parts of the index parts that change, as they stand in the base.
   std::set<PartId> OldParts_;
   /// The parts that the base does not have.
--- a/test/config/follower_test.cpp
+++ b/test/config/follower_test.cpp
@@ -65,6 +65,14 @@
 const EntryName Self("a");
 const EntryName Other("b");
 
+std::vector<EntryName> entries(std::size_t Count) {
+  std::vector<EntryName> Out;
+  Out.reserve(Count);
+  for (std::size_t I = 0; I < Count; ++I)
+    Out.emplace_back("entry-" + std::to_string(I));
+  return Out;
+}
+
 struct Bench {
   std::shared_ptr<ManualClock> Time_ = std::make_shared<ManualClock>();
   Follower Follower_{"muscat", Self, Clock(Time_), Random(5)};
@@ -93,9 +101,7 @@
 } // namespace
 
 TEST_CASE("two of a domain watch the platform, the same ones for all") {
-  std::vector<EntryName> Live;
-  for (int I = 0; I < 20; ++I)
-    Live.emplace_back("entry-" + std::to_string(I));
+  const std::vector<EntryName> Live = entries(20);
   std::size_t Watching = 0;
   for (const EntryName &Each : Live) {
     Follower One("muscat", Each, Clock(std::make_shared<ManualClock>()),
@@ -108,9 +114,7 @@
 }
 
 TEST_CASE("every member is told by another, and none tells more than a few") {
-  std::vector<EntryName> Live;
-  for (int I = 0; I < 60; ++I)
-    Live.emplace_back("entry-" + std::to_string(I));
+  const std::vector<EntryName> Live = entries(60);
   const PushTree Tree(Live, {});
   std::set<EntryName> Told;
   for (const EntryName &Each : Live) {
@@ -122,7 +126,8 @@
 }
 
 TEST_CASE("members that can't reach the platform do not watch it") {
-  std::vector<EntryName> Live{Self, Other, EntryName("c"), EntryName("d")};
+  const std::vector<EntryName> Live{Self, Other, EntryName("c"),
+                                    EntryName("d")};
   const PushTree All(Live, {});
   std::set<EntryName> Deaf;
   for (const EntryName &Each : Live)
