Serve the request door with one dispatcher a service and failure domain

Cause: requests could not be served at all. Each entry now listens on ports `requests` and `internal`; rendezvous hashing over the live members names the dispatcher of a service, other entries forward to it as data and pass the answer back as it streams.

View gains line(), the live members in rendezvous order, since the holders are the next ones in line.

--- a/src/medlarmoor/membership/view.cpp
+++ b/src/medlarmoor/membership/view.cpp
@@ -47,4 +47,18 @@
   return Best;
 }
 
+std::vector<const Member *> View::line(std::uint64_t Key) const {
+  std::vector<std::pair<std::uint64_t, const Member *>> Scores;
+  for (std::size_t I = 0; I < Members_.size(); ++I)
+    if (Members_[I].State_ == MemberState::Live)
+      Scores.emplace_back(mix(Seeds_[I], Key), &Members_[I]);
+  std::stable_sort(
+      Scores.begin(), Scores.end(),
+      [](const auto &A, const auto &B) { return A.first > B.first; });
+  std::vector<const Member *> Out;
+  for (const auto &[Score, Each] : Scores)
+    Out.push_back(Each);
+  return Out;
+}
+
 } // namespace medlarmoor::membership
--- a/src/medlarmoor/membership/view.hpp
+++ b/src/medlarmoor/membership/view.hpp
@@ -35,6 +35,9 @@
   /// The live member that would be home of Key if Without were gone, or null.
   [[nodiscard]] const Member *
   homeWithout(std::uint64_t Key, const EntryName &Without) const noexcept;
+  /// The live members in the order in which they would become home of Key;
+  /// the home itself is the first.
+  [[nodiscard]] std::vector<const Member *> line(std::uint64_t Key) const;
 
 private:
   EntryName Self_;
--- /dev/null
+++ b/src/medlarmoor/request/internal/door.cpp
@@ -0,0 +1,113 @@
+#include <medlarmoor/net/internal_http.hpp>
+#include <medlarmoor/request/internal/door.hpp>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+
+namespace medlarmoor::request::internal {
+
+namespace {
+
+constexpr Millis IdleTime = Seconds(30);
+/// A request that has begun must be there within this time.
+constexpr Millis RequestTime = Seconds(30);
+constexpr std::size_t ConnectionsAtMost = 4096;
+constexpr std::size_t HeaderBytes = 16U * 1024U;
+
+} // namespace
+
+Door::Door(asio::io_context &Io, Endpoint Where, BodyLimit Limit,
+           Handler Answer, TooLarge Refuse)
+    : Io_(Io), Where_(Where), Limit_(std::move(Limit)),
+      Answer_(std::move(Answer)), Refuse_(std::move(Refuse)), Acceptor_(Io) {}
+
+bool Door::listen() {
+  Error Failed;
+  const asio::ip::tcp::endpoint Local = net::internal::toTcp(Where_);
+  Acceptor_.open(Local.protocol(), Failed);
+  if (!Failed)
+    Acceptor_.set_option(asio::socket_base::reuse_address(true), Failed);
+  if (!Failed)
+    Acceptor_.bind(Local, Failed);
+  if (!Failed)
+    Acceptor_.listen(asio::socket_base::max_listen_connections, Failed);
+  if (Failed) {
+    Reason_ = Where_.text() + ": " + Failed.message();
+    return false;
+  }
+  asio::co_spawn(Io_, accept(), asio::detached);
+  return true;
+}
+
+void Door::close() {
+  Closing_ = true;
+  Error Ignored;
+  Acceptor_.close(Ignored);
+  for (const std::shared_ptr<Session> &Each : Sessions_)
+    if (Each->Idle_ && Each->Stream_->socket().available(Ignored) == 0)
+      Each->Stream_->cancel();
+}
+
+Awaitable<void> Door::accept() {
+  while (Acceptor_.is_open()) {
+    Error Failed;
+    asio::ip::tcp::socket Socket(Io_);
+    co_await Acceptor_.async_accept(Socket, into(Failed));
+    if (Failed == asio::error::operation_aborted)
+      co_return;
+    if (Failed || Sessions_.size() >= ConnectionsAtMost)
+      continue;
+    Socket.set_option(asio::ip::tcp::no_delay(true), Failed);
+    auto Of = std::make_shared<Session>();
+    Of->Stream_ = std::make_shared<beast::tcp_stream>(std::move(Socket));
+    Sessions_.insert(Of);
+    asio::co_spawn(Io_, run(Of), asio::detached);
+  }
+}
+
+Awaitable<void> Door::run(std::shared_ptr<Session> Of) {
+  beast::flat_buffer Buffer;
+  while (co_await serveOne(*Of, Buffer))
+    ;
+  Error Ignored;
+  Of->Stream_->socket().shutdown(asio::ip::tcp::socket::shutdown_send, Ignored);
+  Of->Stream_->close();
+  Sessions_.erase(Of);
+}
+
+Awaitable<bool> Door::serveOne(Session &Of, beast::flat_buffer &Buffer) {
+  http::request_parser<http::string_body> Parser;
+  Parser.header_limit(HeaderBytes);
+  Parser.body_limit(boost::none);
+  Error Failed;
+  Of.Idle_ = true;
+  Of.Stream_->expires_after(IdleTime);
+  co_await http::async_read_header(*Of.Stream_, Buffer, Parser, into(Failed));
+  if (Failed)
+    co_return false;
+  Of.Idle_ = false;
+  const std::string_view Target(Parser.get().target().data(),
+                                Parser.get().target().size());
+  const std::uint64_t Limit = Limit_(Target);
+  Parser.body_limit(Limit);
+  Of.Stream_->expires_after(RequestTime);
+  if (Parser.content_length().value_or(0) > Limit)
+    Failed = http::error::body_limit;
+  else
+    co_await http::async_read(*Of.Stream_, Buffer, Parser, into(Failed));
+  if (Failed == http::error::body_limit) {
+    co_await Refuse_(Of.Stream_);
+    co_return false;
+  }
+  if (Failed)
+    co_return false;
+  Of.Stream_->expires_never();
+  HttpMessage Message = Parser.release();
+  const bool Close = Closing_ || !Message.keep_alive();
+  const bool Fine = co_await Answer_(std::move(Message), Of.Stream_, Close);
+  co_return Fine && !Close && !Closing_;
+}
+
+} // namespace medlarmoor::request::internal
--- a/src/medlarmoor/upstream/fwd.hpp
+++ b/src/medlarmoor/upstream/fwd.hpp
@@ -1,6 +1,14 @@
 #ifndef MEDLARMOOR_UPSTREAM_FWD_HPP
 #define MEDLARMOOR_UPSTREAM_FWD_HPP
 
-namespace medlarmoor::upstream {} // namespace medlarmoor::upstream
+namespace medlarmoor::upstream {
+
+enum class AttemptEnd : unsigned char;
+enum class ServingState : unsigned char;
+struct LoadReport;
+struct PoolPolicy;
+class SlotPool;
+
+} // namespace medlarmoor::upstream
 
 #endif // MEDLARMOOR_UPSTREAM_FWD_HPP
