Join the configuration and request threads to the daemon

Doors that the settings switch off are not started. A planned stop hands the requests over before the farewell, within the longest deadline of a service.

--- a/src/medlarmoor/daemon/daemon.cpp
+++ b/src/medlarmoor/daemon/daemon.cpp
@@ -8,6 +8,8 @@
 #include <medlarmoor/daemon/process_usage.hpp>
 #include <medlarmoor/daemon/progress_watch.hpp>
 #include <medlarmoor/membership/control_thread.hpp>
+#include <medlarmoor/platform/config_thread.hpp>
+#include <medlarmoor/request/request_thread.hpp>
 #include <medlarmoor/telemetry/event_log.hpp>
 #include <medlarmoor/telemetry/registry.hpp>
 #include <medlarmoor/telemetry/span_log.hpp>
@@ -46,6 +48,8 @@
   telemetry::SpanLog Spans_;
   Channels Channels_;
   membership::ControlThread Control_;
+  platform::ConfigThread Config_;
+  request::RequestThread Requests_;
   ProgressWatch Progress_;
   AdminThread Admin_;
 };
@@ -62,6 +66,13 @@
                 Channels_.ControlViewToConfig_, Channels_.ControlToFlow_,
                 Channels_.ControlToConfig_},
                Time_, Metrics_, Events_),
+      Config_(Settings_, Channels_.ConfigToFlow_, Channels_.ConfigToRequests_,
+              Channels_.ConfigToControl_, Channels_.ControlViewToConfig_,
+              Channels_.ControlToConfig_, Channels_.ConfigMessageToControl_,
+              Time_, Metrics_, Events_),
+      Requests_(Settings_, Channels_.ConfigToRequests_,
+                Channels_.ControlViewToRequests_, Time_, Metrics_, Events_,
+                Spans_),
       Progress_(Time_),
       Admin_(
           {Settings_.Address_, Settings_.Ports_.Admin_},
@@ -77,6 +88,10 @@
       Out.add({File, 0, 0}, Thread.lastReason());
   };
   watchThread("control");
+  Begin(Config_);
+  if (Settings_.Doors_) {
+    Begin(Requests_);
+  }
   Begin(Control_);
   Begin(Admin_);
   if (!Out.empty()) {
@@ -94,7 +109,11 @@
   const TimePoint Limit = Time_.now() + longestDeadline();
   Events_.info("leaving", {{"limit_ms", longestDeadline().count()}});
   Control_.leave();
-  const bool Complete = true;
+  bool Complete = true;
+  if (Settings_.Doors_) {
+    Requests_.leave();
+    Complete = waitFor([this] { return Requests_.handedOver(); }, Limit);
+  }
   Control_.farewell();
   waitFor(
       [this] {
@@ -108,6 +127,10 @@
 
 void Daemon::Impl::stopThreads() {
   Admin_.stop();
+  if (Settings_.Doors_) {
+    Requests_.stop();
+  }
+  Config_.stop();
   Control_.stop();
 }
 
@@ -136,7 +159,10 @@
   return internal::errorPage(404, "no such page");
 }
 
-net::HttpResponse Daemon::Impl::explain(const net::HttpRequest &) {
+net::HttpResponse Daemon::Impl::explain(const net::HttpRequest &Request) {
+  const auto Key = Request.query("key");
+  if (Key && Settings_.Doors_)
+    return internal::jsonPage(Requests_.explain(*Key));
   return internal::errorPage(404, "no door of that kind");
 }
 
