Seal pulls and let another entry watch when one can't reach the platform

A neighbour that answers a pull decides what is in force, so both the request and the answer are signed under the shared key; an answer counts only when it is the asked neighbour's own.

The two watchers of a domain may be the two that can't reach the platform while others can. A watcher whose calls have all failed for 600 ms says so in a notice (one more field in ConfigNotice) and comes last in the order for 10 s. When the platform is down for all, the order is what it was, so two entries a domain keep trying and no more.

--- a/src/medlarmoor/config/follower.cpp
+++ b/src/medlarmoor/config/follower.cpp
@@ -11,7 +11,8 @@
 /// A gap between ticks that tells that the process stood still.
 constexpr Millis PauseGap{1000};
 constexpr Millis PartRetry{200};
-constexpr Millis DeafTime{10'000};
+/// How long a member that can't reach the platform comes last.
+constexpr Millis LossRemembered{10'000};
 /// Shortest time between two reports to the leader.
 constexpr Millis ReportPeriod{10'000};
 /// After a change of leader the reports of all members spread over this time.
@@ -38,11 +39,11 @@
 
 void Follower::replant() {
   const TimePoint Now = Clock_.now();
-  std::erase_if(Deaf_, [Now](const auto &Each) { return Each.second <= Now; });
-  std::set<EntryName> Deaf;
-  for (const auto &[Name, Until] : Deaf_)
-    Deaf.insert(Name);
-  Tree_ = PushTree(Live_, Deaf);
+  std::erase_if(Lost_, [Now](const auto &Each) { return Each.second <= Now; });
+  std::set<EntryName> Last;
+  for (const auto &[Name, Until] : Lost_)
+    Last.insert(Name);
+  Tree_ = PushTree(Live_, Last);
   Duty_.set(watches());
 }
 
@@ -67,8 +68,8 @@
   return after({});
 }
 
-FollowerActions Follower::onDeaf(const EntryName &From) {
-  Deaf_[From] = Clock_.now() + DeafTime;
+FollowerActions Follower::onPlatformLost(const EntryName &From) {
+  Lost_[From] = Clock_.now() + LossRemembered;
   replant();
   return after({});
 }
@@ -163,6 +164,7 @@
   replant();
   fetchMissing(Out);
   report(Out);
+  admitLoss(Out);
   return after(std::move(Out));
 }
 
@@ -186,6 +188,16 @@
   Out.emplace_back(Tell{*Leader, Reported_});
 }
 
+/// Lets another member watch. While the loss is remembered here too, it is not
+/// told again.
+void Follower::admitLoss(FollowerActions &Out) {
+  if (!Duty_.lost() || Live_.size() <= Watchers || Lost_.count(Self_) != 0)
+    return;
+  Lost_[Self_] = Clock_.now() + LossRemembered;
+  replant();
+  Out.emplace_back(TellPlatformLost{Replica_.version()});
+}
+
 /// What may have become due by any event.
 FollowerActions Follower::after(FollowerActions Out) {
   for (FollowerAction &Each : Duty_.tick())
--- a/src/medlarmoor/config/follower.hpp
+++ b/src/medlarmoor/config/follower.hpp
@@ -31,8 +31,8 @@
   /// A notice of a neighbour that it adopted Version.
   [[nodiscard]] FollowerActions onNotice(const EntryName &From,
                                          ConfigVersion Version);
-  /// A neighbour says that it can't reach the platform.
-  [[nodiscard]] FollowerActions onDeaf(const EntryName &From);
+  /// A neighbour that should watch the platform can't reach it.
+  [[nodiscard]] FollowerActions onPlatformLost(const EntryName &From);
 
   /// A manifest came from the platform, by whichever call.
   [[nodiscard]] FollowerActions onManifest(const std::string &Text);
@@ -65,14 +65,15 @@
   [[nodiscard]] bool leads() const;
   /// This entry watches the platform.
   [[nodiscard]] bool watches() const;
-  /// This entry should watch but can't reach the platform.
-  [[nodiscard]] bool deaf() const { return Duty_.deaf(); }
+  /// This entry should watch the platform but can't reach it.
+  [[nodiscard]] bool platformLost() const { return Duty_.lost(); }
 
 private:
   FollowerActions after(FollowerActions Out);
   void fetchMissing(FollowerActions &Out);
   void announce(FollowerActions &Out);
   void report(FollowerActions &Out);
+  void admitLoss(FollowerActions &Out);
   void replant();
   [[nodiscard]] bool isStranger() const;
 
@@ -85,7 +86,7 @@
   PushTree Tree_;
   std::vector<EntryName> Live_;
   /// Until when a member counts as unable to reach the platform.
-  std::map<EntryName, TimePoint> Deaf_;
+  std::map<EntryName, TimePoint> Lost_;
   /// Parts being read, and those whose read failed until they may be retried.
   std::set<PartId> Reading_;
   TimePoint RetryParts_;
--- a/src/medlarmoor/config/follower_action.hpp
+++ b/src/medlarmoor/config/follower_action.hpp
@@ -37,13 +37,19 @@
   EntryName To_;
   ConfigVersion Version_;
 };
+/// Tell all members that this entry should watch the platform and can't reach
+/// it, so that another one does.
+struct TellPlatformLost {
+  ConfigVersion Version_;
+};
 /// Something offered was not taken, against what was to be expected.
 struct Reject {
   std::string Reason_;
 };
 
-using FollowerAction = std::variant<ListManifests, ReadManifest, WatchManifests,
-                                    ReadPart, Pull, Publish, Tell, Reject>;
+using FollowerAction =
+    std::variant<ListManifests, ReadManifest, WatchManifests, ReadPart, Pull,
+                 Publish, Tell, TellPlatformLost, Reject>;
 using FollowerActions = std::vector<FollowerAction>;
 
 } // namespace medlarmoor::config
--- a/src/medlarmoor/config/push_tree.cpp
+++ b/src/medlarmoor/config/push_tree.cpp
@@ -12,10 +12,10 @@
 
 } // namespace
 
-PushTree::PushTree(std::vector<EntryName> Live, const std::set<EntryName> &Deaf)
+PushTree::PushTree(std::vector<EntryName> Live, const std::set<EntryName> &Last)
     : Order_(std::move(Live)) {
-  const auto Rank = [&Deaf](const EntryName &Each) {
-    return std::tuple(Deaf.count(Each), hashText(Each.value(), OrderSeed),
+  const auto Rank = [&Last](const EntryName &Each) {
+    return std::tuple(Last.count(Each), hashText(Each.value(), OrderSeed),
                       Each);
   };
   std::sort(Order_.begin(), Order_.end(),
--- a/src/medlarmoor/config/push_tree.hpp
+++ b/src/medlarmoor/config/push_tree.hpp
@@ -22,8 +22,8 @@
 class PushTree {
 public:
   PushTree() = default;
-  /// Deaf members can't reach the platform; they come last.
-  PushTree(std::vector<EntryName> Live, const std::set<EntryName> &Deaf);
+  /// The members in Last can't reach the platform; they come last.
+  PushTree(std::vector<EntryName> Live, const std::set<EntryName> &Last);
 
   /// The member watches the platform.
   [[nodiscard]] bool watches(const EntryName &Member) const;
--- a/src/medlarmoor/config/watch_duty.cpp
+++ b/src/medlarmoor/config/watch_duty.cpp
@@ -11,8 +11,8 @@
 constexpr Millis ReadPeriod{2000};
 constexpr Millis FirstRetry{150};
 constexpr Millis LongestRetry{1000};
-constexpr Millis DeafAfter{600};
-constexpr std::uint32_t DeafFailures = 2;
+constexpr Millis LostAfter{600};
+constexpr std::uint32_t LostFailures = 2;
 constexpr std::uint32_t GreatestShift = 4;
 
 } // namespace
@@ -103,9 +103,9 @@
   return Out;
 }
 
-bool WatchDuty::deaf() const {
-  return OnDuty_ && FailingSince_ && Failures_ >= DeafFailures &&
-         Clock_.now() - *FailingSince_ >= DeafAfter;
+bool WatchDuty::lost() const {
+  return OnDuty_ && FailingSince_ && Failures_ >= LostFailures &&
+         Clock_.now() - *FailingSince_ >= LostAfter;
 }
 
 } // namespace medlarmoor::config
--- a/src/medlarmoor/config/watch_duty.hpp
+++ b/src/medlarmoor/config/watch_duty.hpp
@@ -34,7 +34,7 @@
   [[nodiscard]] FollowerActions tick();
 
   /// On duty, and no call has been answered for a while.
-  [[nodiscard]] bool deaf() const;
+  [[nodiscard]] bool lost() const;
 
 private:
   void failed();
--- a/src/medlarmoor/platform/config_thread.cpp
+++ b/src/medlarmoor/platform/config_thread.cpp
@@ -8,6 +8,8 @@
 #include <medlarmoor/platform/internal_outbox.hpp>
 #include <medlarmoor/telemetry/event_log.hpp>
 #include <medlarmoor/telemetry/registry.hpp>
+#include <medlarmoor/wire/http_seal.hpp>
+#include <medlarmoor/wire/incarnation.hpp>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/posix/stream_descriptor.hpp>
@@ -47,6 +49,11 @@
   return Out;
 }
 
+Incarnation drawRun(const Clock &Time) {
+  Random Source(std::random_device{}());
+  return wire::drawIncarnation(Time.wallNow(), Source);
+}
+
 } // namespace
 
 class ConfigThread::Impl {
@@ -68,6 +75,7 @@
                 [this](net::HttpRequest Request, const net::HttpReply &Reply) {
                   Reply(serve(Request));
                 }),
+        Seal_(Given.Name_, drawRun(Time), wire::KeyRing(Given.Keys_), Time),
         Timer_(Io_), ViewWake_(Io_), MessageWake_(Io_),
         Follower_(Given.Environment_, Given.Name_, Time,
                   Random(std::random_device()())),
@@ -79,6 +87,7 @@
         PulledBytes_(Metrics.counter("medlarmoor_config_pulled_bytes_total")),
         ServedBytes_(Metrics.counter("medlarmoor_config_served_bytes_total")),
         Pulls_(Metrics.counter("medlarmoor_config_pulls_total")),
+        Unsealed_(Metrics.counter("medlarmoor_config_unsealed_total")),
         FailedPulls_(Metrics.counter("medlarmoor_config_failed_pulls_total")) {}
 
   ~Impl() {
@@ -166,6 +175,8 @@
                             run(Follower_.onHeartbeat(In.From_, Each.Config_));
                           },
                           [&](const wire::ConfigNotice &Each) {
+                            if (Each.PlatformLost_)
+                              run(Follower_.onPlatformLost(In.From_));
                             run(Follower_.onNotice(In.From_, Each.Version_));
                           },
                           [](const auto &) {}},
@@ -241,16 +252,35 @@
     net::HttpRequest Request;
     Request.Target_ = ConfigPath + "?environment=" + Given_.Environment_ +
                       "&have=" + std::to_string(Each.Have_.value());
+    const std::string Target = Request.Target_;
+    Request.Headers_.add(wire::SealHeader, Seal_.sign("GET", Target, {}));
     Peers_.send({Address->second, Given_.Ports_.Config_}, std::move(Request),
                 PullTimeout,
-                [this, From](std::optional<net::HttpResponse> Answer,
-                             const std::string &) { onPulled(From, Answer); });
+                [this, From, Target](std::optional<net::HttpResponse> Answer,
+                                     const std::string &) {
+                  onPulled(From, Target, Answer);
+                });
+  }
+
+  /// The answer is From's own.
+  bool isSealed(const EntryName &From, const std::string &Target,
+                const net::HttpResponse &Answer) {
+    const std::string Header =
+        Answer.Headers_.find(wire::SealHeader).value_or("");
+    if (Seal_.verify(Header, std::to_string(Answer.Status_), Target,
+                     Answer.Body_) == From)
+      return true;
+    Log_.warn("pull_refused",
+              {{"from", From.value()}, {"reason", Seal_.lastReason()}});
+    return false;
   }
 
-  void onPulled(const EntryName &From,
-                const std::optional<net::HttpResponse> &Answer) {
+  void onPulled(const EntryName &From, const std::string &Target,
+                std::optional<net::HttpResponse> Answer) {
     if (Answer)
       PulledBytes_.add(Answer->Body_.size());
+    if (Answer && !isSealed(From, Target, *Answer))
+      Answer.reset();
     if (Answer && Answer->Status_ == 200)
       return run(Follower_.onPulled(From, Answer->Body_));
     if (Answer && Answer->Status_ == 304)
@@ -270,11 +300,18 @@
   }
 
   void perform(const config::Tell &Each) {
-    const wire::ConfigNotice Notice{Each.Version_};
+    const wire::ConfigNotice Notice{Each.Version_, false};
     if (!ToPeers_.push({Each.To_, Notice}))
       Log_.warn("notice_dropped", {{"to", Each.To_.value()}});
   }
 
+  void perform(const config::TellPlatformLost &Each) {
+    Log_.warn("platform_lost");
+    const wire::ConfigNotice Notice{Each.Version_, true};
+    if (!ToPeers_.push({std::nullopt, Notice}))
+      Log_.warn("notice_dropped", {{"to", "all"}});
+  }
+
   void perform(const config::Reject &Each) {
     Rejected_.add();
     Log_.warn("config_rejected", {{"reason", Each.Reason_}});
@@ -315,16 +352,30 @@
   net::HttpResponse serve(const net::HttpRequest &Request) {
     if (Request.path() != ConfigPath || Request.Method_ != "GET")
       return {404, {}, "not found\n"};
+    const std::string Header =
+        Request.Headers_.find(wire::SealHeader).value_or("");
+    if (!Seal_.verify(Header, "GET", Request.Target_, Request.Body_)) {
+      Unsealed_.add();
+      return {403, {}, Seal_.lastReason() + "\n"};
+    }
+    net::HttpResponse Out = answer(Request);
+    Out.Headers_.add(wire::SealHeader, Seal_.sign(std::to_string(Out.Status_),
+                                                  Request.Target_, Out.Body_));
+    ServedBytes_.add(Out.Body_.size());
+    return Out;
+  }
+
+  [[nodiscard]] net::HttpResponse
+  answer(const net::HttpRequest &Request) const {
     if (Request.query("environment") != Given_.Environment_)
       return {404, {}, "another environment\n"};
     const auto Have = toNumber(Request.query("have").value_or("0"));
     if (!Have)
       return {400, {}, "have is not a number\n"};
-    net::HttpResponse Out{200, {}, Follower_.answer(ConfigVersion(*Have))};
-    if (Out.Body_.empty())
-      Out.Status_ = 304;
-    ServedBytes_.add(Out.Body_.size());
-    return Out;
+    std::string Text = Follower_.answer(ConfigVersion(*Have));
+    if (Text.empty())
+      return {304, {}, {}};
+    return {200, {}, std::move(Text)};
   }
 
   const config::Settings Given_;
@@ -338,6 +389,7 @@
   Client Platform_;
   net::HttpClient Peers_;
   net::HttpServer Server_;
+  wire::HttpSeal Seal_;
   asio::steady_timer Timer_;
   asio::posix::stream_descriptor ViewWake_;
   asio::posix::stream_descriptor MessageWake_;
@@ -353,6 +405,7 @@
   telemetry::Counter &PulledBytes_;
   telemetry::Counter &ServedBytes_;
   telemetry::Counter &Pulls_;
+  telemetry::Counter &Unsealed_;
   telemetry::Counter &FailedPulls_;
 
   std::string Reason_;
--- a/src/medlarmoor/wire/codec.cpp
+++ b/src/medlarmoor/wire/codec.cpp
@@ -172,6 +172,7 @@
   }
   void operator()(const ConfigNotice &Each) const {
     Out_.push_back(Each.Version_.value());
+    Out_.push_back(Each.PlatformLost_ ? 1U : 0U);
   }
   void operator()(const TableRequest &) const {}
   void operator()(const MemberTable &Each) const {
@@ -211,7 +212,7 @@
   case 2:
     return readFlowUpdate(From);
   case 3:
-    return ConfigNotice{ConfigVersion(From.number(Any64))};
+    return ConfigNotice{ConfigVersion(From.number(Any64)), From.number(1) != 0};
   case 4:
     return TableRequest{};
   default:
--- a/src/medlarmoor/wire/config_notice.hpp
+++ b/src/medlarmoor/wire/config_notice.hpp
@@ -9,6 +9,8 @@
 /// version; the receiver pulls it when its own is lower.
 struct ConfigNotice {
   ConfigVersion Version_;
+  /// The sender should watch the platform for the others and can't reach it.
+  bool PlatformLost_ = false;
 
   friend bool operator==(const ConfigNotice &, const ConfigNotice &) = default;
 };
--- a/test/wire/codec_test.cpp
+++ b/test/wire/codec_test.cpp
@@ -18,9 +18,10 @@
                        ConfigVersion(12), 3,
                        Phase::Live,       {news("b"), news("c")}};
   const FlowUpdate Update{{std::byte{0}, std::byte{255}, std::byte{7}}};
-  const std::vector<Message> All{Beat,           Farewell{},
-                                 Update,         ConfigNotice{ConfigVersion(9)},
-                                 TableRequest{}, MemberTable{{news("d")}}};
+  const std::vector<Message> All{
+      Beat,           Farewell{},
+      Update,         ConfigNotice{ConfigVersion(9), true},
+      TableRequest{}, MemberTable{{news("d")}}};
   std::vector<Envelope> Out;
   Out.reserve(All.size());
   for (const Message &Each : All)
