--- a/test/process/cluster_test.cpp
+++ b/test/process/cluster_test.cpp
@@ -56,3 +56,14 @@
                    {{"services", {"192.0.2.11:443"}}}));
   CHECK(waitUntil([&] { return gatherVerdict(World).MisroutedPackets_ > 0; }));
 }
+
+TEST_CASE("the document is accepted through medlarmoorctl", "[cluster_test]") {
+  Cluster World({});
+  REQUIRE(World.start());
+  REQUIRE(World.apply());
+  const auto Manifest =
+      callJson(World.addresses().platformApi(), "GET",
+               "/v1/objects/manifest/" + World.document().Name_);
+  REQUIRE(Manifest);
+  CHECK((*Manifest)["value"]["parts"].size() >= 2);
+}
