--- a/bench/experiments.hpp
+++ b/bench/experiments.hpp
@@ -11,6 +11,7 @@
 int runConfig(const Options &Asked);
 int runDemo(const Options &Asked);
 int runFlows(const Options &Asked);
+int runMembership(const Options &Asked);
 int runRequests(const Options &Asked);
 /// Turns the result files named by Asked.Words_ into an HTML report.
 int runReport(const Options &Asked);
--- a/test/harness/mesh_network.cpp
+++ b/test/harness/mesh_network.cpp
@@ -14,6 +14,8 @@
 
 constexpr std::uint32_t FirstAddress = 0x7F000001;
 constexpr std::uint64_t HeaderBytes = 28;
+/// Of one instance in the platform's answer.
+constexpr std::uint64_t ListedBytes = 90;
 constexpr std::uint64_t ShortestDelayUs = 200;
 constexpr std::uint64_t DelaySpreadUs = 2000;
 
@@ -157,6 +159,8 @@
                           },
                           [&](const ReadList &) {
                             ++Nodes_[I].Usage_.ListReads_;
+                            Nodes_[I].Usage_.BytesIn_ +=
+                                ListedBytes * List_.size();
                             const auto Answer = PlatformAnswers_
                                                     ? std::optional(List_)
                                                     : std::nullopt;
