--- a/src/medlarmoor/upstream/fwd.hpp
+++ b/src/medlarmoor/upstream/fwd.hpp
@@ -4,9 +4,12 @@
 namespace medlarmoor::upstream {
 
 enum class AttemptEnd : unsigned char;
+enum class LifecycleEvent : unsigned char;
+enum class LifecyclePhase : unsigned char;
 enum class ServingState : unsigned char;
 struct LoadReport;
 struct PoolPolicy;
+class Lifecycle;
 class SlotPool;
 
 } // namespace medlarmoor::upstream
