Join the flow thread to the daemon

A planned stop hands the flows over before the others learn of it, so that each next home knows its flows; then the entry announces its leaving, passes on what still arrives for two leases, finishes its requests and says farewell.

--- a/src/medlarmoor/daemon/daemon.cpp
+++ b/src/medlarmoor/daemon/daemon.cpp
@@ -7,6 +7,7 @@
 #include <medlarmoor/daemon/port_check.hpp>
 #include <medlarmoor/daemon/process_usage.hpp>
 #include <medlarmoor/daemon/progress_watch.hpp>
+#include <medlarmoor/flow/flow_thread.hpp>
 #include <medlarmoor/membership/control_thread.hpp>
 #include <medlarmoor/platform/config_thread.hpp>
 #include <medlarmoor/request/request_thread.hpp>
@@ -23,6 +24,8 @@
 namespace {
 
 constexpr Millis LeavePoll{20};
+/// For the control thread to send the farewell.
+constexpr Seconds FarewellLimit{1};
 
 } // namespace
 
@@ -34,6 +37,7 @@
   bool leave();
 
 private:
+  bool handOver(TimePoint Limit);
   void stopThreads();
   void watchThread(const std::string &Name);
   net::HttpResponse answer(const net::HttpRequest &Request);
@@ -49,6 +53,7 @@
   Channels Channels_;
   membership::ControlThread Control_;
   platform::ConfigThread Config_;
+  flow::FlowThread Flows_;
   request::RequestThread Requests_;
   ProgressWatch Progress_;
   AdminThread Admin_;
@@ -70,6 +75,9 @@
               Channels_.ConfigToControl_, Channels_.ControlViewToConfig_,
               Channels_.ControlToConfig_, Channels_.ConfigMessageToControl_,
               Time_, Metrics_, Events_),
+      Flows_(Settings_, Channels_.ConfigToFlow_, Channels_.ControlViewToFlow_,
+             Channels_.ControlToFlow_, Channels_.FlowToControl_, Time_,
+             Metrics_, Events_),
       Requests_(Settings_, Channels_.ConfigToRequests_,
                 Channels_.ControlViewToRequests_, Time_, Metrics_, Events_,
                 Spans_),
@@ -90,6 +98,7 @@
   watchThread("control");
   Begin(Config_);
   if (Settings_.Doors_) {
+    Begin(Flows_);
     Begin(Requests_);
   }
   Begin(Control_);
@@ -108,27 +117,43 @@
 bool Daemon::Impl::leave() {
   const TimePoint Limit = Time_.now() + longestDeadline();
   Events_.info("leaving", {{"limit_ms", longestDeadline().count()}});
-  Control_.leave();
-  bool Complete = true;
-  if (Settings_.Doors_) {
-    Requests_.leave();
-    Complete = waitFor([this] { return Requests_.handedOver(); }, Limit);
-  }
+  const bool Complete = handOver(Limit);
   Control_.farewell();
   waitFor(
       [this] {
         return Control_.status().State_ == membership::EntryState::Stopped;
       },
-      std::max(Limit, Time_.now() + Seconds(1)));
+      std::max(Limit, Time_.now() + FarewellLimit));
   stopThreads();
   Events_.info("stopped", {{"handed_over", Complete ? "yes" : "no"}});
   return Complete;
 }
 
+/// The others get the flows before they learn that this entry leaves, so that
+/// the next home of each knows it; then they take over, and what still arrives
+/// here is passed on to them while the requests finish.
+bool Daemon::Impl::handOver(TimePoint Limit) {
+  if (!Settings_.Doors_) {
+    Control_.leave();
+    return true;
+  }
+  Flows_.leave();
+  bool Complete = waitFor([this] { return Flows_.handedOver(); }, Limit);
+  Control_.leave();
+  Requests_.leave();
+  const TimePoint Announced = Time_.now();
+  Complete =
+      waitFor([this] { return Requests_.handedOver(); }, Limit) && Complete;
+  waitFor([] { return false; },
+          std::min(Limit, Announced + 2 * Settings_.Membership_.Lease_));
+  return Complete;
+}
+
 void Daemon::Impl::stopThreads() {
   Admin_.stop();
   if (Settings_.Doors_) {
     Requests_.stop();
+    Flows_.stop();
   }
   Config_.stop();
   Control_.stop();
@@ -160,6 +185,9 @@
 }
 
 net::HttpResponse Daemon::Impl::explain(const net::HttpRequest &Request) {
+  const auto Flow = Request.query("flow");
+  if (Flow && Settings_.Doors_)
+    return internal::jsonPage(Flows_.explain(*Flow));
   const auto Key = Request.query("key");
   if (Key && Settings_.Doors_)
     return internal::jsonPage(Requests_.explain(*Key));
