Join the flow thread to the daemon

A planned stop hands flows over before the entry announces that it leaves, and goes on passing packets on until the fabric has brought none for 500 ms: the fabric's list lags.

--- a/src/medlarmoor/daemon/daemon.cpp
+++ b/src/medlarmoor/daemon/daemon.cpp
@@ -7,6 +7,7 @@
 #include <medlarmoor/daemon/port_check.hpp>
 #include <medlarmoor/daemon/process_usage.hpp>
 #include <medlarmoor/daemon/progress_watch.hpp>
+#include <medlarmoor/flow/flow_thread.hpp>
 #include <medlarmoor/membership/control_thread.hpp>
 #include <medlarmoor/platform/config_thread.hpp>
 #include <medlarmoor/request/request_thread.hpp>
@@ -23,6 +24,7 @@
 namespace {
 
 constexpr Millis LeavePoll{20};
+constexpr Millis FabricQuiet{500};
 
 } // namespace
 
@@ -34,6 +36,8 @@
   bool leave();
 
 private:
+  bool handOverFlows(TimePoint Limit);
+  [[nodiscard]] bool fabricQuiet();
   void stopThreads();
   void watchThread(const std::string &Name);
   net::HttpResponse answer(const net::HttpRequest &Request);
@@ -49,9 +53,13 @@
   Channels Channels_;
   membership::ControlThread Control_;
   platform::ConfigThread Config_;
+  flow::FlowThread Flows_;
   request::RequestThread Requests_;
   ProgressWatch Progress_;
   AdminThread Admin_;
+  telemetry::Counter &FabricPackets_;
+  std::uint64_t LastFabricPackets_ = 0;
+  TimePoint LastFabricChange_ = Time_.now();
 };
 
 Daemon::Impl::Impl(config::Settings Given, const Clock &Time,
@@ -70,6 +78,9 @@
               Channels_.ConfigToControl_, Channels_.ControlViewToConfig_,
               Channels_.ControlToConfig_, Channels_.ConfigMessageToControl_,
               Time_, Metrics_, Events_),
+      Flows_(Settings_, Channels_.ConfigToFlow_, Channels_.ControlViewToFlow_,
+             Channels_.ControlToFlow_, Channels_.FlowToControl_, Time_,
+             Metrics_, Events_),
       Requests_(Settings_, Channels_.ConfigToRequests_,
                 Channels_.ControlViewToRequests_, Time_, Metrics_, Events_,
                 Spans_),
@@ -77,7 +88,9 @@
       Admin_(
           {Settings_.Address_, Settings_.Ports_.Admin_},
           [this](const net::HttpRequest &Request) { return answer(Request); },
-          [this] { Progress_.sample(); }) {}
+          [this] { Progress_.sample(); }),
+      FabricPackets_(Metrics_.counter("medlarmoor_flow_received_total",
+                                      "from=\"fabric\"")) {}
 
 bool Daemon::Impl::start(const std::string &File, Findings &Out) {
   checkPorts(Settings_, File, Out);
@@ -90,6 +103,7 @@
   watchThread("control");
   Begin(Config_);
   if (Settings_.Doors_) {
+    Begin(Flows_);
     Begin(Requests_);
   }
   Begin(Control_);
@@ -108,11 +122,12 @@
 bool Daemon::Impl::leave() {
   const TimePoint Limit = Time_.now() + longestDeadline();
   Events_.info("leaving", {{"limit_ms", longestDeadline().count()}});
+  bool Complete = !Settings_.Doors_ || handOverFlows(Limit);
   Control_.leave();
-  bool Complete = true;
   if (Settings_.Doors_) {
     Requests_.leave();
-    Complete = waitFor([this] { return Requests_.handedOver(); }, Limit);
+    Complete &= waitFor([this] { return Requests_.handedOver(); }, Limit);
+    Complete &= waitFor([this] { return fabricQuiet(); }, Limit);
   }
   Control_.farewell();
   waitFor(
@@ -125,9 +140,27 @@
   return Complete;
 }
 
+bool Daemon::Impl::handOverFlows(TimePoint Limit) {
+  Flows_.leave();
+  return waitFor([this] { return Flows_.handedOver(); }, Limit);
+}
+
+/// True once the fabric has brought no packet for FabricQuiet: its list of
+/// entries lags, and until then this entry passes packets on.
+bool Daemon::Impl::fabricQuiet() {
+  const std::uint64_t Packets = FabricPackets_.value();
+  const TimePoint Now = Time_.now();
+  if (Packets != LastFabricPackets_) {
+    LastFabricPackets_ = Packets;
+    LastFabricChange_ = Now;
+  }
+  return Now - LastFabricChange_ >= FabricQuiet;
+}
+
 void Daemon::Impl::stopThreads() {
   Admin_.stop();
   if (Settings_.Doors_) {
+    Flows_.stop();
     Requests_.stop();
   }
   Config_.stop();
@@ -163,6 +196,9 @@
   const auto Key = Request.query("key");
   if (Key && Settings_.Doors_)
     return internal::jsonPage(Requests_.explain(*Key));
+  const auto Flow = Request.query("flow");
+  if (Flow && Settings_.Doors_)
+    return internal::jsonPage(Flows_.explain(*Flow));
   return internal::errorPage(404, "no door of that kind");
 }
 
