Add diff, promote and explain to the operator command

diff names each difference and its cost: the share of new flows that go elsewhere in each failure domain, and the connections of upstreams that leave. promote copies exactly the version that the operator names, after it has been in force at every live entry for its proving time; every entry that is not proven is named. explain prints what an entry's admin port tells.

--- a/src/medlarmoor/ctl/internal_fleet.cpp
+++ b/src/medlarmoor/ctl/internal_fleet.cpp
@@ -40,9 +40,12 @@
     const bool Silent = Now - Read->Written_ >= SilentAfter;
     for (const auto &[Name, Status] : Read->Entries_) {
       if (Whose == Environment)
-        Out.Own_[Name] = {Name, DomainName(Domain),
+        Out.Own_[Name] = {Name,
+                          DomainName(Domain),
                           Silent ? EntryState::CutOff : EntryState::Reported,
-                          Status, false};
+                          Status,
+                          Read->Written_,
+                          false};
       else if (!Silent)
         Out.Others_.insert(Name);
     }
--- a/src/medlarmoor/ctl/internal_fleet.hpp
+++ b/src/medlarmoor/ctl/internal_fleet.hpp
@@ -26,6 +26,8 @@
   DomainName Domain_;
   EntryState State_ = EntryState::Unreported;
   std::optional<config::EntryStatus> Status_;
+  /// When its domain reported last, on the clock of the one that reports.
+  WallTime Reported_;
   /// The platform lists it as live.
   bool Listed_ = false;
 };
--- a/src/medlarmoor/ctl/run.cpp
+++ b/src/medlarmoor/ctl/run.cpp
@@ -11,8 +11,13 @@
 const char *const Usage =
     "checks, applies, promotes and explains configuration\n"
     "  medlarmoorctl check FILE\n"
+    "  medlarmoorctl --platform ADDRESS:PORT diff FILE\n"
     "  medlarmoorctl --platform ADDRESS:PORT apply FILE [--seen VERSION]\n"
+    "  medlarmoorctl --platform ADDRESS:PORT promote --from ENVIRONMENT\n"
+    "      --to ENVIRONMENT --seen VERSION [--over VERSION]\n"
+    "      [--proving_seconds N]\n"
     "  medlarmoorctl --platform ADDRESS:PORT status ENVIRONMENT\n"
+    "  medlarmoorctl --entry ADDRESS:PORT explain --flow FLOW | --key KEY\n"
     "Each takes --output text|json. Exit codes: 0 done, 1 findings, 2 usage,\n"
     "3 conflict, 4 unreachable, 5 uncertain, 6 not proven.";
 
@@ -38,6 +43,14 @@
             [](const Words &Given, const Options &Asked) {
               return apply(Given[0], Asked);
             }},
+    Command{"diff", 1, Needs::Platform,
+            [](const Words &Given, const Options &Asked) {
+              return diff(Given[0], Asked);
+            }},
+    Command{"promote", 0, Needs::Platform,
+            [](const Words &, const Options &Asked) { return promote(Asked); }},
+    Command{"explain", 0, Needs::Entry,
+            [](const Words &, const Options &Asked) { return explain(Asked); }},
     Command{"status", 1, Needs::Platform,
             [](const Words &Given, const Options &Asked) {
               return status(Given[0], Asked);
@@ -85,6 +98,11 @@
     return "--platform ADDRESS:PORT is needed";
   if (Each.Needs_ == Needs::Entry && !Asked.Entry_)
     return "--entry ADDRESS:PORT is needed";
+  if (Each.Name_ == "promote" &&
+      (Asked.From_.empty() || Asked.To_.empty() || !Asked.Seen_))
+    return "--from, --to and --seen are needed";
+  if (Each.Name_ == "explain" && Asked.Flow_.empty() == Asked.Key_.empty())
+    return "one of --flow and --key is needed";
   return {};
 }
 
