--- a/src/medlarmoor/config/fwd.hpp
+++ b/src/medlarmoor/config/fwd.hpp
@@ -8,6 +8,7 @@
 struct Environment;
 struct FailureDomain;
 struct InForce;
+struct Neighbour;
 struct Ports;
 struct Service;
 struct ServicePolicy;
--- a/src/medlarmoor/config/in_force.hpp
+++ b/src/medlarmoor/config/in_force.hpp
@@ -3,6 +3,7 @@
 
 #include <medlarmoor/config/environment.hpp>
 
+#include <cstdint>
 #include <memory>
 
 namespace medlarmoor::config {
@@ -12,6 +13,9 @@
 struct InForce {
   ConfigVersion Version_;
   Environment Environment_;
+  /// Hash of the parts that Environment_ was put together from, equal for equal
+  /// documents in every process.
+  std::uint64_t Digest_ = 0;
 };
 using InForcePtr = std::shared_ptr<const InForce>;
 
--- a/src/medlarmoor/config/parts.cpp
+++ b/src/medlarmoor/config/parts.cpp
@@ -152,6 +152,13 @@
   return Out;
 }
 
+std::uint64_t digestOf(const PartSet &Parts) {
+  std::uint64_t Out = 0;
+  for (const auto &[Id, Each] : Parts)
+    Out = mix(Out, hashText(Id.value()));
+  return Out;
+}
+
 IndexParts makeIndex(const std::vector<PartId> &Parts) {
   std::map<std::uint64_t, Json> Buckets;
   std::vector<PartId> Sorted = Parts;
--- a/src/medlarmoor/config/parts.hpp
+++ b/src/medlarmoor/config/parts.hpp
@@ -23,6 +23,9 @@
 [[nodiscard]] std::optional<Environment>
 joinParts(const std::string &Name, const PartSet &Parts, std::string &Reason);
 
+/// Hash of the ids of the parts, and so of their contents.
+[[nodiscard]] std::uint64_t digestOf(const PartSet &Parts);
+
 /// Index parts by id. Each lists the ids of the parts of some services, so
 /// that a manifest that names the index parts stays small and a change
 /// replaces one index part.
--- a/src/medlarmoor/config/read_settings.cpp
+++ b/src/medlarmoor/config/read_settings.cpp
@@ -107,6 +107,25 @@
   In.finish();
 }
 
+template <typename Tag>
+void readName(TableReader &In, const char *Key, Strong<std::string, Tag> &Out) {
+  std::string Value;
+  In.name(Key, Value);
+  Out = Strong<std::string, Tag>(Value);
+}
+
+void readNeighbours(TableReader &In, const std::string &File, Settings &Out,
+                    Findings &Found) {
+  for (const toml::table *Each : In.tables("neighbours", Presence::Optional)) {
+    TableReader Entry(*Each, "neighbour", File, Found);
+    Neighbour Read;
+    readName(Entry, "name", Read.Name_);
+    Entry.address("address", Read.Address_);
+    Entry.finish();
+    Out.Neighbours_.push_back(Read);
+  }
+}
+
 void readLogLevel(TableReader &In, std::string &Out) {
   const std::vector<std::string> Levels{"ERROR", "WARN", "INFO", "DEBUG"};
   In.text("log_level", Out, Presence::Optional);
@@ -127,13 +146,6 @@
   }
 }
 
-template <typename Tag>
-void readName(TableReader &In, const char *Key, Strong<std::string, Tag> &Out) {
-  std::string Value;
-  In.name(Key, Value);
-  Out = Strong<std::string, Tag>(Value);
-}
-
 } // namespace
 
 std::optional<Settings> readSettings(std::string_view Text,
@@ -152,6 +164,7 @@
   In.flag("doors", Read.Doors_);
   readLogLevel(In, Read.LogLevel_);
   readKeys(In, File, Read, Out);
+  readNeighbours(In, File, Read, Out);
   if (const toml::table *Table = In.table("ports"))
     readPorts({*Table, "ports", File, Out}, Read.Ports_);
   if (const toml::table *Table = In.table("flow"))
@@ -186,6 +199,9 @@
   for (const SharedKey &Key : Each.Keys_)
     Out << "\n[[keys]]\nid = " << unsigned{Key.Id_} << "\nsecret = \""
         << toHex(Key.Secret_) << "\"\n";
+  for (const Neighbour &Other : Each.Neighbours_)
+    Out << "\n[[neighbours]]\nname = \"" << Other.Name_.value()
+        << "\"\naddress = \"" << Other.Address_.text() << "\"\n";
   Out << "\n[ports]\n";
   for (const NamedPort &Port : PortKeys)
     Out << Port.Key_ << " = " << Each.Ports_.*Port.Port_ << "\n";
--- a/src/medlarmoor/config/replica.cpp
+++ b/src/medlarmoor/config/replica.cpp
@@ -177,8 +177,8 @@
   Manifest_.Delta_.reset();
   Parts_ = std::move(Parts);
   Index_ = std::move(Index);
-  InForce_ =
-      std::make_shared<InForce>(InForce{Next.Version_, std::move(*Joined)});
+  InForce_ = std::make_shared<InForce>(
+      InForce{Next.Version_, std::move(*Joined), digestOf(Parts_)});
   if (Aim_ && Aim_->Version_ <= version()) {
     Aim_.reset();
     Fetched_.clear();
--- a/src/medlarmoor/config/settings.hpp
+++ b/src/medlarmoor/config/settings.hpp
@@ -39,6 +39,12 @@
   Millis ListPeriod_ = Seconds(2);
 };
 
+/// Another entry of the own failure domain.
+struct Neighbour {
+  EntryName Name_;
+  Ipv4 Address_;
+};
+
 /// What one entry process is told at start, read from a TOML file.
 struct Settings {
   EntryName Name_;
@@ -54,6 +60,9 @@
   std::vector<SharedKey> Keys_;
   /// False: this process only takes part in configuration and membership.
   bool Doors_ = true;
+  /// Entries to contact at start, for the case that the platform does not
+  /// answer then. Those that are gone do no harm.
+  std::vector<Neighbour> Neighbours_;
   std::string LogLevel_ = "INFO";
   FlowSettings Flow_;
   RequestSettings Requests_;
--- a/src/medlarmoor/ctl/status.cpp
+++ b/src/medlarmoor/ctl/status.cpp
@@ -43,6 +43,22 @@
   Out.Text_ += Line + "\n";
 }
 
+/// At how many of the live entries the accepted version is in force.
+void addSummary(Outcome &Out, const std::vector<internal::EntryRow> &Fleet,
+                ConfigVersion Accepted) {
+  std::size_t Live = 0;
+  std::size_t InForce = 0;
+  for (const internal::EntryRow &Each : Fleet) {
+    const bool Reported = Each.State_ == internal::EntryState::Reported;
+    Live += Reported || Each.Listed_ ? 1 : 0;
+    InForce += Reported && Each.Status_->Version_ == Accepted ? 1 : 0;
+  }
+  Out.Json_["live"] = Live;
+  Out.Json_["inForceAt"] = InForce;
+  Out.Text_ += "  in force at " + std::to_string(InForce) + " of " +
+               std::to_string(Live) + " live entries\n";
+}
+
 void addDrains(Outcome &Out, const InForcePtr &Document) {
   Out.Json_["drains"] = ordered_json::array();
   if (!Document)
@@ -84,6 +100,7 @@
     Out.Text_ += "  copied from " + Copied.Environment_ + " version " +
                  number(Copied.Version_) + "\n";
   }
+  addSummary(Out, *Fleet, Version);
   for (const internal::EntryRow &Each : *Fleet)
     addEntry(Out, Each, Version, Now);
   addDrains(Out, Accepted->Document_);
--- a/src/medlarmoor/membership/control_thread.cpp
+++ b/src/medlarmoor/membership/control_thread.cpp
@@ -40,6 +40,13 @@
   return Random((std::uint64_t{Device()} << 32U) | Device());
 }
 
+std::vector<ListedInstance> seeds(const config::Settings &Settings) {
+  std::vector<ListedInstance> Out;
+  for (const config::Neighbour &Each : Settings.Neighbours_)
+    Out.push_back({Each.Name_, Each.Address_});
+  return Out;
+}
+
 } // namespace
 
 class ControlThread::Impl {
@@ -124,7 +131,7 @@
       Metrics_(Metrics), Events_(Events),
       Mesh_(Settings.Name_, Settings.Address_, Settings.Membership_,
             wire::drawIncarnation(Time.wallNow(), Source_), Time,
-            Random(Source_())),
+            Random(Source_()), seeds(Settings)),
       Sealer_(Settings.Name_, Mesh_.incarnation(),
               wire::KeyRing(Settings.Keys_), Time),
       Http_(Io_, Settings.Address_),
--- a/test/config/read_settings_test.cpp
+++ b/test/config/read_settings_test.cpp
@@ -19,6 +19,7 @@
   CHECK(Read->Name_ == EntryName("seeb-1"));
   CHECK(Read->Platform_.text() == "127.0.9.1:7400");
   CHECK(Read->Keys_.at(0).Secret_.size() == 16);
+  CHECK(Read->Neighbours_.at(0).Address_.text() == "127.0.11.2");
   const Settings Defaults;
   CHECK(Read->Flow_.Flows_ == Defaults.Flow_.Flows_);
   CHECK(Read->Requests_.Horizon_ == Defaults.Requests_.Horizon_);
