--- a/test/platform/config_thread_test.cpp
+++ b/test/platform/config_thread_test.cpp
@@ -96,6 +96,7 @@
   }
   void see(const std::vector<const Entry *> &Others) {
     std::vector<membership::Member> Members;
+    Members.reserve(Others.size());
     for (const Entry *Each : Others)
       Members.push_back({Each->Given_.Name_, Each->Given_.Address_});
     REQUIRE(Joined_.ControlViewToConfig_.push(
