--- a/bench/membership/membership.cpp
+++ b/bench/membership/membership.cpp
@@ -23,6 +23,10 @@
 constexpr std::array<std::size_t, 5> Sizes{4, 16, 64, 256, 422};
 constexpr std::array<int, 3> ProcessSizes{4, 16, 40};
 constexpr Nanos SteadyPeriod = Seconds(30);
+/// The news of a start have died down by then.
+constexpr Nanos SettlePeriod = Seconds(60);
+/// 10,000 restarts a day over 9 failure domains: one in so many seconds.
+constexpr Nanos RestartPeriod = Seconds(78);
 constexpr Nanos EventLimit = Seconds(30);
 
 /// Sums over the members of one network at one moment.
@@ -92,6 +96,7 @@
 
 bool withinBounds(const nlohmann::json &Figures) {
   return Figures["bytes_per_s_max"] <= BytesBound &&
+         Figures["bytes_per_s_max_with_restart"] <= BytesBound &&
          Figures["processor_share_max"] <= ProcessorBound &&
          Figures["memory_bytes"] <= MemoryBound;
 }
@@ -108,7 +113,7 @@
   const auto Full = [&] { return Net.converged(Members); };
   const auto OneLess = [&] { return Net.converged(Members - 1); };
   const double Started = timeUntil(Net, Full);
-  Net.run(Seconds(10));
+  Net.run(SettlePeriod);
   const Totals Before(Net);
   Net.run(SteadyPeriod);
   Out.Figures_ = usageBetween(Before, Totals(Net));
@@ -125,9 +130,11 @@
   Net.run(Millis(500));
   Net.perform(0, Net.mesh(0).farewell());
   Out.Figures_["farewell_seen_s"] = timeUntil(Net, OneLess);
-  Out.Figures_["bytes_per_s_max_in_change"] =
+  Net.run(std::max(Nanos(0), Calm.When_ + RestartPeriod - Net.clock().now()));
+  Out.Figures_["bytes_per_s_max_with_restart"] =
       usageBetween(Calm, Totals(Net))["bytes_per_s_max"];
   Out.Bound_ = {{"bytes_per_s_max", BytesBound},
+                {"bytes_per_s_max_with_restart", BytesBound},
                 {"processor_share_max", ProcessorBound},
                 {"memory_bytes", MemoryBound}};
   Out.Held_ = withinBounds(Out.Figures_) && Started >= 0 &&
--- a/src/medlarmoor/daemon/daemon.cpp
+++ b/src/medlarmoor/daemon/daemon.cpp
@@ -24,8 +24,7 @@
 namespace {
 
 constexpr Millis LeavePoll{20};
-/// For the control thread to send the farewell.
-constexpr Seconds FarewellLimit{1};
+constexpr Millis FabricQuiet{500};
 
 } // namespace
 
@@ -37,7 +36,8 @@
   bool leave();
 
 private:
-  bool handOver(TimePoint Limit);
+  bool handOverFlows(TimePoint Limit);
+  [[nodiscard]] bool fabricQuiet();
   void stopThreads();
   void watchThread(const std::string &Name);
   net::HttpResponse answer(const net::HttpRequest &Request);
@@ -57,6 +57,9 @@
   request::RequestThread Requests_;
   ProgressWatch Progress_;
   AdminThread Admin_;
+  telemetry::Counter &FabricPackets_;
+  std::uint64_t LastFabricPackets_ = 0;
+  TimePoint LastFabricChange_ = Time_.now();
 };
 
 Daemon::Impl::Impl(config::Settings Given, const Clock &Time,
@@ -85,7 +88,9 @@
       Admin_(
           {Settings_.Address_, Settings_.Ports_.Admin_},
           [this](const net::HttpRequest &Request) { return answer(Request); },
-          [this] { Progress_.sample(); }) {}
+          [this] { Progress_.sample(); }),
+      FabricPackets_(Metrics_.counter("medlarmoor_flow_received_total",
+                                      "from=\"fabric\"")) {}
 
 bool Daemon::Impl::start(const std::string &File, Findings &Out) {
   checkPorts(Settings_, File, Out);
@@ -117,43 +122,46 @@
 bool Daemon::Impl::leave() {
   const TimePoint Limit = Time_.now() + longestDeadline();
   Events_.info("leaving", {{"limit_ms", longestDeadline().count()}});
-  const bool Complete = handOver(Limit);
+  bool Complete = !Settings_.Doors_ || handOverFlows(Limit);
+  Control_.leave();
+  if (Settings_.Doors_) {
+    Requests_.leave();
+    Complete &= waitFor([this] { return Requests_.handedOver(); }, Limit);
+    Complete &= waitFor([this] { return fabricQuiet(); }, Limit);
+  }
   Control_.farewell();
   waitFor(
       [this] {
         return Control_.status().State_ == membership::EntryState::Stopped;
       },
-      std::max(Limit, Time_.now() + FarewellLimit));
+      std::max(Limit, Time_.now() + Seconds(1)));
   stopThreads();
   Events_.info("stopped", {{"handed_over", Complete ? "yes" : "no"}});
   return Complete;
 }
 
-/// The others get the flows before they learn that this entry leaves, so that
-/// the next home of each knows it; then they take over, and what still arrives
-/// here is passed on to them while the requests finish.
-bool Daemon::Impl::handOver(TimePoint Limit) {
-  if (!Settings_.Doors_) {
-    Control_.leave();
-    return true;
-  }
+bool Daemon::Impl::handOverFlows(TimePoint Limit) {
   Flows_.leave();
-  bool Complete = waitFor([this] { return Flows_.handedOver(); }, Limit);
-  Control_.leave();
-  Requests_.leave();
-  const TimePoint Announced = Time_.now();
-  Complete =
-      waitFor([this] { return Requests_.handedOver(); }, Limit) && Complete;
-  waitFor([] { return false; },
-          std::min(Limit, Announced + 2 * Settings_.Membership_.Lease_));
-  return Complete;
+  return waitFor([this] { return Flows_.handedOver(); }, Limit);
+}
+
+/// True once the fabric has brought no packet for FabricQuiet: its list of
+/// entries lags, and until then this entry passes packets on.
+bool Daemon::Impl::fabricQuiet() {
+  const std::uint64_t Packets = FabricPackets_.value();
+  const TimePoint Now = Time_.now();
+  if (Packets != LastFabricPackets_) {
+    LastFabricPackets_ = Packets;
+    LastFabricChange_ = Now;
+  }
+  return Now - LastFabricChange_ >= FabricQuiet;
 }
 
 void Daemon::Impl::stopThreads() {
   Admin_.stop();
   if (Settings_.Doors_) {
-    Requests_.stop();
     Flows_.stop();
+    Requests_.stop();
   }
   Config_.stop();
   Control_.stop();
@@ -185,12 +193,12 @@
 }
 
 net::HttpResponse Daemon::Impl::explain(const net::HttpRequest &Request) {
-  const auto Flow = Request.query("flow");
-  if (Flow && Settings_.Doors_)
-    return internal::jsonPage(Flows_.explain(*Flow));
   const auto Key = Request.query("key");
   if (Key && Settings_.Doors_)
     return internal::jsonPage(Requests_.explain(*Key));
+  const auto Flow = Request.query("flow");
+  if (Flow && Settings_.Doors_)
+    return internal::jsonPage(Flows_.explain(*Flow));
   return internal::errorPage(404, "no door of that kind");
 }
 
