--- a/bench/membership/membership.cpp
+++ b/bench/membership/membership.cpp
@@ -129,6 +129,7 @@
   Net.perform(0, Net.mesh(0).leave());
   Net.run(Millis(500));
   Net.perform(0, Net.mesh(0).farewell());
+  Net.kill(0);
   Out.Figures_["farewell_seen_s"] = timeUntil(Net, OneLess);
   Net.run(std::max(Nanos(0), Calm.When_ + RestartPeriod - Net.clock().now()));
   Out.Figures_["bytes_per_s_max_with_restart"] =
--- a/test/harness/mesh_network.cpp
+++ b/test/harness/mesh_network.cpp
@@ -43,12 +43,14 @@
 MeshNetwork::MeshNetwork(std::uint64_t Seed, config::MembershipSettings Timing)
     : Timing_(Timing), Source_(Seed) {}
 
-std::size_t MeshNetwork::add(const std::string &Name) {
+std::size_t MeshNetwork::add(const std::string &Name,
+                             std::vector<ListedInstance> Neighbours) {
   const std::size_t I = Nodes_.size();
   const Ipv4 Address(FirstAddress + static_cast<std::uint32_t>(I));
   Nodes_.emplace_back();
   Nodes_.back().Name_ = EntryName(Name);
   Nodes_.back().Address_ = Address;
+  Nodes_.back().Neighbours_ = std::move(Neighbours);
   ByAddress_[Address] = I;
   List_.push_back({EntryName(Name), Address});
   start(Nodes_.back());
@@ -60,7 +62,7 @@
   const Incarnation Run = wire::drawIncarnation(Now.wallNow(), Source_);
   const config::SharedKey Key{1, std::vector<std::byte>(32, std::byte{1})};
   Each.Mesh_ = std::make_unique<Mesh>(Each.Name_, Each.Address_, Timing_, Run,
-                                      Now, Random(Source_()));
+                                      Now, Random(Source_()), Each.Neighbours_);
   Each.Sealer_ = std::make_unique<wire::Sealer>(Each.Name_, Run,
                                                 wire::KeyRing({Key}), Now);
   Each.Runs_ = true;
--- a/test/harness/mesh_network.hpp
+++ b/test/harness/mesh_network.hpp
@@ -33,8 +33,11 @@
   explicit MeshNetwork(std::uint64_t Seed,
                        config::MembershipSettings Timing = {});
 
-  /// Starts a member and puts it on the list of instances.
-  std::size_t add(const std::string &Name);
+  /// Starts a member and puts it on the list of instances. Its settings name
+  /// the neighbours.
+  std::size_t add(const std::string &Name,
+                  std::vector<membership::ListedInstance> Neighbours = {});
+  [[nodiscard]] Ipv4 address(std::size_t I) const { return Nodes_[I].Address_; }
   /// Starts a new run under the name and address of member I.
   void replace(std::size_t I);
   /// The process of member I ends without a word.
@@ -78,6 +81,7 @@
   struct Node {
     EntryName Name_;
     Ipv4 Address_;
+    std::vector<membership::ListedInstance> Neighbours_;
     std::unique_ptr<membership::Mesh> Mesh_;
     std::unique_ptr<wire::Sealer> Sealer_;
     bool Runs_ = true;
--- a/test/membership/mesh_test.cpp
+++ b/test/membership/mesh_test.cpp
@@ -253,3 +253,15 @@
     }
   }));
 }
+
+TEST_CASE(
+    "with the platform down a new entry finds its neighbours by settings") {
+  MeshNetwork Net(25);
+  for (const char *Name : {"seeb-0", "seeb-1", "seeb-2"})
+    Net.add(Name);
+  REQUIRE(Net.runUntil([&] { return Net.converged(3); }, JoinLimit));
+  Net.setPlatform(false);
+  Net.add("seeb-9", {{EntryName("seeb-1"), Net.address(1)}});
+  Net.unlist(3);
+  CHECK(Net.runUntil([&] { return Net.converged(4); }, JoinLimit));
+}
