Watch the progress of every thread and add histograms

/healthz watched the control thread only. Each thread now raises medlarmoor_thread_ticks_total, one line in the configuration, flow and request threads. Bytes of configuration between entries are added to the control bytes.

--- a/src/medlarmoor/daemon/daemon.cpp
+++ b/src/medlarmoor/daemon/daemon.cpp
@@ -101,6 +101,11 @@
       Out.add({File, 0, 0}, Thread.lastReason());
   };
   watchThread("control");
+  watchThread("config");
+  if (Settings_.Doors_) {
+    watchThread("flow");
+    watchThread("requests");
+  }
   Begin(Config_);
   if (Settings_.Doors_) {
     Begin(Flows_);
--- a/src/medlarmoor/flow/flow_metrics.cpp
+++ b/src/medlarmoor/flow/flow_metrics.cpp
@@ -19,7 +19,9 @@
       Records_(Metrics.gauge("medlarmoor_flow_records")),
       Backlog_(Metrics.gauge("medlarmoor_flow_replication_backlog")),
       Bytes_(Metrics.gauge("medlarmoor_flow_replication_bytes")),
-      Suspended_(Metrics.gauge("medlarmoor_flow_suspended")) {
+      Suspended_(Metrics.gauge("medlarmoor_flow_suspended")),
+      Ticks_(
+          Metrics.counter("medlarmoor_thread_ticks_total", "thread=\"flow\"")) {
   const auto Counter = [&Metrics](const char *Name, const std::string &Labels) {
     return Tally{&Metrics.counter(Name, Labels)};
   };
@@ -72,6 +74,7 @@
 }
 
 void FlowMetrics::publish(Director &From) {
+  Ticks_.add();
   const auto Signed = [](std::uint64_t Value) {
     return static_cast<std::int64_t>(Value);
   };
--- a/src/medlarmoor/flow/flow_metrics.hpp
+++ b/src/medlarmoor/flow/flow_metrics.hpp
@@ -52,6 +52,7 @@
   telemetry::Gauge &Backlog_;
   telemetry::Gauge &Bytes_;
   telemetry::Gauge &Suspended_;
+  telemetry::Counter &Ticks_;
 };
 
 } // namespace medlarmoor::flow
--- a/src/medlarmoor/membership/control_thread.cpp
+++ b/src/medlarmoor/membership/control_thread.cpp
@@ -118,6 +118,9 @@
   telemetry::Counter &Renewals_;
   telemetry::Counter &Ticks_;
   telemetry::Gauge &Members_;
+  telemetry::Gauge &Disagreements_;
+  telemetry::Histogram &TickDelay_;
+  TimePoint TickDue_;
 
   mutable std::mutex StatusLock_;
   ControlStatus Status_;
@@ -146,7 +149,10 @@
       Renewals_(Metrics.counter("medlarmoor_membership_lease_lapses_total")),
       Ticks_(Metrics.counter("medlarmoor_thread_ticks_total",
                              "thread=\"control\"")),
-      Members_(Metrics.gauge("medlarmoor_membership_members")) {}
+      Members_(Metrics.gauge("medlarmoor_membership_members")),
+      Disagreements_(Metrics.gauge("medlarmoor_membership_list_disagreements")),
+      TickDelay_(Metrics.histogram("medlarmoor_control_tick_delay_seconds")),
+      TickDue_(Time.now()) {}
 
 bool ControlThread::Impl::start() {
   if (!Socket_.open({Settings_.Address_, Settings_.Ports_.Control_})) {
@@ -184,6 +190,7 @@
 }
 
 void ControlThread::Impl::scheduleTick() {
+  TickDue_ = Time_.now() + TickPeriod;
   Timer_.expires_after(TickPeriod);
   Timer_.async_wait([this](Error Failed) {
     if (!Failed)
@@ -192,6 +199,7 @@
 }
 
 void ControlThread::Impl::onTick() {
+  TickDelay_.record(Time_.now() - TickDue_);
   // What has arrived counts before silence is judged.
   drainSocket();
   perform(Mesh_.tick());
@@ -362,6 +370,7 @@
     Events_.info("entry_state",
                  {{"from", text(LastState_)}, {"to", text(State)}});
   LastState_ = State;
+  Disagreements_.set(static_cast<std::int64_t>(Mesh_.listDisagreements()));
   const std::lock_guard Guard(StatusLock_);
   Status_ = {State,
              Mesh_.incarnation(),
--- a/src/medlarmoor/platform/config_thread.cpp
+++ b/src/medlarmoor/platform/config_thread.cpp
@@ -88,7 +88,11 @@
         ServedBytes_(Metrics.counter("medlarmoor_config_served_bytes_total")),
         Pulls_(Metrics.counter("medlarmoor_config_pulls_total")),
         Unsealed_(Metrics.counter("medlarmoor_config_unsealed_total")),
-        FailedPulls_(Metrics.counter("medlarmoor_config_failed_pulls_total")) {}
+        FailedPulls_(Metrics.counter("medlarmoor_config_failed_pulls_total")),
+        ControlIn_(Metrics.counter("medlarmoor_control_bytes_received_total")),
+        ControlOut_(Metrics.counter("medlarmoor_control_bytes_sent_total")),
+        Ticks_(Metrics.counter("medlarmoor_thread_ticks_total",
+                               "thread=\"config\"")) {}
 
   ~Impl() {
     stop();
@@ -123,6 +127,7 @@
 
 private:
   void tick() {
+    Ticks_.add();
     for (internal::Outbox &Each : Outboxes_)
       Each.flush();
     run(Follower_.onTick());
@@ -262,6 +267,17 @@
                 });
   }
 
+  /// Configuration between entries is part of the control bytes.
+  void countReceived(std::uint64_t Bytes) {
+    PulledBytes_.add(Bytes);
+    ControlIn_.add(Bytes);
+  }
+
+  void countServed(std::uint64_t Bytes) {
+    ServedBytes_.add(Bytes);
+    ControlOut_.add(Bytes);
+  }
+
   /// The answer is From's own.
   bool isSealed(const EntryName &From, const std::string &Target,
                 const net::HttpResponse &Answer) {
@@ -278,7 +294,7 @@
   void onPulled(const EntryName &From, const std::string &Target,
                 std::optional<net::HttpResponse> Answer) {
     if (Answer)
-      PulledBytes_.add(Answer->Body_.size());
+      countReceived(Answer->Body_.size());
     if (Answer && !isSealed(From, Target, *Answer))
       Answer.reset();
     if (Answer && Answer->Status_ == 200)
@@ -361,7 +377,7 @@
     net::HttpResponse Out = answer(Request);
     Out.Headers_.add(wire::SealHeader, Seal_.sign(std::to_string(Out.Status_),
                                                   Request.Target_, Out.Body_));
-    ServedBytes_.add(Out.Body_.size());
+    countServed(Out.Body_.size());
     return Out;
   }
 
@@ -407,6 +423,9 @@
   telemetry::Counter &Pulls_;
   telemetry::Counter &Unsealed_;
   telemetry::Counter &FailedPulls_;
+  telemetry::Counter &ControlIn_;
+  telemetry::Counter &ControlOut_;
+  telemetry::Counter &Ticks_;
 
   std::string Reason_;
   std::thread Thread_;
--- a/src/medlarmoor/request/internal/meters.hpp
+++ b/src/medlarmoor/request/internal/meters.hpp
@@ -22,7 +22,9 @@
         Cut_(All.counter("medlarmoor_answers_cut_total")),
         Unsigned_(All.counter("medlarmoor_internal_unsigned_total")),
         Waiting_(All.gauge("medlarmoor_requests_waiting")),
-        LedgerKeys_(All.gauge("medlarmoor_ledger_keys")) {}
+        LedgerKeys_(All.gauge("medlarmoor_ledger_keys")),
+        Ticks_(All.counter("medlarmoor_thread_ticks_total",
+                           "thread=\"requests\"")) {}
 
   telemetry::Counter &Done_;
   telemetry::Counter &NotRun_;
@@ -35,6 +37,7 @@
   telemetry::Counter &Unsigned_;
   telemetry::Gauge &Waiting_;
   telemetry::Gauge &LedgerKeys_;
+  telemetry::Counter &Ticks_;
 };
 
 } // namespace medlarmoor::request::internal
--- a/src/medlarmoor/request/request_thread.cpp
+++ b/src/medlarmoor/request/request_thread.cpp
@@ -153,6 +153,7 @@
     Timer_.async_wait([this](boost::system::error_code Stopped) {
       if (Stopped)
         return;
+      Counts_.Ticks_.add();
       Router_.tick();
       reviewHandover();
       tick();
--- a/src/medlarmoor/telemetry/fwd.hpp
+++ b/src/medlarmoor/telemetry/fwd.hpp
@@ -6,6 +6,7 @@
 class Counter;
 class EventLog;
 class Gauge;
+class Histogram;
 class Registry;
 class SpanLog;
 class TraceContext;
--- a/src/medlarmoor/telemetry/registry.cpp
+++ b/src/medlarmoor/telemetry/registry.cpp
@@ -1,5 +1,9 @@
 #include <medlarmoor/telemetry/registry.hpp>
 
+#include <array>
+#include <cmath>
+#include <cstdio>
+
 namespace medlarmoor::telemetry {
 
 namespace {
@@ -20,6 +24,42 @@
   }
 }
 
+std::string number(double Value) {
+  if (std::isinf(Value))
+    return "+Inf";
+  std::array<char, 32> Text{};
+  std::snprintf(Text.data(), Text.size(), "%.6g", Value);
+  return Text.data();
+}
+
+/// Writes the buckets, the sum and the count of one histogram.
+void appendHistogram(std::string &Out, const std::string &Name,
+                     const std::string &Labels, const Histogram &Each) {
+  const std::string Before = Labels.empty() ? "" : Labels + ",";
+  const std::string Around = Labels.empty() ? "" : "{" + Labels + "}";
+  std::uint64_t Count = 0;
+  for (const Histogram::Bucket &Bucket : Each.buckets()) {
+    Count = Bucket.Count_;
+    Out += Name + "_bucket{" + Before + "le=\"" + number(Bucket.UpTo_) +
+           "\"} " + std::to_string(Count) + "\n";
+  }
+  Out += Name + "_sum" + Around + " " + number(Each.sum()) + "\n";
+  Out += Name + "_count" + Around + " " + std::to_string(Count) + "\n";
+}
+
+void appendHistograms(
+    std::string &Out,
+    const std::map<std::pair<std::string, std::string>, Histogram> &All) {
+  std::string Last;
+  for (const auto &[Key, Each] : All) {
+    const auto &[Name, Labels] = Key;
+    if (Name != Last)
+      Out += "# TYPE " + Name + " histogram\n";
+    Last = Name;
+    appendHistogram(Out, Name, Labels, Each);
+  }
+}
+
 } // namespace
 
 Counter &Registry::counter(const std::string &Name, const std::string &Labels) {
@@ -32,11 +72,18 @@
   return Gauges_[{Name, Labels}];
 }
 
+Histogram &Registry::histogram(const std::string &Name,
+                               const std::string &Labels) {
+  const std::lock_guard Guard(Lock_);
+  return Histograms_[{Name, Labels}];
+}
+
 std::string Registry::text() const {
   const std::lock_guard Guard(Lock_);
   std::string Out;
   appendSamples(Out, Counters_, "counter");
   appendSamples(Out, Gauges_, "gauge");
+  appendHistograms(Out, Histograms_);
   return Out;
 }
 
--- a/src/medlarmoor/telemetry/registry.hpp
+++ b/src/medlarmoor/telemetry/registry.hpp
@@ -3,6 +3,7 @@
 
 #include <medlarmoor/telemetry/counter.hpp>
 #include <medlarmoor/telemetry/gauge.hpp>
+#include <medlarmoor/telemetry/histogram.hpp>
 
 #include <map>
 #include <mutex>
@@ -22,6 +23,9 @@
   /// The gauge of that name, made when it is first asked for.
   [[nodiscard]] Gauge &gauge(const std::string &Name,
                              const std::string &Labels = {});
+  /// The histogram of durations of that name, made when it is first asked for.
+  [[nodiscard]] Histogram &histogram(const std::string &Name,
+                                     const std::string &Labels = {});
   /// All metrics in the Prometheus text format, sorted by name.
   [[nodiscard]] std::string text() const;
 
@@ -31,6 +35,7 @@
   mutable std::mutex Lock_;
   std::map<Key, Counter> Counters_;
   std::map<Key, Gauge> Gauges_;
+  std::map<Key, Histogram> Histograms_;
 };
 
 } // namespace medlarmoor::telemetry
