--- a/bench/demo/demo_run.cpp
+++ b/bench/demo/demo_run.cpp
@@ -67,16 +67,9 @@
 bool DemoRun::startSystem() {
   if (!World_.start())
     return failed(World_.lastReason());
-  for (std::uint8_t I = 1; I <= FirstEntries; ++I)
-    if (!World_.startEntry(I))
-      return failed(World_.lastReason());
-  if (!applyAndWait("first document"))
-    return false;
-  SlowestInForce_ = 0;
-  for (const std::string &Name : World_.entryNames())
-    if (!World_.waitReady(Name, ReadyLimit))
-      return failed(Name + " is not ready");
-  World_.publishEntries();
+  if (!startEntries(World_, FirstEntries))
+    return failed(World_.lastReason());
+  note("four entries are ready");
   return true;
 }
 
@@ -102,7 +95,7 @@
   const std::string Joined = World_.entryNames().back();
   if (!World_.waitReady(Joined, ReadyLimit))
     return failed(Joined + " is not ready");
-  World_.publishEntries();
+  World_.serve(Joined);
   note(Joined + " has joined");
   const std::string Old = World_.entryNames().front();
   const TimePoint Asked = std::chrono::steady_clock::now();
--- a/bench/world/load.cpp
+++ b/bench/world/load.cpp
@@ -8,6 +8,26 @@
 using harness::callJson;
 using nlohmann::json;
 
+namespace {
+
+constexpr Millis ReadyLimit = Seconds(10);
+
+} // namespace
+
+bool startEntries(harness::Cluster &World, std::uint8_t Count) {
+  for (std::uint8_t I = 1; I <= Count; ++I)
+    if (!World.startEntry(I))
+      return false;
+  if (!World.apply())
+    return false;
+  for (const std::string &Name : World.entryNames()) {
+    if (!World.waitReady(Name, ReadyLimit))
+      return false;
+    World.serve(Name);
+  }
+  return true;
+}
+
 bool startLoad(harness::Cluster &World, const LoadPlan &Plan) {
   json Addresses = json::array();
   json Names = json::array();
--- a/bench/world/load.hpp
+++ b/bench/world/load.hpp
@@ -6,6 +6,10 @@
 
 namespace medlarmoor::bench {
 
+/// Starts entries 1 to Count, applies the document, and has each entry serve
+/// once it is ready; false with the cluster's lastReason().
+[[nodiscard]] bool startEntries(harness::Cluster &World, std::uint8_t Count);
+
 /// Has the callers of the cluster put the load on all services of its
 /// document; false when they do not answer.
 [[nodiscard]] bool startLoad(harness::Cluster &World, const LoadPlan &Plan);
--- a/bench/world/sampler.cpp
+++ b/bench/world/sampler.cpp
@@ -13,11 +13,14 @@
 
 } // namespace
 
-void Sampler::sampleUntil(TimePoint Until) {
+void Sampler::sampleUntil(TimePoint Until,
+                          const std::function<void()> &Between) {
   while (std::chrono::steady_clock::now() < Until) {
     const TimePoint Next = std::chrono::steady_clock::now() + SamplePeriod;
     sampleFlows();
     sampleVersions();
+    if (Between)
+      Between();
     std::this_thread::sleep_until(std::min(Next, Until));
   }
 }
--- a/bench/world/sampler.hpp
+++ b/bench/world/sampler.hpp
@@ -4,6 +4,7 @@
 #include <harness/cluster.hpp>
 #include <harness/imbalance.hpp>
 
+#include <functional>
 #include <map>
 #include <string>
 
@@ -15,8 +16,8 @@
 public:
   explicit Sampler(harness::Cluster &World) : World_(World) {}
 
-  /// Samples until Until.
-  void sampleUntil(TimePoint Until);
+  /// Samples until Until; Between runs after each sample.
+  void sampleUntil(TimePoint Until, const std::function<void()> &Between = {});
 
   /// Flows on the upstreams of the first service that do not drain.
   [[nodiscard]] const harness::Imbalance &imbalance() const noexcept {
--- a/test/harness/cluster.cpp
+++ b/test/harness/cluster.cpp
@@ -18,7 +18,7 @@
 namespace {
 
 constexpr Millis RetireLimit = Seconds(20);
-constexpr Millis ReadyTimeout{500};
+constexpr Millis AskTimeout{500};
 constexpr Millis ControlLimit = Seconds(30);
 constexpr std::size_t SecretBytes = 32;
 
@@ -194,7 +194,7 @@
 
 void Cluster::beginRetiring(const std::string &Name) {
   Entry &Which = Entries_.at(Name);
-  Which.Leaving_ = true;
+  Which.Serving_ = false;
   list(Which, "leaving");
   Which.Process_.signal(SIGTERM);
   publishEntries();
@@ -207,7 +207,15 @@
   return Code;
 }
 
-void Cluster::killEntry(const std::string &Name) { entry(Name).kill(); }
+void Cluster::killEntry(const std::string &Name) {
+  Entries_.at(Name).Serving_ = false;
+  entry(Name).kill();
+}
+
+void Cluster::serve(const std::string &Name) {
+  Entries_.at(Name).Serving_ = true;
+  publishEntries();
+}
 
 void Cluster::forgetEntry(const std::string &Name) {
   Entries_.erase(Name);
@@ -223,17 +231,19 @@
   return Entries_.at(Name).Settings_;
 }
 
-bool Cluster::waitReady(const std::string &Name, Millis Limit) const {
+bool Cluster::isReady(const std::string &Name) const {
   const config::Settings &Of = settings(Name);
-  const Endpoint Admin(Of.Address_, Of.Ports_.Admin_);
-  return waitUntil(
-      [&] {
-        std::string Reason;
-        const auto Response = net::httpCall(
-            Admin, {"GET", "/readyz", {}, {}, {}}, ReadyTimeout, Reason);
-        return Response && Response->Status_ == 200;
-      },
-      Limit);
+  std::string Reason;
+  const auto Response =
+      net::httpCall({Of.Address_, Of.Ports_.Admin_},
+                    {"GET", "/readyz", {}, {}, {}}, AskTimeout, Reason);
+  return Response && Response->Status_ == 200;
+}
+
+bool Cluster::waitReady(const std::string &Name, Millis Limit) {
+  if (waitUntil([&] { return isReady(Name); }, Limit))
+    return true;
+  return failed(Name + " is not ready: " + status(Name).dump());
 }
 
 std::vector<std::string> Cluster::entryNames() const {
@@ -247,7 +257,7 @@
   json Flow = json::array();
   json Requests = json::array();
   for (const auto &[Name, Each] : Entries_) {
-    if (Each.Leaving_)
+    if (!Each.Serving_)
       continue;
     const config::Ports &Ports = Each.Settings_.Ports_;
     Flow.push_back(Endpoint(Each.Shown_, Ports.Flow_).text());
@@ -258,31 +268,30 @@
   (void)callJson(callerHarness(), "POST", "/requests", {{"entries", Requests}});
 }
 
-std::optional<int> Cluster::control(std::vector<std::string> Arguments,
-                                    std::string &Output) {
+Process Cluster::startControl(std::vector<std::string> Arguments) {
   Arguments.insert(Arguments.begin(),
                    "--platform=" + Addresses_.platformApiBehind().text());
-  const std::string Log =
-      logPath("medlarmoorctl-" + std::to_string(++Applied_));
-  Process Command = Process::start("medlarmoorctl", Arguments, Log);
-  const std::optional<int> Code = Command.wait(ControlLimit);
-  Output = Command.log();
-  return Code;
+  return Process::start(
+      "medlarmoorctl", Arguments,
+      logPath("medlarmoorctl-" + std::to_string(++FilesWritten_)));
+}
+
+std::string Cluster::write(const config::Environment &Each) {
+  return Folder_.write("document-" + std::to_string(++FilesWritten_) + ".toml",
+                       config::writeEnvironment(Each));
 }
 
 bool Cluster::apply() {
-  const std::string File =
-      Folder_.write("document.toml", config::writeEnvironment(Document_));
-  std::string Output;
-  const std::optional<int> Code = control({"apply", File}, Output);
-  if (Code == 0)
+  Process Command = startControl({"apply", write(Document_)});
+  if (Command.wait(ControlLimit) == 0)
     return true;
-  return failed("medlarmoorctl apply: " + Output);
+  return failed("medlarmoorctl apply: " + Command.log());
 }
 
 json Cluster::status(const std::string &Name) const {
   const config::Settings &Of = settings(Name);
-  return callJson({Of.Address_, Of.Ports_.Admin_}, "GET", "/status")
+  return callJson({Of.Address_, Of.Ports_.Admin_}, "GET", "/status", nullptr,
+                  AskTimeout)
       .value_or(nullptr);
 }
 
@@ -305,7 +314,7 @@
       [&] {
         return std::all_of(
             Entries_.begin(), Entries_.end(), [&](const auto &Each) {
-              return Each.second.Leaving_ || version(Each.first) >= Version;
+              return !Each.second.Serving_ || version(Each.first) >= Version;
             });
       },
       Limit);
--- a/test/harness/cluster.hpp
+++ b/test/harness/cluster.hpp
@@ -33,23 +33,29 @@
 
   /// Starts the entry of that number in a failure domain of the document, has
   /// the platform list it, and waits until it answers; false with
-  /// lastReason(). Its name is "DOMAIN-NUMBER".
+  /// lastReason(). Its name is "DOMAIN-NUMBER". Nobody sends to it before
+  /// serve().
   [[nodiscard]] bool startEntry(std::uint8_t Number, std::uint8_t Domain = 0);
+  /// Gives the entry to the fabric and the callers.
+  void serve(const std::string &Name);
   /// Planned stop: the platform lists the entry as leaving, it gets SIGTERM,
   /// the fabric and callers learn of it, and it ends. Its exit code.
   std::optional<int> retireEntry(const std::string &Name);
   /// Begins a planned stop without waiting for its end.
   void beginRetiring(const std::string &Name);
-  /// SIGKILL; the platform, fabric and callers are not told.
+  /// SIGKILL; the platform, fabric and callers are not told before the next
+  /// publishEntries() or forgetEntry().
   void killEntry(const std::string &Name);
   /// Takes an ended entry from all lists.
   void forgetEntry(const std::string &Name);
   [[nodiscard]] Process &entry(const std::string &Name);
-  /// Waits until the entry's /readyz answers 200.
-  [[nodiscard]] bool waitReady(const std::string &Name, Millis Limit) const;
+  /// Whether the entry's /readyz answers 200.
+  [[nodiscard]] bool isReady(const std::string &Name) const;
+  /// Waits until it does; false with lastReason().
+  [[nodiscard]] bool waitReady(const std::string &Name, Millis Limit);
   [[nodiscard]] const config::Settings &settings(const std::string &Name) const;
   [[nodiscard]] std::vector<std::string> entryNames() const;
-  /// Gives the fabric and the callers the entries that are not leaving.
+  /// Gives the fabric and the callers the entries that serve.
   void publishEntries();
 
   /// The document that apply() writes; change it in place.
@@ -57,16 +63,17 @@
   /// Has the document accepted through medlarmoorctl; false with its output
   /// in lastReason().
   [[nodiscard]] bool apply();
-  /// Runs medlarmoorctl with the platform's address and waits.
-  [[nodiscard]] std::optional<int> control(std::vector<std::string> Arguments,
-                                           std::string &Output);
+  /// Starts medlarmoorctl with the platform's address and these arguments.
+  [[nodiscard]] Process startControl(std::vector<std::string> Arguments);
+  /// Writes a document to a file of its own and returns its path.
+  [[nodiscard]] std::string write(const config::Environment &Each);
   /// What `GET /status` of the entry answers, or null.
   [[nodiscard]] nlohmann::json status(const std::string &Name) const;
   /// The version that the entry acts on; 0 when it has none.
   [[nodiscard]] std::uint64_t version(const std::string &Name) const;
   /// The highest version in force anywhere.
   [[nodiscard]] std::uint64_t highestVersion() const;
-  /// Waits until every running entry acts on Version or a higher one; the
+  /// Waits until every entry that serves acts on Version or a higher one; the
   /// time it took, or nothing after Limit.
   [[nodiscard]] std::optional<Millis>
   waitInForce(std::uint64_t Version, Millis Limit = Seconds(10)) const;
@@ -93,7 +100,7 @@
     config::Settings Settings_;
     Ipv4 Shown_;
     Process Process_;
-    bool Leaving_ = false;
+    bool Serving_ = false;
   };
 
   bool loadDocument();
@@ -121,7 +128,7 @@
   config::Environment Document_;
   std::map<std::string, Ipv4> UpstreamPlaces_;
   std::set<Ipv4> ProxiedPlaces_;
-  std::uint64_t Applied_ = 0;
+  std::uint64_t FilesWritten_ = 0;
   Process Platform_;
   Process Proxy_;
   Process Fabric_;
