Count answers that an entry no longer has apart from wrong ones

A call with the key of a request that ran is told `done` with status 410 when the answer was lost with the first call. That is true and not another's answer. Planned events bound it at 0.

--- a/bench/chaos/chaos_run.cpp
+++ b/bench/chaos/chaos_run.cpp
@@ -111,6 +111,7 @@
       {"failed_starts", number(Actions_.failedStarts()), 0},
       {"config_in_force_s", ConvergeSeconds_, InForceSeconds},
       {"unsettled", Settled_ ? 0.0 : 1.0, 0},
+      {"idle_run", Seen.Flows_ == 0 || Seen.Done_ == 0 ? 1.0 : 0.0, 0},
       {"unfinished_work", AllOver_ ? 0.0 : 1.0, 0},
       {"missing_witnesses", number(Seen.Missing_), 0}};
   if (Kinds_ == Mix::Planned) {
@@ -118,6 +119,7 @@
     Out.push_back({"unopened_flows", number(Seen.FlowsUnopened_), 0});
     Out.push_back(
         {"cut_requests", number(Seen.CutCalls_ + Seen.Unanswered_), 0});
+    Out.push_back({"answers_not_kept", number(Seen.DoneBefore_), 0});
     Out.push_back({"failed_stops", number(Actions_.failedStops()), 0});
   }
   return Out;
@@ -135,6 +137,7 @@
                   {"unopened_flows", Seen.FlowsUnopened_},
                   {"requests", Seen.Requests_},
                   {"done", Seen.Done_},
+                  {"answers_not_kept", Seen.DoneBefore_},
                   {"not_run", Seen.NotRun_},
                   {"unknown", Seen.Unknown_},
                   {"unanswered", Seen.Unanswered_},
--- a/bench/demo/demo_run.cpp
+++ b/bench/demo/demo_run.cpp
@@ -178,11 +178,13 @@
           {"false_not_run", Number(Seen.FalseNotRun_), 0},
           {"false_done", Number(Seen.FalseDone_), 0},
           {"cut_requests", Number(Seen.CutCalls_ + Seen.Unanswered_), 0},
+          {"answers_not_kept", Number(Seen.DoneBefore_), 0},
           {"new_work_on_drained_upstream", Number(LateWork_), 0},
           {"config_reverts", Number(Sampler_.reverts()), 0},
           {"config_in_force_s", SlowestInForce_, InForceSeconds},
           {"planned_stop_exit_code", static_cast<double>(RetireCode_), 0},
           {"control_bytes_per_s_per_entry", PerEntry, ControlBytesASecond},
+          {"idle_run", Seen.Flows_ == 0 || Seen.Done_ == 0 ? 1.0 : 0.0, 0},
           {"unfinished_work", AllOver_ ? 0.0 : 1.0, 0},
           {"missing_witnesses", Number(Seen.Missing_), 0}};
 }
--- a/test/harness/judge.cpp
+++ b/test/harness/judge.cpp
@@ -48,6 +48,7 @@
 
 void countOutcome(const std::string &Last, Verdict &Into) {
   Into.Done_ += Last == "done" ? 1 : 0;
+  Into.DoneBefore_ += Last == "done_before" ? 1 : 0;
   Into.NotRun_ += Last == "not_run" ? 1 : 0;
   Into.Unknown_ += Last == "unknown" ? 1 : 0;
   Into.Unanswered_ += Last == "unanswered" || Last == "unconnected" ? 1 : 0;
@@ -65,7 +66,8 @@
     ++Into.FalseNotRun_;
     Into.Details_.push_back("false not_run " + historyOf(Key, Runs));
   }
-  if (Last == "done" && Runs.Starts_.empty()) {
+  const bool ToldDone = Last == "done" || Last == "done_before";
+  if (ToldDone && Runs.Starts_.empty()) {
     ++Into.FalseDone_;
     Into.Details_.push_back("false done " + historyOf(Key, Runs));
   }
--- a/test/harness/request_caller.cpp
+++ b/test/harness/request_caller.cpp
@@ -17,6 +17,7 @@
 constexpr std::size_t CallsAtMost = 4;
 /// How long a caller waits past the deadline for an answer.
 constexpr Millis Grace = Seconds(2);
+constexpr unsigned StatusGone = 410;
 constexpr int ShortestPauseMs = 20;
 constexpr int LongestPauseMs = 80;
 
@@ -40,6 +41,8 @@
     return CallOutcome::NotRun;
   if (Outcome == "unknown")
     return CallOutcome::Unknown;
+  if (Outcome == "done" && Response.Status_ == StatusGone)
+    return CallOutcome::DoneBefore;
   if (Outcome == "done" && isOwnAnswer(Response, Key))
     return CallOutcome::Done;
   return CallOutcome::Wrong;
@@ -51,6 +54,8 @@
   switch (Outcome) {
   case CallOutcome::Done:
     return "done";
+  case CallOutcome::DoneBefore:
+    return "done_before";
   case CallOutcome::NotRun:
     return "not_run";
   case CallOutcome::Unknown:
@@ -148,7 +153,9 @@
 
 void RequestCaller::callAgainOrEnd(RequestRecord &Which) {
   const CallOutcome Last = Which.Calls_.back().Outcome_;
-  const bool Settled = Last == CallOutcome::Done || Last == CallOutcome::Wrong;
+  const bool Settled = Last == CallOutcome::Done ||
+                       Last == CallOutcome::DoneBefore ||
+                       Last == CallOutcome::Wrong;
   if (Settled || Which.Calls_.size() >= CallsAtMost)
     return end(Which);
   std::uniform_int_distribution<int> Pause(ShortestPauseMs, LongestPauseMs);
--- a/test/harness/request_record.hpp
+++ b/test/harness/request_record.hpp
@@ -11,6 +11,8 @@
 /// How one call of a request ended, as its caller saw it.
 enum class CallOutcome : unsigned char {
   Done,
+  /// It ran, and the answer is no longer there.
+  DoneBefore,
   NotRun,
   Unknown,
   /// No whole answer came.
--- a/test/harness/verdict.hpp
+++ b/test/harness/verdict.hpp
@@ -24,6 +24,8 @@
   std::uint64_t MalformedPackets_ = 0;
   std::uint64_t Requests_ = 0;
   std::uint64_t Done_ = 0;
+  /// Requests that ran and whose answer was lost on the way.
+  std::uint64_t DoneBefore_ = 0;
   std::uint64_t NotRun_ = 0;
   std::uint64_t Unknown_ = 0;
   /// Requests that no entry answered whole, however often it was called.
