--- a/bench/chaos/chaos_run.cpp
+++ b/bench/chaos/chaos_run.cpp
@@ -45,7 +45,7 @@
   runPlan();
   settle();
   AllOver_ = finishLoad(World_);
-  return report(gatherVerdict(World_));
+  return report(gatherVerdict(World_, Start_));
 }
 
 bool ChaosRun::startSystem() {
--- a/bench/demo/demo_run.cpp
+++ b/bench/demo/demo_run.cpp
@@ -61,7 +61,7 @@
   Elapsed_ = secondsSince(Start_);
   ControlBytes_ = controlBytes() - BytesBefore;
   AllOver_ = finishLoad(World_);
-  return report(gatherVerdict(World_));
+  return report(gatherVerdict(World_, Start_));
 }
 
 bool DemoRun::startSystem() {
--- a/test/harness/verdict.cpp
+++ b/test/harness/verdict.cpp
@@ -21,6 +21,13 @@
   return json::object();
 }
 
+std::string brokenText(const json &Flow, TimePoint Start) {
+  const Nanos At(Flow["atNs"].get<std::int64_t>());
+  const double Seconds =
+      std::chrono::duration<double>(At - Start.time_since_epoch()).count();
+  return std::to_string(Seconds) + " s " + Flow.dump();
+}
+
 void gatherUpstream(Endpoint Where, RunsByKey &Runs, Verdict &Into) {
   const json Counters = ask(Where, "/counters", Into);
   Into.MisroutedPackets_ += Counters.value("misrouted_packets", 0U);
@@ -30,7 +37,7 @@
     addRuns(Answer, Runs);
 }
 
-void gatherFlows(Endpoint Caller, Verdict &Into) {
+void gatherFlows(Endpoint Caller, TimePoint Start, Verdict &Into) {
   const json Flows =
       ask(Caller, "/counters", Into).value("flows", json::object());
   Into.Flows_ += Flows.value("opened", 0U);
@@ -39,17 +46,17 @@
   Into.BrokenFlows_ += Flows.value("broken", 0U);
   Into.WrongOrPartialAnswers_ += Flows.value("wrong_answers", 0U);
   for (const json &Each : ask(Caller, "/broken", Into))
-    Into.Details_.push_back("broken flow " + Each.dump());
+    Into.Details_.push_back("broken flow " + brokenText(Each, Start));
 }
 
 } // namespace
 
-Verdict gatherVerdict(const Cluster &World) {
+Verdict gatherVerdict(const Cluster &World, TimePoint Start) {
   Verdict Out;
   RunsByKey Runs;
   for (const std::string &Name : World.upstreamNames())
     gatherUpstream(*World.upstreamHarness(Name), Runs, Out);
-  gatherFlows(World.callerHarness(), Out);
+  gatherFlows(World.callerHarness(), Start, Out);
   judgeKeys(ask(World.callerHarness(), "/keys", Out), Runs, Out);
   judgeRuns(Runs, Out);
   return Out;
--- a/test/harness/verdict.hpp
+++ b/test/harness/verdict.hpp
@@ -1,6 +1,8 @@
 #ifndef MEDLARMOOR_HARNESS_VERDICT_HPP
 #define MEDLARMOOR_HARNESS_VERDICT_HPP
 
+#include <medlarmoor/core/time.hpp>
+
 #include <nlohmann/json.hpp>
 
 #include <cstdint>
@@ -43,8 +45,9 @@
   std::vector<std::string> Details_;
 };
 
-/// Asks all callers and upstreams of the cluster.
-[[nodiscard]] Verdict gatherVerdict(const Cluster &World);
+/// Asks all callers and upstreams of the cluster. Moments in the details are
+/// told from Start on.
+[[nodiscard]] Verdict gatherVerdict(const Cluster &World, TimePoint Start = {});
 
 } // namespace medlarmoor::harness
 
