--- a/test/harness/tcp_relay.cpp
+++ b/test/harness/tcp_relay.cpp
@@ -42,10 +42,10 @@
 public:
   Connection(asio::io_context &Io, Tcp::socket Client, Endpoint Target,
              std::string PortClass, const FaultRules &Rules,
-             PassedBytes &Passed)
+             PassedBytes &Passed, const ShownAddresses &Shown)
       : Client_(std::move(Client)), Server_(Io), Target_(Target),
         PortClass_(std::move(PortClass)), Rules_(Rules), Passed_(Passed),
-        Source_(addressOf(Client_)),
+        Shown_(Shown), Source_(addressOf(Client_)),
         Up_(Io, Client_, Server_, Source_, Target.address()),
         Down_(Io, Server_, Client_, Target.address(), Source_) {}
 
@@ -55,7 +55,7 @@
       return retry(Up_, [Self = shared_from_this()] { Self->start(); });
     Error Failed;
     Server_.open(Tcp::v4(), Failed);
-    Server_.bind({asio::ip::address_v4(Source_.value()), 0}, Failed);
+    Server_.bind({asio::ip::address_v4(Shown_.of(Source_).value()), 0}, Failed);
     Server_.async_connect(net::internal::toTcp(Target_),
                           [Self = shared_from_this()](Error Refused) {
                             if (Refused)
@@ -158,6 +158,7 @@
   std::string PortClass_;
   const FaultRules &Rules_;
   PassedBytes &Passed_;
+  const ShownAddresses &Shown_;
   Ipv4 Source_;
   Pump Up_;
   Pump Down_;
@@ -169,10 +170,11 @@
 class TcpRelay::Impl : public std::enable_shared_from_this<Impl> {
 public:
   Impl(asio::io_context &Io, Endpoint Listen, Endpoint Target,
-       std::string PortClass, const FaultRules &Rules, PassedBytes &Passed)
+       std::string PortClass, const FaultRules &Rules, PassedBytes &Passed,
+       const ShownAddresses &Shown)
       : Io_(Io), Listen_(Listen), Target_(Target),
         PortClass_(std::move(PortClass)), Rules_(Rules), Passed_(Passed),
-        Acceptor_(Io) {}
+        Shown_(Shown), Acceptor_(Io) {}
 
   bool listen() {
     Error Failed;
@@ -216,7 +218,7 @@
 
   void carry(Tcp::socket Client) {
     const auto New = std::make_shared<Connection>(
-        Io_, std::move(Client), Target_, PortClass_, Rules_, Passed_);
+        Io_, std::move(Client), Target_, PortClass_, Rules_, Passed_, Shown_);
     std::erase_if(Connections_,
                   [](const auto &Each) { return Each.expired(); });
     Connections_.push_back(New);
@@ -229,6 +231,7 @@
   std::string PortClass_;
   const FaultRules &Rules_;
   PassedBytes &Passed_;
+  const ShownAddresses &Shown_;
   Tcp::acceptor Acceptor_;
   std::string Reason_;
   std::list<std::weak_ptr<Connection>> Connections_;
@@ -236,9 +239,9 @@
 
 TcpRelay::TcpRelay(asio::io_context &Io, Endpoint Listen, Endpoint Target,
                    std::string PortClass, const FaultRules &Rules,
-                   PassedBytes &Passed)
+                   PassedBytes &Passed, const ShownAddresses &Shown)
     : Impl_(std::make_shared<Impl>(Io, Listen, Target, std::move(PortClass),
-                                   Rules, Passed)) {}
+                                   Rules, Passed, Shown)) {}
 
 TcpRelay::~TcpRelay() { Impl_->close(); }
 
--- a/test/harness/tcp_relay.hpp
+++ b/test/harness/tcp_relay.hpp
@@ -3,6 +3,7 @@
 
 #include <harness/fault_rules.hpp>
 #include <harness/passed_bytes.hpp>
+#include <harness/shown_addresses.hpp>
 #include <medlarmoor/core/endpoint.hpp>
 
 #include <memory>
@@ -15,12 +16,13 @@
 namespace medlarmoor::harness {
 
 /// Accepts TCP connections on one endpoint and carries each to another, from
-/// the address of the client, as the rules allow. What a cut holds back passes
-/// once it is healed.
+/// the address by which the client is known, as the rules allow. What a cut
+/// holds back passes once it is healed.
 class TcpRelay {
 public:
   TcpRelay(boost::asio::io_context &Io, Endpoint Listen, Endpoint Target,
-           std::string PortClass, const FaultRules &Rules, PassedBytes &Passed);
+           std::string PortClass, const FaultRules &Rules, PassedBytes &Passed,
+           const ShownAddresses &Shown);
   ~TcpRelay();
   TcpRelay(const TcpRelay &) = delete;
   TcpRelay &operator=(const TcpRelay &) = delete;
--- a/test/harness/udp_relay.cpp
+++ b/test/harness/udp_relay.cpp
@@ -10,10 +10,11 @@
 
 UdpRelay::UdpRelay(boost::asio::io_context &Io, Endpoint Listen,
                    Endpoint Target, std::string PortClass,
-                   const FaultRules &Rules, PassedBytes &Passed, Random &Source)
+                   const FaultRules &Rules, PassedBytes &Passed,
+                   const ShownAddresses &Shown, Random &Source)
     : Io_(Io), Listen_(Listen), Target_(Target),
       PortClass_(std::move(PortClass)), Rules_(Rules), Passed_(Passed),
-      Random_(Source),
+      Shown_(Shown), Random_(Source),
       Port_(Io, [this](Endpoint From, std::span<const std::byte> Datagram) {
         onDatagram(From.address(), Datagram);
       }) {}
@@ -42,7 +43,7 @@
 
 void UdpRelay::forward(Ipv4 From, std::span<const std::byte> Datagram) {
   net::UdpSocket &Socket = Sockets_[From];
-  if (Socket.descriptor() < 0 && !Socket.open({From, 0}))
+  if (Socket.descriptor() < 0 && !Socket.open({Shown_.of(From), 0}))
     return;
   Passed_[PortClass_] += Datagram.size();
   Socket.send(Target_, Datagram);
--- a/test/harness/udp_relay.hpp
+++ b/test/harness/udp_relay.hpp
@@ -3,6 +3,7 @@
 
 #include <harness/fault_rules.hpp>
 #include <harness/passed_bytes.hpp>
+#include <harness/shown_addresses.hpp>
 #include <harness/udp_port.hpp>
 #include <medlarmoor/net/udp_socket.hpp>
 
@@ -12,12 +13,12 @@
 namespace medlarmoor::harness {
 
 /// Receives datagrams on one endpoint and sends them to another, from the
-/// address of their sender, as the rules allow.
+/// address by which their sender is known, as the rules allow.
 class UdpRelay {
 public:
   UdpRelay(boost::asio::io_context &Io, Endpoint Listen, Endpoint Target,
            std::string PortClass, const FaultRules &Rules, PassedBytes &Passed,
-           Random &Source);
+           const ShownAddresses &Shown, Random &Source);
 
   /// Binds; false with lastReason().
   [[nodiscard]] bool listen();
@@ -33,6 +34,7 @@
   std::string PortClass_;
   const FaultRules &Rules_;
   PassedBytes &Passed_;
+  const ShownAddresses &Shown_;
   Random &Random_;
   /// A sending socket for each sender's address.
   std::map<Ipv4, net::UdpSocket> Sockets_;
--- a/test/standin/fault_proxy.cpp
+++ b/test/standin/fault_proxy.cpp
@@ -111,17 +111,18 @@
   net::HttpResponse addInstance(const json &Asked) {
     const Ipv4 Listen = readAddress(Asked, "listen");
     const Ipv4 Target = readAddress(Asked, "target");
+    Shown_.add(Target, Listen);
     const json Tcp = Asked.value("tcp", json::object());
     for (const auto &[Class, Port] : Tcp.items()) {
       Tcp_.emplace_back(Io_, Endpoint(Listen, Port), Endpoint(Target, Port),
-                        Class, Rules_, Passed_);
+                        Class, Rules_, Passed_, Shown_);
       if (!Tcp_.back().listen())
         return jsonResponse(409, {{"reason", Tcp_.back().lastReason()}});
     }
     const json Udp = Asked.value("udp", json::object());
     for (const auto &[Class, Port] : Udp.items()) {
       Udp_.emplace_back(Io_, Endpoint(Listen, Port), Endpoint(Target, Port),
-                        Class, Rules_, Passed_, Random_);
+                        Class, Rules_, Passed_, Shown_, Random_);
       if (!Udp_.back().listen())
         return jsonResponse(409, {{"reason", Udp_.back().lastReason()}});
     }
@@ -132,6 +133,7 @@
   Random Random_;
   FaultRules Rules_;
   PassedBytes Passed_;
+  ShownAddresses Shown_;
   std::list<TcpRelay> Tcp_;
   std::list<UdpRelay> Udp_;
   net::HttpServer Harness_;
