--- a/src/medlarmoor/membership/view.cpp
+++ b/src/medlarmoor/membership/view.cpp
@@ -56,6 +56,7 @@
       Scores.begin(), Scores.end(),
       [](const auto &A, const auto &B) { return A.first > B.first; });
   std::vector<const Member *> Out;
+  Out.reserve(Scores.size());
   for (const auto &[Score, Each] : Scores)
     Out.push_back(Each);
   return Out;
