--- a/test/harness/mesh_network.cpp
+++ b/test/harness/mesh_network.cpp
@@ -14,6 +14,8 @@
 
 constexpr std::uint32_t FirstAddress = 0x7F000001;
 constexpr std::uint64_t HeaderBytes = 28;
+/// Of one instance in the platform's answer.
+constexpr std::uint64_t ListedBytes = 90;
 constexpr std::uint64_t ShortestDelayUs = 200;
 constexpr std::uint64_t DelaySpreadUs = 2000;
 
@@ -41,12 +43,14 @@
 MeshNetwork::MeshNetwork(std::uint64_t Seed, config::MembershipSettings Timing)
     : Timing_(Timing), Source_(Seed) {}
 
-std::size_t MeshNetwork::add(const std::string &Name) {
+std::size_t MeshNetwork::add(const std::string &Name,
+                             std::vector<ListedInstance> Neighbours) {
   const std::size_t I = Nodes_.size();
   const Ipv4 Address(FirstAddress + static_cast<std::uint32_t>(I));
   Nodes_.emplace_back();
   Nodes_.back().Name_ = EntryName(Name);
   Nodes_.back().Address_ = Address;
+  Nodes_.back().Neighbours_ = std::move(Neighbours);
   ByAddress_[Address] = I;
   List_.push_back({EntryName(Name), Address});
   start(Nodes_.back());
@@ -58,7 +62,7 @@
   const Incarnation Run = wire::drawIncarnation(Now.wallNow(), Source_);
   const config::SharedKey Key{1, std::vector<std::byte>(32, std::byte{1})};
   Each.Mesh_ = std::make_unique<Mesh>(Each.Name_, Each.Address_, Timing_, Run,
-                                      Now, Random(Source_()));
+                                      Now, Random(Source_()), Each.Neighbours_);
   Each.Sealer_ = std::make_unique<wire::Sealer>(Each.Name_, Run,
                                                 wire::KeyRing({Key}), Now);
   Each.Runs_ = true;
@@ -157,6 +161,8 @@
                           },
                           [&](const ReadList &) {
                             ++Nodes_[I].Usage_.ListReads_;
+                            Nodes_[I].Usage_.BytesIn_ +=
+                                ListedBytes * List_.size();
                             const auto Answer = PlatformAnswers_
                                                     ? std::optional(List_)
                                                     : std::nullopt;
