Ask a home that leaves a second longer, and answer at once

In the demo an entry is replaced within 10 ms of its successor's coming. It now asks the leaving home, which still has the records, for a second; updates and acknowledgements are sent as soon as they are ready, not at the next tick. A view held back after a pause was adopted again on every turn; now once.

--- /dev/null
+++ b/bench/flows/flow_cost.cpp
@@ -0,0 +1,7 @@
+#include <bench/flows/flow_cost.hpp>
+
+namespace medlarmoor::bench {
+
+std::vector<FlowCost> flowCosts() { return {}; }
+
+} // namespace medlarmoor::bench
--- a/src/medlarmoor/flow/director.cpp
+++ b/src/medlarmoor/flow/director.cpp
@@ -318,7 +318,7 @@
 }
 
 std::vector<wire::Outgoing> Director::takeOutgoing() {
-  return Replicator_.takeOutgoing();
+  return Replicator_.takeOutgoing(Now_);
 }
 
 void Director::leave() {
--- a/src/medlarmoor/flow/flow_thread.cpp
+++ b/src/medlarmoor/flow/flow_thread.cpp
@@ -165,7 +165,7 @@
   }
   if (HeldView_ && Director_.suspended() && !Doubtful)
     takeView(*HeldView_);
-  if (!Director_.suspended())
+  if (!Doubtful)
     HeldView_.reset();
 }
 
--- a/src/medlarmoor/flow/homes.cpp
+++ b/src/medlarmoor/flow/homes.cpp
@@ -166,7 +166,8 @@
       std::erase_if(Each.Awaited_,
                     [&](const Awaited &One) { return One.Name_ == Name; });
     }
-  addPrior(Staying_.view(), {{Name, HandedAt}});
+  addPrior(ToSelf ? Staying_.view() : without(Staying_.view(), Self_),
+           {{Name, HandedAt}});
   rebuild();
 }
 
--- a/src/medlarmoor/flow/replicator.cpp
+++ b/src/medlarmoor/flow/replicator.cpp
@@ -189,6 +189,9 @@
     continueTransfer(Each);
   if (Now - BatchedAt_ >= BatchPeriod)
     batch(Now);
+}
+
+std::vector<wire::Outgoing> Replicator::takeOutgoing(TimePoint Now) {
   for (auto &[Name, Each] : Peers_) {
     for (Update &Due : Each.Link_.due(Now))
       send(Name, std::move(Due));
@@ -199,9 +202,6 @@
     Bare.Acknowledged_ = Owed;
     send(Name, std::move(Bare));
   }
-}
-
-std::vector<wire::Outgoing> Replicator::takeOutgoing() {
   return std::exchange(Outgoing_, {});
 }
 
--- a/src/medlarmoor/flow/replicator.hpp
+++ b/src/medlarmoor/flow/replicator.hpp
@@ -42,9 +42,10 @@
   void adoptConfiguration(TimePoint Now);
 
   void receive(const EntryName &From, const Update &Told, TimePoint Now);
-  /// Sends what is due.
+  /// Prepares what is due.
   void tick(TimePoint Now);
-  [[nodiscard]] std::vector<wire::Outgoing> takeOutgoing();
+  /// The messages to send now, acknowledgements among them.
+  [[nodiscard]] std::vector<wire::Outgoing> takeOutgoing(TimePoint Now);
 
   /// Bytes of updates sent so far, without their signed envelopes.
   [[nodiscard]] std::uint64_t bytesSent() const noexcept { return BytesSent_; }
