Measure what the flow door costs, and read packets in batches

While 72 services filled up, exceptions used the whole budget and counts were not told, so homes refused 1.1 million flows that there was room for.

--- /dev/null
+++ b/bench/flows/decision_cost.cpp
@@ -0,0 +1,174 @@
+#include <bench/flows/flow_cost.hpp>
+#include <bench/record.hpp>
+
+#include <harness/flow_fleet.hpp>
+
+#include <medlarmoor/flow/packet_batch.hpp>
+
+#include <boost/unordered/unordered_flat_map.hpp>
+
+#include <unistd.h>
+
+#include <algorithm>
+#include <chrono>
+#include <fstream>
+
+namespace medlarmoor::bench {
+
+namespace {
+
+using WallClock = std::chrono::steady_clock;
+
+constexpr std::size_t Flows = 500'000;
+constexpr int Services = 18;
+constexpr int UpstreamsPerService = 15;
+constexpr int Rounds = 5;
+constexpr std::size_t Decisions = 31'250 * flow::BatchPackets;
+constexpr double MostNanos = 150;
+constexpr double MostMegabytes = 64;
+constexpr double MostRecordBytes = 32;
+
+/// Resident memory of this process in bytes.
+std::size_t residentBytes() {
+  std::ifstream Statm("/proc/self/statm");
+  std::size_t Total = 0;
+  std::size_t Resident = 0;
+  Statm >> Total >> Resident;
+  return Resident * static_cast<std::size_t>(sysconf(_SC_PAGESIZE));
+}
+
+/// A packet whose source can be changed in place.
+class Packets {
+public:
+  explicit Packets(const config::Environment &Document) {
+    for (const config::Service &Each : Document.Services_)
+      for (const harness::Flags Set : {harness::Syn, harness::Ack})
+        Made_.push_back(harness::buildPacket({}, Each.Addresses_.front(), Set));
+  }
+  /// The packet of a flow by its number.
+  std::span<const std::byte> of(std::size_t Flow, bool First) {
+    std::vector<std::byte> &Out = Made_[Flow % Services * 2 + (First ? 0 : 1)];
+    const std::uint32_t Address = htonl(
+        0x0A000000U + static_cast<std::uint32_t>(Flow / Services % 65'536U));
+    const std::uint16_t Port =
+        htons(static_cast<std::uint16_t>(1024U + Flow / Services / 65'536U));
+    std::memcpy(Out.data() + offsetof(iphdr, saddr), &Address, sizeof(Address));
+    std::memcpy(Out.data() + sizeof(iphdr), &Port, sizeof(Port));
+    return Out;
+  }
+
+private:
+  std::vector<std::vector<std::byte>> Made_;
+};
+
+double nanosSince(WallClock::time_point Start, std::size_t Count) {
+  const std::chrono::duration<double, std::nano> Passed =
+      WallClock::now() - Start;
+  return Passed.count() / static_cast<double>(Count);
+}
+
+/// Looks up random flows in a container of the library's, for comparison.
+double flatMapNanos(Random Draw) {
+  boost::unordered_flat_map<std::uint64_t,
+                            std::pair<std::uint64_t, std::uint64_t>>
+      Map;
+  Map.reserve(Flows);
+  for (std::size_t I = 0; I < Flows; ++I)
+    Map[mix(I, 1) & flow::FlowHashMask] = {I, I};
+  std::uint64_t Sum = 0;
+  const auto Start = WallClock::now();
+  for (std::size_t I = 0; I < Decisions; ++I)
+    Sum += Map.find(mix(Draw() % Flows, 1) & flow::FlowHashMask)->second.first;
+  const double Out = nanosSince(Start, Decisions);
+  return Sum == 0 ? 0 : Out;
+}
+
+double ownTableNanos(Random Draw) {
+  flow::FlowTable Table(Flows);
+  for (std::size_t I = 0; I < Flows; ++I)
+    if (flow::FlowRecord *Each =
+            Table.insert({0, mix(I, 1) & flow::FlowHashMask}))
+      Each->Version_ = static_cast<std::uint32_t>(I);
+  std::uint64_t Sum = 0;
+  const auto Start = WallClock::now();
+  for (std::size_t I = 0; I < Decisions; ++I)
+    if (const auto *Each =
+            Table.find({0, mix(Draw() % Flows, 1) & flow::FlowHashMask}))
+      Sum += Each->Version_;
+  const double Out = nanosSince(Start, Decisions);
+  return Sum == 0 ? 0 : Out;
+}
+
+/// Decides for a batch of random established flows as the flow thread does; how
+/// many are forwarded to an upstream.
+std::size_t decideBatch(flow::Director &Decide, Packets &Made, Random &Draw) {
+  std::array<flow::Prepared, flow::BatchPackets> Batch;
+  for (flow::Prepared &Each : Batch)
+    Each = Decide.prepare(Made.of(Draw() % Flows, false));
+  std::size_t Out = 0;
+  for (const flow::Prepared &Each : Batch)
+    Out +=
+        std::holds_alternative<flow::ToUpstream>(Decide.decide(Each)) ? 1 : 0;
+  return Out;
+}
+
+double median(std::vector<double> Values) {
+  std::sort(Values.begin(), Values.end());
+  return Values[Values.size() / 2];
+}
+
+} // namespace
+
+bool measureDecision(std::uint64_t Seed) {
+  const std::size_t Before = residentBytes();
+  harness::FlowFleet Fleet({}, Seed);
+  harness::DocumentBuilder Doc;
+  // Room for all flows: 18 services of 15 upstreams of 2,000 connections.
+  for (int I = 0; I < Services; ++I)
+    Doc.service("service-" + std::to_string(I), UpstreamsPerService, 0.25);
+  Fleet.document(Doc.build());
+  Fleet.add();
+  Fleet.showAll();
+  Fleet.run(Seconds(2));
+  flow::Director &Decide = Fleet.director(0);
+  Packets Made(Doc.environment());
+  for (std::size_t I = 0; I < Flows; ++I) {
+    (void)Decide.decide(Decide.prepare(Made.of(I, true)));
+    (void)Decide.decide(Decide.prepare(Made.of(I, false)));
+  }
+  const std::size_t After = residentBytes();
+  Random Draw(Seed);
+  std::size_t Forwarded = 0;
+  std::vector<double> Nanos;
+  for (int Round = 0; Round < Rounds; ++Round) {
+    const auto Start = WallClock::now();
+    for (std::size_t I = 0; I < Decisions; I += flow::BatchPackets)
+      Forwarded += decideBatch(Decide, Made, Draw);
+    Nanos.push_back(nanosSince(Start, Decisions));
+  }
+  const double Megabytes =
+      static_cast<double>(After - Before) / (1024.0 * 1024.0);
+  const bool All = Forwarded == Decisions * Rounds;
+  Record Out{"flows", "decision_at_500000_flows", "medlarmoor", Seed};
+  Out.Figures_ = {
+      {"nanosPerDecision", median(Nanos)},
+      {"flows", Decide.book().openFlows()},
+      {"residentMegabytes", Megabytes},
+      {"tableMegabytes",
+       static_cast<double>(Decide.book().table().bytes()) / (1024.0 * 1024.0)},
+      {"recordBytes", sizeof(flow::FlowRecord)},
+      {"allForwarded", All},
+      {"ownTableLookupNanos", ownTableNanos(Draw)},
+      {"unorderedFlatMapLookupNanos", flatMapNanos(Draw)}};
+  Out.Bound_ = {{"nanosPerDecision", MostNanos},
+                {"residentMegabytes", MostMegabytes},
+                {"recordBytes", MostRecordBytes},
+                {"flows", Flows}};
+  Out.Held_ = median(Nanos) < MostNanos && Megabytes <= MostMegabytes &&
+              sizeof(flow::FlowRecord) <= MostRecordBytes && All &&
+              Decide.book().openFlows() >= Flows;
+  print(Out);
+  return Out.Held_;
+}
+
+} // namespace medlarmoor::bench
--- a/bench/flows/flow_case.cpp
+++ b/bench/flows/flow_case.cpp
@@ -10,8 +10,6 @@
 /// The offices' knobs: redaccion weighs evenness, booking-portal whole flows.
 constexpr double RedaccionEpsilon = 0.1;
 constexpr double BookingEpsilon = 0.25;
-/// Envelope of a control message: UDP and IP headers, sender, signature.
-constexpr double EnvelopeBytes = 110;
 constexpr double KilledShare = 0.001;
 
 void join(FlowStage &On) { On.members().join(); }
@@ -76,7 +74,6 @@
     FlowStage On(Policy, Seed, Epsilon);
     const harness::LoadFigures Before = On.load().figures();
     const std::uint64_t Bytes = On.controlBytes();
-    const std::uint64_t Messages = On.controlMessages();
     const std::size_t Standing = On.load().open();
     Each.Happen_(On);
     On.run(Seconds(Each.Seconds_));
@@ -89,9 +86,7 @@
         static_cast<double>(Standing + After.Opened_ - Before.Opened_);
     const double Arrived = static_cast<double>(
         After.Packets_ - Before.Packets_ - (After.Lost_ - Before.Lost_));
-    const double Spent =
-        static_cast<double>(On.controlBytes() - Bytes) +
-        EnvelopeBytes * static_cast<double>(On.controlMessages() - Messages);
+    const auto Spent = static_cast<double>(On.controlBytes() - Bytes);
     const double Share = static_cast<double>(Broken) / Flows;
     const double Imbalance = On.takeImbalance();
     Record Out{"flows", Each.Name_, name(Policy), Seed};
--- a/bench/flows/flow_cost.cpp
+++ b/bench/flows/flow_cost.cpp
@@ -2,6 +2,10 @@
 
 namespace medlarmoor::bench {
 
-std::vector<FlowCost> flowCosts() { return {}; }
+std::vector<FlowCost> flowCosts() {
+  return {{"control_at_300000_flows", measureControl},
+          {"decision_at_500000_flows", measureDecision},
+          {"throughput", measureThroughput}};
+}
 
 } // namespace medlarmoor::bench
--- a/bench/flows/flow_stage.cpp
+++ b/bench/flows/flow_stage.cpp
@@ -94,11 +94,4 @@
   return Sum;
 }
 
-std::uint64_t FlowStage::controlMessages() const {
-  std::uint64_t Sum = 0;
-  for (std::size_t I = 0; I < Fleet_.size(); ++I)
-    Sum += Fleet_.sentBy(I).Messages_;
-  return Sum;
-}
-
 } // namespace medlarmoor::bench
--- a/bench/flows/flow_stage.hpp
+++ b/bench/flows/flow_stage.hpp
@@ -38,7 +38,6 @@
   /// Worst imbalance of the first service since the last call.
   [[nodiscard]] double takeImbalance();
   [[nodiscard]] std::uint64_t controlBytes() const;
-  [[nodiscard]] std::uint64_t controlMessages() const;
 
 private:
   FlowPolicy Policy_;
--- a/src/medlarmoor/flow/chooser.cpp
+++ b/src/medlarmoor/flow/chooser.cpp
@@ -13,6 +13,9 @@
 /// Counts of other homes are a little old; deviating at this part of the
 /// bound keeps the true load below the whole.
 constexpr double TriggerShare = 0.6;
+/// An upstream with few flows stands above its bound by chance alone; this part
+/// of its connections more is no harm.
+constexpr double SlackShare = 0.01;
 /// Established flows after which a warming upstream gets its whole share.
 constexpr double WarmSuccesses = 32;
 /// A silent upstream is tried this often.
@@ -48,7 +51,8 @@
 double boundOf(const ServiceState &Service, const UpstreamState &Each,
                const Load &All) {
   const double Fair = All.Flows_ * Each.Config_.Weight_ / All.Weight_;
-  double Bound = Fair * (1 + Service.policy().Epsilon_ * TriggerShare);
+  double Bound = Fair * (1 + Service.policy().Epsilon_ * TriggerShare) +
+                 SlackShare * Each.Config_.Connections_;
   if (Each.Life_.phase() == LifecyclePhase::Warming)
     Bound *= std::min(1.0, (Each.Successes_ + 1) / WarmSuccesses);
   return std::max(1.0, std::ceil(Bound));
--- a/src/medlarmoor/flow/director.cpp
+++ b/src/medlarmoor/flow/director.cpp
@@ -48,38 +48,42 @@
   forgetAll();
 }
 
-Decision Director::decide(std::span<const std::byte> Inner) {
+Prepared Director::prepare(std::span<const std::byte> Inner) {
   const std::variant<Packet, DropReason> Parsed = parsePacket(Inner);
   if (const DropReason *Reason = std::get_if<DropReason>(&Parsed))
-    return Drop{*Reason};
-  return decideParsed(*std::get_if<Packet>(&Parsed), {});
+    return {{}, {}, *Reason};
+  Prepared Out{*std::get_if<Packet>(&Parsed), {}, std::nullopt};
+  const Endpoint To = Out.Packet_.Destination_;
+  const std::optional<ServiceIndex> Service = Book_.services().find(To);
+  if (!Service) {
+    Out.Drop_ = Book_.services().empty() ? DropReason::NoConfiguration
+                                         : DropReason::UnknownAddress;
+    return Out;
+  }
+  Out.Id_ = {*Service, hashFlow(Out.Packet_.Source_, To)};
+  Book_.table().prefetch(Out.Id_);
+  return Out;
 }
 
-Decision Director::decide(std::span<const std::byte> Inner,
-                          const PeerHeader &Header, Ipv4 From) {
-  const std::variant<Packet, DropReason> Parsed = parsePacket(Inner);
-  if (const DropReason *Reason = std::get_if<DropReason>(&Parsed))
-    return Drop{*Reason};
+Decision Director::decide(const Prepared &Seen) { return decideFrom(Seen, {}); }
+
+Decision Director::decide(const Prepared &Seen, const PeerHeader &Header,
+                          Ipv4 From) {
   Arrival Via{Header, nullptr};
   for (const Member &Each : Homes_.view().members())
     if (Each.Address_ == From)
       Via.Sender_ = &Each;
-  return decideParsed(*std::get_if<Packet>(&Parsed), Via);
+  return decideFrom(Seen, Via);
 }
 
-Decision Director::decideParsed(const Packet &Seen, const Arrival &Via) {
-  if (Book_.services().empty())
-    return Drop{DropReason::NoConfiguration};
-  const std::optional<ServiceIndex> Service =
-      Book_.services().find(Seen.Destination_);
-  if (!Service)
-    return Drop{DropReason::UnknownAddress};
-  const FlowId Id{*Service, hashFlow(Seen.Source_, Seen.Destination_)};
-  FlowRecord *Record = Book_.table().find(Id);
+Decision Director::decideFrom(const Prepared &Seen, const Arrival &Via) {
+  if (Seen.Drop_)
+    return Drop{*Seen.Drop_};
+  FlowRecord *Record = Book_.table().find(Seen.Id_);
   const bool Own = Record != nullptr && !Record->has(FlowRecord::Copy);
-  if (Own && (!Seen.first() || ownsFirst(Id, *Record)))
-    return onRecord(*Record, Seen);
-  return route(Id, Own ? nullptr : Record, Seen, Via);
+  if (Own && (!Seen.Packet_.first() || ownsFirst(Seen.Id_, *Record)))
+    return onRecord(*Record, Seen.Packet_);
+  return route(Seen.Id_, Own ? nullptr : Record, Seen.Packet_, Via);
 }
 
 /// A first packet is this entry's to judge when it is the flow's home, or when
--- a/src/medlarmoor/flow/director.hpp
+++ b/src/medlarmoor/flow/director.hpp
@@ -9,6 +9,7 @@
 #include <medlarmoor/flow/decision.hpp>
 #include <medlarmoor/flow/flow_book.hpp>
 #include <medlarmoor/flow/homes.hpp>
+#include <medlarmoor/flow/prepared.hpp>
 #include <medlarmoor/flow/replicator.hpp>
 #include <medlarmoor/wire/incoming.hpp>
 
@@ -36,11 +37,15 @@
   void begin();
   /// True between a pause and the next view.
   [[nodiscard]] bool suspended() const noexcept { return Homes_.suspended(); }
-  /// Decides for a packet that the fabric brought. Inner is the IPv4 packet.
-  [[nodiscard]] Decision decide(std::span<const std::byte> Inner);
+  /// Reads a packet and asks the processor to load its flow's record. Prepare
+  /// all packets of a batch first, so that they are loaded side by side. Inner
+  /// is the IPv4 packet.
+  [[nodiscard]] Prepared prepare(std::span<const std::byte> Inner);
+  /// Decides for a packet that the fabric brought.
+  [[nodiscard]] Decision decide(const Prepared &Seen);
   /// Decides for a packet that the entry at From passed on.
-  [[nodiscard]] Decision decide(std::span<const std::byte> Inner,
-                                const PeerHeader &Header, Ipv4 From);
+  [[nodiscard]] Decision decide(const Prepared &Seen, const PeerHeader &Header,
+                                Ipv4 From);
 
   void adopt(const config::InForce &Document);
   void adopt(const membership::View &Members);
@@ -74,7 +79,7 @@
     const membership::Member *Sender_ = nullptr;
   };
 
-  [[nodiscard]] Decision decideParsed(const Packet &Seen, const Arrival &Via);
+  [[nodiscard]] Decision decideFrom(const Prepared &Seen, const Arrival &Via);
   [[nodiscard]] Decision onRecord(FlowRecord &Record, const Packet &Seen);
   [[nodiscard]] Decision onRepeatedFirst(FlowRecord &Record,
                                          const Packet &Seen);
--- a/src/medlarmoor/flow/flow_table.cpp
+++ b/src/medlarmoor/flow/flow_table.cpp
@@ -1,5 +1,7 @@
 #include <medlarmoor/flow/flow_table.hpp>
 
+#include <sys/mman.h>
+
 #include <algorithm>
 #include <bit>
 #include <cstdlib>
@@ -18,11 +20,19 @@
 
 static_assert(std::is_trivially_copyable_v<FlowRecord>);
 
-/// Zeroed memory that the system maps page by page as it is touched.
+/// Zeroed memory, in large pages where the system has them: a look-up misses
+/// the processor's address cache otherwise.
 FlowRecord *allocate(std::size_t Slots) {
-  void *Memory = std::calloc(Slots, sizeof(FlowRecord));
+  constexpr std::size_t LargePage = 2U * 1024U * 1024U;
+  constexpr std::size_t SmallAlignment = 64;
+  const std::size_t Bytes = Slots * sizeof(FlowRecord);
+  const std::size_t Alignment = Bytes >= LargePage ? LargePage : SmallAlignment;
+  const std::size_t Rounded = (Bytes + Alignment - 1) / Alignment * Alignment;
+  void *Memory = std::aligned_alloc(Alignment, Rounded);
   if (Memory == nullptr)
     throw std::bad_alloc();
+  madvise(Memory, Rounded, MADV_HUGEPAGE);
+  std::memset(Memory, 0, Rounded);
   return static_cast<FlowRecord *>(Memory);
 }
 
--- a/src/medlarmoor/flow/flow_thread.cpp
+++ b/src/medlarmoor/flow/flow_thread.cpp
@@ -206,32 +206,44 @@
       return;
     Director_.begin();
     for (std::size_t I = 0; I < Count; ++I)
-      handle(I, FromEntry);
+      prepare(I, FromEntry);
+    for (std::size_t I = 0; I < Count; ++I)
+      decide(I, FromEntry);
     flush();
     if (Count < BatchPackets)
       return;
   }
 }
 
-void FlowThread::handle(std::size_t Index, bool FromEntry) {
+void FlowThread::prepare(std::size_t Index, bool FromEntry) {
   Metrics_.received(FromEntry);
+  Job &Next = Jobs_[Index];
+  Next.Inner_ = {};
   const std::span<std::byte> Datagram = Received_.bytes(Index);
+  const auto Refused = [&](DropReason Reason) { Next.Seen_.Drop_ = Reason; };
   if (Received_.cut(Index))
-    return Metrics_.dropped(DropReason::TruncatedEncapsulation);
-  if (!FromEntry) {
+    return Refused(DropReason::TruncatedEncapsulation);
+  if (FromEntry) {
+    const auto Opened = decapsulatePeer(Datagram);
+    if (const DropReason *Reason = std::get_if<DropReason>(&Opened))
+      return Refused(*Reason);
+    Next.Inner_ = std::get_if<PeerPacket>(&Opened)->Inner_;
+    Next.Header_ = std::get_if<PeerPacket>(&Opened)->Header_;
+  } else {
     const auto Opened = decapsulate(Datagram);
     if (const DropReason *Reason = std::get_if<DropReason>(&Opened))
-      return Metrics_.dropped(*Reason);
-    const auto Inner = *std::get_if<std::span<std::byte>>(&Opened);
-    return act(Director_.decide(Inner), Inner, Index);
+      return Refused(*Reason);
+    Next.Inner_ = *std::get_if<std::span<std::byte>>(&Opened);
   }
-  const auto Opened = decapsulatePeer(Datagram);
-  if (const DropReason *Reason = std::get_if<DropReason>(&Opened))
-    return Metrics_.dropped(*Reason);
-  const PeerPacket &Passed = *std::get_if<PeerPacket>(&Opened);
+  Next.Seen_ = Director_.prepare(Next.Inner_);
+}
+
+void FlowThread::decide(std::size_t Index, bool FromEntry) {
+  const Job &Next = Jobs_[Index];
   const Ipv4 From = Received_.from(Index).address();
-  act(Director_.decide(Passed.Inner_, Passed.Header_, From), Passed.Inner_,
-      Index);
+  act(FromEntry ? Director_.decide(Next.Seen_, Next.Header_, From)
+                : Director_.decide(Next.Seen_),
+      Next.Inner_, Index);
 }
 
 void FlowThread::act(const Decision &Made, std::span<std::byte> Inner,
--- a/src/medlarmoor/flow/flow_thread.hpp
+++ b/src/medlarmoor/flow/flow_thread.hpp
@@ -60,6 +60,13 @@
     std::promise<std::string> Answer_;
   };
 
+  /// One packet of the batch at hand.
+  struct Job {
+    Prepared Seen_;
+    PeerHeader Header_;
+    std::span<std::byte> Inner_;
+  };
+
   void run();
   void watch(int Descriptor);
   void wake() noexcept;
@@ -71,7 +78,8 @@
   void tickWhenDue();
   void sendMessages();
   void serve(net::UdpSocket &Socket, bool FromEntry);
-  void handle(std::size_t Index, bool FromEntry);
+  void prepare(std::size_t Index, bool FromEntry);
+  void decide(std::size_t Index, bool FromEntry);
   void act(const Decision &Made, std::span<std::byte> Inner, std::size_t Index);
   void flush();
 
@@ -87,6 +95,7 @@
   net::UdpSocket FlowSocket_;
   net::UdpSocket PeerSocket_;
   ReceiveBatch Received_;
+  std::array<Job, BatchPackets> Jobs_{};
   SendBatch ToUpstreams_;
   SendBatch ToEntries_;
   std::array<std::array<std::byte, GueBytes + ResetBytes>, BatchPackets>
--- a/src/medlarmoor/flow/fwd.hpp
+++ b/src/medlarmoor/flow/fwd.hpp
@@ -16,6 +16,7 @@
 struct FlowRecord;
 struct Packet;
 struct PeerHeader;
+struct Prepared;
 struct UpstreamState;
 
 } // namespace medlarmoor::flow
--- /dev/null
+++ b/src/medlarmoor/flow/prepared.hpp
@@ -0,0 +1,21 @@
+#ifndef MEDLARMOOR_FLOW_PREPARED_HPP
+#define MEDLARMOOR_FLOW_PREPARED_HPP
+
+#include <medlarmoor/flow/flow_id.hpp>
+#include <medlarmoor/flow/packet.hpp>
+
+#include <optional>
+
+namespace medlarmoor::flow {
+
+/// A packet that has been read, with the flow that it belongs to.
+struct Prepared {
+  Packet Packet_;
+  FlowId Id_;
+  /// Set when the packet cannot be forwarded.
+  std::optional<DropReason> Drop_;
+};
+
+} // namespace medlarmoor::flow
+
+#endif // MEDLARMOOR_FLOW_PREPARED_HPP
--- a/src/medlarmoor/flow/replicator.cpp
+++ b/src/medlarmoor/flow/replicator.cpp
@@ -14,12 +14,14 @@
 /// Unused budget that may be kept, in seconds.
 constexpr double KeptSeconds = 2;
 /// What a change of home may use, as a multiple of the budget.
-constexpr double TransferFactor = 3;
+constexpr double TransferFactor = 2;
 /// Bytes of an update's envelope: UDP and IP headers, sender, signature.
 constexpr double EnvelopeBytes = 110;
+/// Part of the budget that counts may use.
+constexpr double CountsShare = 0.5;
 constexpr double ExceptionBytes = 8;
 constexpr double EndedBytes = 6;
-constexpr double CountBytes = 7;
+constexpr double CountBytes = 6;
 /// Records in one update, so that it fits a datagram.
 constexpr std::size_t RecordsPerUpdate = 120;
 constexpr std::size_t MostQueued = 65'536;
@@ -397,9 +399,14 @@
   BatchedAt_ = Now;
   if (Homes_.suspended())
     return;
+  // Counts go first, with a part of the budget: without them homes would
+  // refuse flows that there is room for.
+  const double Whole = Tokens_;
+  Tokens_ = Whole * CountsShare;
+  batchCounts(Now);
+  Tokens_ += Whole * (1 - CountsShare);
   batchExceptions(Now);
   batchEnded();
-  batchCounts(Now);
   for (auto &[Name, Each] : Peers_)
     sendBatch(Name, std::exchange(Each.Next_, {}));
 }
--- a/src/medlarmoor/flow/replicator.hpp
+++ b/src/medlarmoor/flow/replicator.hpp
@@ -21,7 +21,7 @@
 class Replicator {
 public:
   /// BytesPerSecond bounds what it sends while no home changes; a change of
-  /// home may use three times as much.
+  /// home may use twice as much.
   Replicator(FlowBook &Book, Homes &Where, Random &Draw,
              std::uint32_t BytesPerSecond);
 
--- a/src/medlarmoor/flow/update.cpp
+++ b/src/medlarmoor/flow/update.cpp
@@ -17,7 +17,8 @@
 constexpr std::size_t ServiceBytes = 4;
 constexpr std::size_t HashBytes = FlowHashBits / ByteBits;
 constexpr std::size_t UpstreamBytes = 2;
-constexpr std::size_t CountBytes = 4;
+constexpr std::size_t CountBytes = 3;
+constexpr std::uint32_t MostCount = (1U << (CountBytes * ByteBits)) - 1;
 constexpr std::size_t LargestGroup = std::numeric_limits<std::uint8_t>::max();
 
 void put(Bytes &Out, std::uint64_t Value, std::size_t Size) {
@@ -106,7 +107,7 @@
         From.Counts_, [](const WireCount &E) { return E.Service_; },
         [](Bytes &To, const WireCount &E) {
           put(To, E.Upstream_, UpstreamBytes);
-          put(To, E.Open_, CountBytes);
+          put(To, std::min(E.Open_, MostCount), CountBytes);
         }));
 }
 
--- a/test/harness/flow_fleet.cpp
+++ b/test/harness/flow_fleet.cpp
@@ -18,6 +18,9 @@
 constexpr std::uint16_t PacketsPort = 7200;
 /// Packets that wait at a paused entry; its socket holds no more.
 constexpr std::size_t SocketPackets = 4096;
+constexpr std::size_t KeyBytes = 32;
+/// IPv4 and UDP headers.
+constexpr std::size_t HeaderBytes = 28;
 
 } // namespace
 
@@ -41,6 +44,9 @@
   Fresh.Director_ = std::make_unique<flow::Director>(Told, Clock(Clock_),
                                                      Random(mix(Seed_, Index)));
   Fresh.Director_->begin();
+  const config::SharedKey Key{1, std::vector<std::byte>(KeyBytes)};
+  Fresh.Sealer_ = std::make_unique<wire::Sealer>(
+      Told.Name_, Incarnation(Index), wire::KeyRing({Key}), Clock(Clock_));
   if (Document_)
     Fresh.Director_->adopt(*Document_);
   return Index;
@@ -127,7 +133,7 @@
     const std::size_t To = indexOf(*Each.To_);
     ++at(From).Sent_.Messages_;
     at(From).Sent_.Bytes_ +=
-        std::get<wire::FlowUpdate>(Each.Message_).Bytes_.size();
+        at(From).Sealer_->seal(Each.Message_).size() + HeaderBytes;
     if (To == size() || !at(To).Alive_ || Cut_.contains({From, To}))
       continue;
     at(To).Messages_.push_back(
@@ -175,10 +181,11 @@
     }
     ++Out.Entries_;
     Here.Director_->begin();
+    const flow::Prepared Seen = Here.Director_->prepare(Packet.Inner_);
     const flow::Decision Made =
-        Packet.FromEntry_ ? Here.Director_->decide(Packet.Inner_,
-                                                   Packet.Header_, Packet.From_)
-                          : Here.Director_->decide(Packet.Inner_);
+        Packet.FromEntry_
+            ? Here.Director_->decide(Seen, Packet.Header_, Packet.From_)
+            : Here.Director_->decide(Seen);
     const auto *Passed = std::get_if<flow::ToEntry>(&Made);
     if (Passed != nullptr) {
       Packet.FromEntry_ = true;
--- a/test/harness/flow_fleet.hpp
+++ b/test/harness/flow_fleet.hpp
@@ -6,6 +6,7 @@
 #include <medlarmoor/config/in_force.hpp>
 #include <medlarmoor/core/manual_clock.hpp>
 #include <medlarmoor/flow/director.hpp>
+#include <medlarmoor/wire/sealer.hpp>
 
 #include <cstdint>
 #include <deque>
@@ -79,7 +80,8 @@
   [[nodiscard]] std::size_t size() const noexcept { return Entries_.size(); }
   [[nodiscard]] TimePoint now() const { return Clock_->now(); }
   [[nodiscard]] EntryName nameOf(std::size_t Index) const;
-  /// Datagrams of messages and their bytes that an entry has sent.
+  /// Datagrams of messages that an entry has sent, and their bytes with
+  /// signature and IP and UDP headers.
   struct Sent {
     std::uint64_t Messages_ = 0;
     std::uint64_t Bytes_ = 0;
@@ -103,6 +105,7 @@
     bool Paused_ = false;
     std::deque<Waiting> Packets_;
     std::vector<wire::Incoming> Messages_;
+    std::unique_ptr<wire::Sealer> Sealer_;
     Sent Sent_;
   };
 
