--- a/src/medlarmoor/flow/homes.cpp
+++ b/src/medlarmoor/flow/homes.cpp
@@ -60,16 +60,6 @@
 void Homes::leave() {
   Leaving_ = true;
   rebuild();
-  const auto Members = Effective_.view().members();
-  const bool Anyone =
-      std::any_of(Members.begin(), Members.end(), [](const Member &Each) {
-        return Each.State_ == MemberState::Live;
-      });
-  if (Anyone)
-    return;
-  for (const Member &Each : Raw_.view().members())
-    Granted_.insert(Each.Name_);
-  rebuild();
 }
 
 void Homes::startJoining() {
@@ -259,6 +249,21 @@
   return Out;
 }
 
+/// One that leaves hands over to members that it did not know well when all
+/// others leave too; true when that changed something.
+bool Homes::grantWhenAlone() {
+  const auto Live = [](const Member &Each) {
+    return Each.State_ == MemberState::Live;
+  };
+  if (std::ranges::any_of(Effective_.view().members(), Live))
+    return false;
+  bool Changed = false;
+  for (const Member &Each : Raw_.view().members())
+    if (Live(Each) && Each.Name_ != Self_ && !Left_.contains(Each.Name_))
+      Changed |= Granted_.insert(Each.Name_).second;
+  return Changed;
+}
+
 void Homes::rebuild() {
   const View &Members = Raw_.view();
   std::vector<Member> Out(Members.members().begin(), Members.members().end());
@@ -277,6 +282,8 @@
   const View Staying(Self_, std::move(Out));
   Staying_ = HomeMap(Staying);
   Effective_ = HomeMap(Leaving_ ? without(Staying, Self_) : Staying);
+  if (Leaving_ && grantWhenAlone())
+    return rebuild();
   View Remaining = Members;
   for (const EntryName &Each : Left_)
     Remaining = without(Remaining, Each);
--- a/src/medlarmoor/flow/homes.hpp
+++ b/src/medlarmoor/flow/homes.hpp
@@ -119,6 +119,7 @@
   void followChange(const membership::View &Before);
   void dropAbsent();
   void addPrior(membership::View Map, std::vector<Awaited> Of);
+  [[nodiscard]] bool grantWhenAlone();
   void rebuild();
   void endPriors();
   void endFormer();
--- a/src/medlarmoor/flow/replicator.cpp
+++ b/src/medlarmoor/flow/replicator.cpp
@@ -113,13 +113,16 @@
   leaveTo();
 }
 
-/// Hands over to each member that has not been handed anything yet.
+/// Hands over to each member that has not been handed what is its own.
 void Replicator::leaveTo() {
   for (const membership::Member &Each : Homes_.view().members()) {
-    if (Homes_.isSelf(&Each) || !LeftTo_.insert(Each.Name_).second)
+    const bool Heir = Homes_.isGranted(Each.Name_);
+    const auto [Told, Fresh] = LeftTo_.try_emplace(Each.Name_, Heir);
+    if (Homes_.isSelf(&Each) || (!Fresh && Told->second == Heir))
       continue;
+    Told->second = Heir;
     Update Last;
-    Last.Left_ = Leave{Homes_.view().id(), Homes_.isGranted(Each.Name_)};
+    Last.Left_ = Leave{Homes_.view().id(), Heir};
     startTransfer(Each.Name_, Last);
   }
 }
@@ -187,6 +190,8 @@
 void Replicator::tick(TimePoint Now) {
   refill(Now);
   claim(Now);
+  if (LeaveStarted_)
+    leaveTo();
   for (auto &[Name, Each] : Peers_)
     continueTransfer(Each);
   if (Now - BatchedAt_ >= BatchPeriod)
--- a/src/medlarmoor/flow/replicator.hpp
+++ b/src/medlarmoor/flow/replicator.hpp
@@ -115,8 +115,8 @@
   std::vector<wire::Outgoing> Outgoing_;
   std::size_t CountCursor_ = 0;
   bool LeaveStarted_ = false;
-  /// Members that were handed what is theirs, or are being handed it.
-  std::set<EntryName> LeftTo_;
+  /// Members that were told, and whether they were handed something.
+  std::map<EntryName, bool> LeftTo_;
   std::uint64_t BytesSent_ = 0;
   std::uint64_t UpdatesSent_ = 0;
 };
