Hold requests to at most one run over crashes, pauses and lost messages

Cause: the first request door sealed nothing, wrote no spans, and a new entry counted its majority over the few members that it happened to see first. A new entry now reads the platform's list before it judges (or does without after 10 s), and the list also tells which members are gone for good when the view holds no majority.

Inner HTTP is signed and checked by HttpSeal; a repeated message is signed anew, since the guard against replay lets each pass once. Each hop writes a span. A shed attempt is retried without the budget: its upstream is left alone for the back-off time, and the budget refused requests while other upstreams were free. Sheds no longer count for the breaker. The upstream stand-in repeats the attempt id in its refusals, as the protocol asks; without it a refusal cannot be told from a crossed one.

--- a/src/medlarmoor/request/dispatcher_attempts.cpp
+++ b/src/medlarmoor/request/dispatcher_attempts.cpp
@@ -137,14 +137,17 @@
 }
 
 bool Dispatcher::mayRetry(const Job &Each, AttemptEnd End) {
-  const bool ProvedNotRun =
-      End == AttemptEnd::Shed || End == AttemptEnd::NotConnected;
-  const bool Harmless =
-      ProvedNotRun || Each.Asked_.Class_ == MethodClass::Idempotent;
-  return Harmless && End != AttemptEnd::Abandoned && !Each.Callers_.empty() &&
-         !Each.CancelAsked_ && Each.Attempts_ < Limits_.Attempts_ &&
-         Each.Asked_.Deadline_ - Time_.now() > Slots_.typicalTime() &&
-         Budget_.spend();
+  const bool Possible =
+      End != AttemptEnd::Abandoned && !Each.Callers_.empty() &&
+      !Each.CancelAsked_ && Each.Attempts_ < Limits_.Attempts_ &&
+      Each.Asked_.Deadline_ - Time_.now() > Slots_.typicalTime();
+  if (!Possible)
+    return false;
+  // Nothing ran, and the upstream is left alone for its back-off time, which
+  // bounds these retries whatever the share of successes is.
+  if (End == AttemptEnd::Shed || End == AttemptEnd::NotConnected)
+    return true;
+  return Each.Asked_.Class_ == MethodClass::Idempotent && Budget_.spend();
 }
 
 void Dispatcher::answered(Ticket Of, AttemptEnd End, Nanos Elapsed,
--- a/src/medlarmoor/request/dispatcher_limits.hpp
+++ b/src/medlarmoor/request/dispatcher_limits.hpp
@@ -9,10 +9,10 @@
 struct DispatcherLimits {
   /// Requests that may wait, as a multiple of all slots.
   double QueuePerSlot_ = 4.0;
-  /// Retries allowed, as a share of successes.
+  /// Retries of attempts that may have run, as a share of successes.
   double RetryBudget_ = 0.1;
   /// Attempts at most for one submission.
-  unsigned Attempts_ = 3;
+  unsigned Attempts_ = 4;
   /// A key is remembered this long after its deadline.
   Millis Horizon_ = Seconds(120);
 };
--- a/src/medlarmoor/request/internal/desk.cpp
+++ b/src/medlarmoor/request/internal/desk.cpp
@@ -31,15 +31,15 @@
   return Out;
 }
 
-HttpMessage runMessage(const Send &Of, const OpenRequest &Asked, Nanos Left) {
+HttpMessage runMessage(const Send &Of, const OpenRequest &Asked, Nanos Left,
+                       const Hop &Trace) {
   HttpMessage Out = postTo(Of.To_, "/run");
   Out.set("Idempotency-Key", Asked.Asked_.Key_.value());
   Out.set("Medlarmoor-Attempt", Of.Attempt_.value());
   Out.set("Medlarmoor-Class", text(Asked.Asked_.Class_));
   Out.set("Medlarmoor-Deadline-Ms",
           std::to_string(std::chrono::ceil<Millis>(Left).count()));
-  if (!Asked.Traceparent_.empty())
-    Out.set("traceparent", Asked.Traceparent_);
+  Out.set("traceparent", Trace.Context_.text());
   Out.body() = Asked.Body_;
   Out.prepare_payload();
   return Out;
@@ -68,8 +68,8 @@
 } // namespace
 
 Desk::Desk(asio::io_context &Io, ConnectionPool &Pool, Peers &Others,
-           Meters &Counts, Dispatcher Decides, Clock Time)
-    : Io_(Io), Pool_(Pool), Others_(Others), Counts_(Counts),
+           Meters &Counts, Tracer &Traces, Dispatcher Decides, Clock Time)
+    : Io_(Io), Pool_(Pool), Others_(Others), Counts_(Counts), Traces_(Traces),
       Decides_(std::move(Decides)), Time_(std::move(Time)) {}
 
 void Desk::configure(const config::Service &Now,
@@ -189,7 +189,8 @@
   const auto Self = shared_from_this();
   const TimePoint Began = Time_.now();
   const Nanos Left = Of.Deadline_ - Began;
-  const HttpMessage Message = runMessage(Of, *Asked, Left);
+  const Hop Trace = Traces_.below(Asked->Trace_);
+  const HttpMessage Message = runMessage(Of, *Asked, Left, Trace);
   const Nanos Silence = std::max<Nanos>(
       LeastSilence, SilenceTimes * Decides_.slots().typicalTime());
   const CallResult Got = co_await call(
@@ -202,6 +203,10 @@
     End = co_await take(Of, Asked, Got.Answer_, Kept);
   if (Asked->GaveUp_ && End != AttemptEnd::Whole)
     End = AttemptEnd::Abandoned;
+  Traces_.end(
+      Trace, "request.attempt", telemetry::SpanKind::Client,
+      {{"upstream", Of.To_.Name_.value()}, {"attempt", Of.Attempt_.value()}},
+      End == AttemptEnd::Whole ? "" : "no_whole_answer");
   Decides_.answered(Of.Ticket_, End, Time_.now() - Began, std::move(Kept));
   pump();
 }
--- a/src/medlarmoor/request/internal/desk.hpp
+++ b/src/medlarmoor/request/internal/desk.hpp
@@ -6,6 +6,7 @@
 #include <medlarmoor/request/internal/meters.hpp>
 #include <medlarmoor/request/internal/open_request.hpp>
 #include <medlarmoor/request/internal/peers.hpp>
+#include <medlarmoor/request/internal/tracer.hpp>
 
 #include <map>
 #include <memory>
@@ -18,7 +19,7 @@
 class Desk : public std::enable_shared_from_this<Desk> {
 public:
   Desk(asio::io_context &Io, ConnectionPool &Pool, Peers &Others,
-       Meters &Counts, Dispatcher Decides, Clock Time);
+       Meters &Counts, Tracer &Traces, Dispatcher Decides, Clock Time);
 
   /// Takes the service as it is in force, and those of its upstreams that this
   /// entry uses.
@@ -59,6 +60,7 @@
   ConnectionPool &Pool_;
   Peers &Others_;
   Meters &Counts_;
+  Tracer &Traces_;
   Dispatcher Decides_;
   Clock Time_;
   ServiceName Name_;
--- a/src/medlarmoor/request/internal/open_request.hpp
+++ b/src/medlarmoor/request/internal/open_request.hpp
@@ -5,6 +5,7 @@
 #include <medlarmoor/request/internal/connection_pool.hpp>
 #include <medlarmoor/request/submission.hpp>
 #include <medlarmoor/request/verdict.hpp>
+#include <medlarmoor/telemetry/trace_context.hpp>
 
 #include <boost/asio/steady_timer.hpp>
 
@@ -24,7 +25,8 @@
 
   Submission Asked_;
   std::string Body_;
-  std::string Traceparent_;
+  /// The hop of this entry in the request's trace.
+  telemetry::TraceContext Trace_;
   /// Null once the caller has left.
   CallerStream Caller_;
   bool Close_ = false;
--- a/src/medlarmoor/request/internal/peers.cpp
+++ b/src/medlarmoor/request/internal/peers.cpp
@@ -125,13 +125,16 @@
   Message.set(http::field::host, To.text());
   Message.body() = std::move(Body);
   Message.prepare_payload();
-  Sign_(Message);
   const auto Deadline = std::chrono::steady_clock::now() + PeerTime;
   ConnectionPtr Opened;
+  Sign_(Message);
   CallResult Got =
       co_await call(Pool_, {To, Deadline, false, PeerSilence}, Message, Opened);
-  if (Got.End_ == CallEnd::Failed)
+  if (Got.End_ == CallEnd::Failed) {
+    // A message passes the guard against replay only once.
+    Sign_(Message);
     Got = co_await call(Pool_, {To, Deadline, true, {}}, Message, Opened);
+  }
   const bool Fine = Got.End_ == CallEnd::Answered && Got.Answer_->Whole_ &&
                     Got.Answer_->status() == 200;
   if (!Fine)
--- a/src/medlarmoor/request/internal/router.cpp
+++ b/src/medlarmoor/request/internal/router.cpp
@@ -2,7 +2,10 @@
 #include <medlarmoor/request/internal/router.hpp>
 #include <medlarmoor/request/key_parts.hpp>
 #include <medlarmoor/telemetry/event_log.hpp>
+#include <medlarmoor/wire/incarnation.hpp>
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 
 #include <nlohmann/json.hpp>
@@ -14,6 +17,25 @@
 /// How long a member that vanished still counts for majorities.
 constexpr Millis SettleTime = Seconds(60);
 constexpr unsigned TicksPerLoadPoll = 10;
+constexpr Millis ListTime = Seconds(1);
+/// A new entry does without the platform's list after this long.
+constexpr Millis LongestWait = Seconds(10);
+
+/// The live instances of the platform's list.
+std::optional<std::vector<EntryName>> readNames(const std::string &Text) {
+  const auto From = nlohmann::json::parse(Text, nullptr, false);
+  if (!From.is_object() || !From.contains("instances"))
+    return std::nullopt;
+  std::vector<EntryName> Out;
+  for (const auto &Each : From["instances"]) {
+    const bool Live = Each.is_object() && Each.contains("name") &&
+                      Each["name"].is_string() && Each.contains("state") &&
+                      Each["state"] == "live";
+    if (Live)
+      Out.emplace_back(Each["name"].get<std::string>());
+  }
+  return Out;
+}
 
 std::vector<config::Upstream> usedUpstreams(const config::Service &Of,
                                             const DomainName &Own) {
@@ -27,15 +49,19 @@
 } // namespace
 
 Router::Router(asio::io_context &Io, const config::Settings &Own, Clock Time,
-               Meters &Counts, telemetry::EventLog &Log, Random Source)
+               Meters &Counts, telemetry::EventLog &Log,
+               telemetry::SpanLog &Spans, Random Source)
     : Io_(Io), Own_(Own), Time_(Time), Counts_(Counts), Log_(Log),
-      Source_(Source), Self_{Own.Name_, Incarnation(Source_())},
+      Traces_(Spans, Time, Random(Source())),
+      Source_(Source), Self_{Own.Name_,
+                             wire::drawIncarnation(Time.wallNow(), Source_)},
+      Seal_(Own.Name_, Self_.Run_, wire::KeyRing(Own.Keys_), Time),
       Known_(Own.Requests_.LedgerKeys_, Time),
       Office_(Own.Name_, Own.Membership_.Lease_, Time),
       Members_(Own.Name_, SettleTime, Time), Pool_(Io, Own.Address_),
       Others_(Io, Pool_, Own.Ports_.Internal_,
               [this](HttpMessage &Message) { sign(Message); }),
-      Reader_(Own.Domain_, Time, Random(Source_())) {}
+      Reader_(Own.Domain_, Time, Random(Source_())), Started_(Time_.now()) {}
 
 void Router::onConfig(config::InForcePtr Now) {
   Config_ = std::move(Now);
@@ -53,7 +79,7 @@
       upstream::SlotPool Slots({}, Time_, Random(Source_()));
       DispatcherLimits Limits;
       Limits.Horizon_ = Own_.Requests_.Horizon_;
-      Of = std::make_shared<Desk>(Io_, Pool_, Others_, Counts_,
+      Of = std::make_shared<Desk>(Io_, Pool_, Others_, Counts_, Traces_,
                                   Dispatcher(Self_, Limits, Known_, Office_,
                                              Members_, std::move(Slots), Time_,
                                              Random(Source_())),
@@ -123,6 +149,7 @@
 
 void Router::tick() {
   Office_.check();
+  readList();
   Members_.tick();
   Known_.expire();
   reviewTenures();
@@ -152,15 +179,56 @@
     Counts_.Unknown_.add();
 }
 
-void Router::sign(HttpMessage &Message) const {
+void Router::sign(HttpMessage &Message) {
   Message.set("Medlarmoor-Entry", Self_.Name_.value());
+  Message.set(wire::SealHeader, Seal_.sign(Message.method_string(),
+                                           Message.target(), Message.body()));
+}
+
+std::optional<EntryName> Router::sender(const HttpMessage &Message) {
+  if (Own_.Keys_.empty())
+    return EntryName(std::string(Message["Medlarmoor-Entry"]));
+  auto From = Seal_.verify(Message[wire::SealHeader], Message.method_string(),
+                           Message.target(), Message.body());
+  if (!From)
+    Counts_.Unsigned_.add();
+  return From;
+}
+
+void Router::readList() {
+  if (!Members_.wantsList())
+    return;
+  const bool Hopeless =
+      Own_.Platform_ == Endpoint() || Time_.now() - Started_ > LongestWait;
+  if (Hopeless)
+    Members_.introduce();
+  const bool Due = Time_.now() - ListAsked_ > Own_.Membership_.ListPeriod_;
+  if (!Due || Own_.Platform_ == Endpoint())
+    return;
+  ListAsked_ = Time_.now();
+  asio::co_spawn(Io_, fetchList(), asio::detached);
+}
+
+Awaitable<void> Router::fetchList() {
+  HttpMessage Message(http::verb::get,
+                      "/v1/instances?domain=" + Own_.Domain_.value(), 11);
+  Message.set(http::field::host, Own_.Platform_.text());
+  ConnectionPtr Opened;
+  const CallResult Got = co_await call(
+      Pool_,
+      {Own_.Platform_, std::chrono::steady_clock::now() + ListTime, true, {}},
+      Message, Opened);
+  if (!Got.Answer_ || !Got.Answer_->Whole_ || Got.Answer_->status() != 200)
+    co_return;
+  if (const auto Names = readNames(Got.Answer_->Head_))
+    Members_.onListed(*Names);
 }
 
-net::HttpResponse Router::takeCopies(const HttpMessage &Message) {
+net::HttpResponse Router::takeCopies(const HttpMessage &Message,
+                                     const EntryName &From) {
   const auto Copies = decodeCopies(Message.body());
   if (!Copies)
     return jsonResponse(400, "[]");
-  const EntryName From{std::string(Message["Medlarmoor-Entry"])};
   std::vector<CopyAnswer> Answers;
   for (const LedgerCopy &Each : *Copies)
     Answers.push_back(Members_.isMember(From) ? Known_.take(Each)
--- a/src/medlarmoor/request/internal/router.hpp
+++ b/src/medlarmoor/request/internal/router.hpp
@@ -8,6 +8,7 @@
 #include <medlarmoor/request/internal/desk.hpp>
 #include <medlarmoor/request/submission_reader.hpp>
 #include <medlarmoor/telemetry/fwd.hpp>
+#include <medlarmoor/wire/http_seal.hpp>
 
 #include <functional>
 #include <map>
@@ -20,7 +21,8 @@
 class Router {
 public:
   Router(asio::io_context &Io, const config::Settings &Own, Clock Time,
-         Meters &Counts, telemetry::EventLog &Log, Random Source);
+         Meters &Counts, telemetry::EventLog &Log, telemetry::SpanLog &Spans,
+         Random Source);
 
   void onConfig(config::InForcePtr Now);
   void onView(membership::ViewPtr Now);
@@ -49,6 +51,7 @@
   struct Ask {
     Verb Verb_ = Verb::Submit;
     OpenRequestPtr Open_;
+    std::string Traceparent_;
     /// Forwarded by another entry; it goes no further.
     bool Inner_ = false;
     Findings Findings_;
@@ -79,9 +82,10 @@
                                       Verdict &Into, bool Close);
   [[nodiscard]] Awaitable<bool> respond(const Ask &Of, const Verdict &With,
                                         bool Close);
-  [[nodiscard]] HttpMessage forwarded(const Ask &Of,
-                                      const membership::Member &To) const;
-  [[nodiscard]] net::HttpResponse takeCopies(const HttpMessage &Message);
+  [[nodiscard]] HttpMessage
+  forwarded(const Ask &Of, const membership::Member &To, const Hop &Trace);
+  [[nodiscard]] net::HttpResponse takeCopies(const HttpMessage &Message,
+                                             const EntryName &From);
   [[nodiscard]] net::HttpResponse takeHandover(const HttpMessage &Message);
   [[nodiscard]] Awaitable<void> pause(Nanos Time);
   void watch(const OpenRequestPtr &Of, std::function<void()> OnLeft);
@@ -90,15 +94,21 @@
   void reviewTenures();
   void handOn(const ServiceName &Service, Exit &Of);
   void count(const Verdict &Of);
-  void sign(HttpMessage &Message) const;
+  void sign(HttpMessage &Message);
+  /// The entry that sent Message; nothing when its signature does not hold.
+  [[nodiscard]] std::optional<EntryName> sender(const HttpMessage &Message);
+  void readList();
+  [[nodiscard]] Awaitable<void> fetchList();
 
   asio::io_context &Io_;
   const config::Settings &Own_;
   Clock Time_;
   Meters &Counts_;
   telemetry::EventLog &Log_;
+  Tracer Traces_;
   Random Source_;
   DispatcherIdentity Self_;
+  wire::HttpSeal Seal_;
   Ledger Known_;
   Tenure Office_;
   Quorum Members_;
@@ -113,6 +123,8 @@
   std::map<ServiceName, Exit> Exits_;
   bool Leaving_ = false;
   unsigned Ticks_ = 0;
+  TimePoint Started_;
+  TimePoint ListAsked_;
 };
 
 } // namespace medlarmoor::request::internal
--- a/src/medlarmoor/request/internal/router_answers.cpp
+++ b/src/medlarmoor/request/internal/router_answers.cpp
@@ -111,7 +111,6 @@
                         const ServiceName &Service, Ask &Into) {
   OpenRequest &Open = *Into.Open_;
   Open.Body_ = Message.Body_;
-  Open.Traceparent_ = Message.Headers_.find("traceparent").value_or("");
   const auto Read =
       Reader_.read(Message, Service, Config_->Environment_, Into.Findings_);
   if (Read) {
@@ -159,6 +158,7 @@
                                 Message.target().size());
   const std::optional<Path> At = readPath(Target, Inner);
   const net::HttpRequest Plain = plain(Message);
+  Out.Traceparent_ = Plain.Headers_.find("traceparent").value_or("");
   const std::string Inside =
       Inner ? Plain.Headers_.find("Medlarmoor-Verb").value_or("submit") : "";
   const bool Submits = At && At->Key_.empty() && Plain.Method_ == "POST" &&
@@ -196,8 +196,11 @@
 
 Awaitable<bool> Router::answerEntry(HttpMessage Message, CallerStream From,
                                     bool Close) {
+  const std::optional<EntryName> Sender = sender(Message);
+  if (!Sender)
+    co_return co_await writeWhole(*From, jsonResponse(401, "{}"), Close);
   if (Message.target() == "/internal/ledger")
-    co_return co_await writeWhole(*From, takeCopies(Message), Close);
+    co_return co_await writeWhole(*From, takeCopies(Message, *Sender), Close);
   if (Message.target() == "/internal/handover")
     co_return co_await writeWhole(*From, takeHandover(Message), Close);
   co_return co_await answer(read(Message, std::move(From), true), Close);
@@ -205,10 +208,18 @@
 
 Awaitable<bool> Router::answer(Ask Of, bool Close) {
   Of.Open_->Close_ = Close;
+  const Hop Trace = Traces_.arrive(Of.Traceparent_);
+  Of.Open_->Trace_ = Trace.Context_;
   Verdict With{Outcome::NotRun, "bad_input", false, nullptr, false};
-  if (!Of.Hopeless_ && co_await settle(Of, With, Close))
-    co_return !Of.Broken_;
-  co_return co_await respond(Of, With, Close);
+  const bool Passed = !Of.Hopeless_ && co_await settle(Of, With, Close);
+  const bool Fine = Passed ? !Of.Broken_ : co_await respond(Of, With, Close);
+  Traces_.end(Trace, Of.Inner_ ? "request.dispatch" : "request.serve",
+              telemetry::SpanKind::Server,
+              {{"key", Of.Open_->Asked_.Key_.value()},
+               {"outcome", text(With.Outcome_)},
+               {"reason", With.Reason_}},
+              Fine ? "" : "connection_lost");
+  co_return Fine;
 }
 
 Awaitable<bool> Router::settle(Ask &Of, Verdict &Into, bool Close) {
@@ -264,15 +275,19 @@
       (*Opened)->Stream_.close();
   });
   Counts_.Forwarded_.add();
-  const HttpMessage Message = forwarded(Of, To);
+  const Hop Trace = Traces_.below(Of.Open_->Trace_);
+  const HttpMessage Message = forwarded(Of, To, Trace);
   const Nanos Left = Of.Open_->Asked_.Deadline_ - Time_.now() + Seconds(1);
   const CallResult Got = co_await call(
       Pool_,
       {Endpoint(To.Address_, Own_.Ports_.Internal_),
        std::chrono::steady_clock::now() + Left, false, PeerSilence},
       Message, *Opened);
+  Traces_.end(Trace, "request.forward", telemetry::SpanKind::Client,
+              {{"to", To.Name_.value()}}, Got.Answer_ ? "" : "no_answer");
   Into.Moved_ = true;
-  if (!Got.Answer_ || (Got.Answer_->Whole_ && Got.Answer_->status() == 421))
+  if (!Got.Answer_ || (Got.Answer_->Whole_ && (Got.Answer_->status() == 421 ||
+                                               Got.Answer_->status() == 401)))
     co_return false;
   Into.Outcome_ = outcomeOf(Got.Answer_->field("Medlarmoor-Outcome"));
   Into.Moved_ = false;
@@ -283,8 +298,8 @@
   co_return true;
 }
 
-HttpMessage Router::forwarded(const Ask &Of,
-                              const membership::Member &To) const {
+HttpMessage Router::forwarded(const Ask &Of, const membership::Member &To,
+                              const Hop &Trace) {
   const OpenRequest &Open = *Of.Open_;
   HttpMessage Out(http::verb::post,
                   std::string(InnerPrefix) + Open.Asked_.Service_.value(), 11);
@@ -296,8 +311,7 @@
   const auto Left =
       std::chrono::ceil<Millis>(Open.Asked_.Deadline_ - Time_.now());
   Out.set("Medlarmoor-Deadline-Ms", std::to_string(Left.count()));
-  if (!Open.Traceparent_.empty())
-    Out.set("traceparent", Open.Traceparent_);
+  Out.set("traceparent", Trace.Context_.text());
   Out.body() = Open.Body_;
   Out.prepare_payload();
   sign(Out);
--- a/src/medlarmoor/request/quorum.cpp
+++ b/src/medlarmoor/request/quorum.cpp
@@ -27,6 +27,15 @@
         std::find(Names.begin(), Names.end(), Each.first) != Names.end();
     return !Listed && !isMember(Each.first);
   });
+  for (const EntryName &Each : Names)
+    Electorate_.try_emplace(Each, Time_.now());
+  Introduced_ = true;
+  noteHeld(Before);
+}
+
+void Quorum::introduce() {
+  const bool Before = holds();
+  Introduced_ = true;
   noteHeld(Before);
 }
 
@@ -47,6 +56,8 @@
 }
 
 bool Quorum::holds() const {
+  if (!Introduced_)
+    return false;
   const membership::Member *Self = View_->find(Self_);
   if (!Self || Self->State_ != membership::MemberState::Live)
     return false;
--- a/src/medlarmoor/request/quorum.hpp
+++ b/src/medlarmoor/request/quorum.hpp
@@ -22,9 +22,14 @@
 
   /// Takes a new view. Members that leave as planned drop out at once.
   void onView(membership::ViewPtr Now);
-  /// Takes the platform's list: whoever is neither on it nor in the view is
-  /// gone for good.
+  /// Takes the platform's list: whoever is on it counts, and whoever is neither
+  /// on it nor in the view is gone for good.
   void onListed(std::span<const EntryName> Names);
+  /// Whether the platform's list would help: it was never read, or the view
+  /// holds no majority.
+  [[nodiscard]] bool wantsList() const { return !Introduced_ || !holds(); }
+  /// Does without the list, since none can be had: the view alone counts.
+  void introduce();
   /// Lets members drop out whose settling time has passed.
   void tick();
 
@@ -49,6 +54,9 @@
   void noteHeld(bool Before);
 
   EntryName Self_;
+  /// A new entry that sees few others cannot tell whether there are more, so
+  /// it holds no majority before it has seen a list.
+  bool Introduced_ = false;
   Millis Settle_;
   Clock Time_;
   membership::ViewPtr View_;
--- a/src/medlarmoor/request/request_thread.cpp
+++ b/src/medlarmoor/request/request_thread.cpp
@@ -42,9 +42,10 @@
 public:
   Impl(const config::Settings &Own, Mailbox<config::InForcePtr> &FromConfig,
        Mailbox<membership::ViewPtr> &Views, Clock Time,
-       telemetry::Registry &Metrics, telemetry::EventLog &Log)
+       telemetry::Registry &Metrics, telemetry::EventLog &Log,
+       telemetry::SpanLog &Spans)
       : FromConfig_(FromConfig), Views_(Views), Log_(Log), Counts_(Metrics),
-        Router_(Io_, Own, Time, Counts_, Log, seeded()),
+        Router_(Io_, Own, Time, Counts_, Log, Spans, seeded()),
         Callers_(
             Io_, {Own.Address_, Own.Ports_.Requests_}, limit(),
             [this](HttpMessage Message, CallerStream From, bool Close) {
@@ -193,9 +194,9 @@
                              Mailbox<membership::ViewPtr> &Views, Clock Time,
                              telemetry::Registry &Metrics,
                              telemetry::EventLog &Log,
-                             telemetry::SpanLog & /*Spans*/)
+                             telemetry::SpanLog &Spans)
     : Impl_(std::make_unique<Impl>(Own, FromConfig, Views, std::move(Time),
-                                   Metrics, Log)) {}
+                                   Metrics, Log, Spans)) {}
 
 RequestThread::~RequestThread() { stop(); }
 
--- a/src/medlarmoor/request/request_thread.hpp
+++ b/src/medlarmoor/request/request_thread.hpp
@@ -10,10 +10,6 @@
 #include <memory>
 #include <string>
 
-namespace medlarmoor::telemetry {
-class SpanLog;
-} // namespace medlarmoor::telemetry
-
 namespace medlarmoor::request {
 
 /// The thread that serves the request door: the ports `requests` for callers
--- a/src/medlarmoor/upstream/slot_pool.cpp
+++ b/src/medlarmoor/upstream/slot_pool.cpp
@@ -163,7 +163,9 @@
   }
   if (Refused)
     backOff(*Of);
-  if (End != AttemptEnd::Abandoned)
+  // A refusal has its back-off time; counting it as a failure too would keep
+  // work away for longer than the upstream sheds.
+  if (End == AttemptEnd::Whole || End == AttemptEnd::Failed)
     note(Of->Health_, End != AttemptEnd::Whole, Time_.now());
   if (End == AttemptEnd::NotConnected)
     Of->Successes_ = 0;
--- a/test/harness/run_host.cpp
+++ b/test/harness/run_host.cpp
@@ -29,7 +29,8 @@
                     RawHttpServer::Reply Answer) {
   if (Faults_.Shed_ || Queue_.size() >= QueueLimit) {
     ++Counters_.Shed_;
-    return refuse(Answer, "shed");
+    return refuse(Answer, "shed",
+                  Request.Headers_.find("Medlarmoor-Attempt").value_or(""));
   }
   const net::HttpHeaders &Headers = Request.Headers_;
   Job New{Headers.find("Idempotency-Key").value_or(""),
@@ -50,7 +51,7 @@
     const auto Which = Queue_.begin();
     if (Which->Deadline_ && *Which->Deadline_ <= Clock_.now()) {
       ++Counters_.Expired_;
-      refuse(Which->Answer_, "expired");
+      refuse(Which->Answer_, "expired", Which->Attempt_);
       Queue_.erase(Which);
       continue;
     }
@@ -118,9 +119,11 @@
        Bytes = std::move(Bytes)](boost::system::error_code) { Answer(Bytes); });
 }
 
-void RunHost::refuse(const RawHttpServer::Reply &Answer, const char *Reason) {
+void RunHost::refuse(const RawHttpServer::Reply &Answer, const char *Reason,
+                     const std::string &Attempt) {
   net::HttpResponse Out = jsonResponse(503, {{"reason", Reason}});
   Out.Headers_.add("Medlarmoor-Not-Run", "1");
+  Out.Headers_.add("Medlarmoor-Attempt", Attempt);
   Answer(renderHttp(Out));
 }
 
@@ -151,7 +154,7 @@
   const auto Waiting = std::find_if(Queue_.begin(), Queue_.end(), Same);
   if (Waiting != Queue_.end()) {
     ++Counters_.Cancelled_;
-    refuse(Waiting->Answer_, "cancelled");
+    refuse(Waiting->Answer_, "cancelled", Attempt);
     Queue_.erase(Waiting);
     return;
   }
--- a/test/harness/run_host.hpp
+++ b/test/harness/run_host.hpp
@@ -70,7 +70,8 @@
   void send(Job Done);
   void cross(RawHttpServer::Reply Answer, std::string Bytes);
   void later(Millis Delay, RawHttpServer::Reply Answer, std::string Bytes);
-  void refuse(const RawHttpServer::Reply &Answer, const char *Reason);
+  void refuse(const RawHttpServer::Reply &Answer, const char *Reason,
+              const std::string &Attempt);
   [[nodiscard]] std::string answerOf(const Job &Done) const;
   [[nodiscard]] Micros serviceTime();
 
--- a/test/request/fleet.cpp
+++ b/test/request/fleet.cpp
@@ -1,14 +1,11 @@
-#include <medlarmoor/net/http_server.hpp>
 #include <medlarmoor/request/submission_reader.hpp>
 #include <medlarmoor/request/tenure.hpp>
+#include <medlarmoor/telemetry/span_log.hpp>
 #include <request/fleet.hpp>
 
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
-
-namespace medlarmoor::telemetry {
-class SpanLog {};
-} // namespace medlarmoor::telemetry
+#include <boost/asio/steady_timer.hpp>
 
 namespace medlarmoor::test {
 
@@ -27,11 +24,12 @@
   net::HttpServer Server_;
 };
 
-FakeUpstream::FakeUpstream(Endpoint Where, Behave Answer)
-    : Where_(Where), Answer_(std::move(Answer)),
-      Impl_(std::make_unique<Impl>(
-          Where, [this](net::HttpRequest Request, net::HttpReply Reply) {
-            onRun(std::move(Request), std::move(Reply));
+FakeUpstream::FakeUpstream(Endpoint Where, Behave Answer, Millis Service)
+    : Where_(Where), Answer_(std::move(Answer)), Service_(Service),
+      Impl_(
+          std::make_unique<Impl>(Where, [this](const net::HttpRequest &Request,
+                                               const net::HttpReply &Reply) {
+            onRun(Request, Reply);
           })) {
   if (!Impl_->Server_.listen())
     throw std::runtime_error(Impl_->Server_.lastReason());
@@ -51,27 +49,32 @@
   return Runs_[Key];
 }
 
-void FakeUpstream::onRun(net::HttpRequest Request, net::HttpReply Reply) {
-  if (Request.path() == "/load")
-    return Reply({404, {}, ""});
+void FakeUpstream::onRun(const net::HttpRequest &Request,
+                         const net::HttpReply &Reply) {
   if (Request.path() != "/run")
-    return Reply({200, {}, ""});
-  const std::string Key = *Request.Headers_.find("Idempotency-Key");
+    return Reply({404, {}, ""});
   {
     const std::lock_guard Guard(Lock_);
-    ++Runs_[Key];
+    ++Runs_[*Request.Headers_.find("Idempotency-Key")];
   }
   MostAtOnce_ = std::max<int>(MostAtOnce_, ++AtOnce_);
-  net::HttpReply Counted = [this, Reply](net::HttpResponse Out) {
+  const auto Timer =
+      std::make_shared<boost::asio::steady_timer>(Impl_->Io_, Service_);
+  Timer->async_wait([this, Timer, Request, Reply](boost::system::error_code) {
     --AtOnce_;
-    Reply(std::move(Out));
-  };
+    answer(Request, Reply);
+  });
+}
+
+void FakeUpstream::answer(const net::HttpRequest &Request,
+                          const net::HttpReply &Reply) {
   if (Answer_)
-    return Answer_(Request, std::move(Counted));
-  net::HttpResponse Out{200, {}, "ran " + Key};
+    return Answer_(Request, Reply);
+  net::HttpResponse Out{
+      200, {}, "ran " + *Request.Headers_.find("Idempotency-Key")};
   Out.Headers_.add("Medlarmoor-Attempt",
                    *Request.Headers_.find("Medlarmoor-Attempt"));
-  Counted(std::move(Out));
+  Reply(std::move(Out));
 }
 
 struct Fleet::Entry {
@@ -82,7 +85,7 @@
   Mailbox<membership::ViewPtr> Views_{64};
   telemetry::Registry Metrics_;
   telemetry::EventLog Log_{"test", "ERROR"};
-  telemetry::SpanLog Spans_;
+  telemetry::SpanLog Spans_{"test", "/dev/null"};
   std::unique_ptr<request::RequestThread> Thread_;
 };
 
@@ -101,10 +104,10 @@
 Fleet::~Fleet() = default;
 
 FakeUpstream &Fleet::addUpstream(FakeUpstream::Behave Answer,
-                                 std::uint32_t Slots) {
+                                 std::uint32_t Slots, Millis Service) {
   const auto Number = static_cast<std::uint8_t>(Upstreams_.size() + 1);
   const Endpoint Where(Net_.address(2, Number), UpstreamPort);
-  Upstreams_.push_back(std::make_unique<FakeUpstream>(Where, Answer));
+  Upstreams_.push_back(std::make_unique<FakeUpstream>(Where, Answer, Service));
   config::Upstream Of;
   Of.Name_ = UpstreamName("u" + std::to_string(Number));
   Of.Domain_ = DomainName("seeb");
@@ -141,17 +144,21 @@
 }
 
 membership::View Fleet::viewOf(std::size_t Self,
-                               const std::vector<std::size_t> &Members) const {
+                               const std::vector<std::size_t> &Members,
+                               std::optional<std::size_t> Leaving) const {
   std::vector<membership::Member> Out;
   Out.reserve(Members.size());
   for (const std::size_t I : Members)
-    Out.push_back({Entries_[I]->Own_.Name_, Entries_[I]->Own_.Address_});
+    Out.push_back({Entries_[I]->Own_.Name_, Entries_[I]->Own_.Address_,
+                   I == Leaving ? membership::MemberState::Leaving
+                                : membership::MemberState::Live});
   return {Entries_[Self]->Own_.Name_, Out};
 }
 
-void Fleet::see(std::size_t At, const std::vector<std::size_t> &Members) {
+void Fleet::see(std::size_t At, const std::vector<std::size_t> &Members,
+                std::optional<std::size_t> Leaving) {
   if (!Entries_[At]->Views_.push(
-          std::make_shared<membership::View>(viewOf(At, Members))))
+          std::make_shared<membership::View>(viewOf(At, Members, Leaving))))
     throw std::runtime_error("mailbox full");
 }
 
--- a/test/request/fleet.hpp
+++ b/test/request/fleet.hpp
@@ -7,6 +7,7 @@
 #include <medlarmoor/core/mailbox.hpp>
 #include <medlarmoor/membership/view.hpp>
 #include <medlarmoor/net/http_client.hpp>
+#include <medlarmoor/net/http_server.hpp>
 #include <medlarmoor/request/request_thread.hpp>
 #include <medlarmoor/telemetry/event_log.hpp>
 #include <medlarmoor/telemetry/registry.hpp>
@@ -16,6 +17,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <thread>
 #include <vector>
@@ -28,7 +30,8 @@
 public:
   using Behave = std::function<void(const net::HttpRequest &, net::HttpReply)>;
 
-  FakeUpstream(Endpoint Where, Behave Answer);
+  /// Each request runs for Service.
+  FakeUpstream(Endpoint Where, Behave Answer, Millis Service);
   ~FakeUpstream();
   FakeUpstream(const FakeUpstream &) = delete;
   FakeUpstream &operator=(const FakeUpstream &) = delete;
@@ -39,10 +42,12 @@
 
 private:
   struct Impl;
-  void onRun(net::HttpRequest Request, net::HttpReply Reply);
+  void onRun(const net::HttpRequest &Request, const net::HttpReply &Reply);
+  void answer(const net::HttpRequest &Request, const net::HttpReply &Reply);
 
   Endpoint Where_;
   Behave Answer_;
+  Millis Service_;
   std::mutex Lock_;
   std::map<std::string, int> Runs_;
   std::atomic<int> AtOnce_{0};
@@ -62,11 +67,13 @@
 
   /// Adds an upstream of Slots slots; call it before start().
   FakeUpstream &addUpstream(FakeUpstream::Behave Answer = nullptr,
-                            std::uint32_t Slots = 2);
+                            std::uint32_t Slots = 2,
+                            Millis Service = Millis(0));
   /// Starts the entries with the service "seal" and a view of all of them.
   void start(config::ServicePolicy Policy = {});
-  /// Gives entry At a view of the entries Members.
-  void see(std::size_t At, const std::vector<std::size_t> &Members);
+  /// Gives entry At a view of the entries Members; Leaving hands over.
+  void see(std::size_t At, const std::vector<std::size_t> &Members,
+           std::optional<std::size_t> Leaving = std::nullopt);
   /// Kills entry At: its ports close.
   void crash(std::size_t At);
   /// The entry that dispatches "seal" while all live.
@@ -90,7 +97,8 @@
 private:
   struct Entry;
   [[nodiscard]] membership::View
-  viewOf(std::size_t Self, const std::vector<std::size_t> &Members) const;
+  viewOf(std::size_t Self, const std::vector<std::size_t> &Members,
+         std::optional<std::size_t> Leaving = std::nullopt) const;
 
   harness::Subnet Net_;
   std::vector<std::unique_ptr<Entry>> Entries_;
--- a/test/request/request_thread_test.cpp
+++ b/test/request/request_thread_test.cpp
@@ -1,30 +1,10 @@
-#include <medlarmoor/net/http_server.hpp>
 #include <request/fleet.hpp>
 
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <catch2/catch.hpp>
 
 using namespace medlarmoor;
 using namespace medlarmoor::test;
 
-namespace {
-
-/// Answers after Time, from a thread of its own.
-FakeUpstream::Behave slow(Millis Time) {
-  return [Time](const net::HttpRequest &Request, net::HttpReply Reply) {
-    const std::string Attempt = *Request.Headers_.find("Medlarmoor-Attempt");
-    std::thread([Time, Attempt, Reply] {
-      std::this_thread::sleep_for(Time);
-      net::HttpResponse Out{200, {}, "slow"};
-      Out.Headers_.add("Medlarmoor-Attempt", Attempt);
-      Reply(std::move(Out));
-    }).detach();
-  };
-}
-
-} // namespace
-
 TEST_CASE("any entry brings a request to its dispatcher and its answer back") {
   Fleet All(3);
   FakeUpstream &Upstream = All.addUpstream();
@@ -82,7 +62,7 @@
 
 TEST_CASE("slots are never exceeded and what waits too long was not run") {
   Fleet All(2);
-  FakeUpstream &Upstream = All.addUpstream(slow(Millis(400)));
+  FakeUpstream &Upstream = All.addUpstream(nullptr, 2, Millis(400));
   All.start();
   std::vector<std::string> Keys;
   std::vector<net::HttpResponse> Got(6);
@@ -103,3 +83,146 @@
   }
   CHECK(Done >= 2);
 }
+
+TEST_CASE("a duplicate waits for the request that runs") {
+  Fleet All(3);
+  FakeUpstream &Upstream = All.addUpstream(nullptr, 2, Millis(400));
+  All.start();
+  const std::string Key = All.key();
+  net::HttpResponse First;
+  std::thread Caller([&] { First = All.submit(0, Key); });
+  REQUIRE(eventually([&] { return Upstream.runs(Key) == 1; }));
+  const net::HttpResponse Second = All.submit(1, Key);
+  Caller.join();
+  CHECK(First.Body_ == "ran " + Key);
+  CHECK(Second.Body_ == "ran " + Key);
+  CHECK(Upstream.runs(Key) == 1);
+}
+
+TEST_CASE("the next dispatcher knows what its crashed predecessor sent") {
+  Fleet All(3);
+  FakeUpstream &Upstream = All.addUpstream(nullptr, 2, Millis(300));
+  All.start();
+  const std::size_t Dead = All.dispatcher();
+  const std::size_t Next = All.successor();
+  const std::size_t Third = 3 - Dead - Next;
+  const std::string Key = All.key();
+  net::HttpResponse Cut;
+  std::thread Caller([&] { Cut = All.submit(Dead, Key); });
+  REQUIRE(eventually([&] { return Upstream.runs(Key) == 1; }));
+  All.crash(Dead);
+  Caller.join();
+  CHECK(Cut.Status_ == 0);
+  All.see(Next, {Next, Third});
+  All.see(Third, {Next, Third});
+  const net::HttpResponse Again = All.submit(Third, Key);
+  CHECK(Again.Status_ == 504);
+  CHECK(header(Again, "Medlarmoor-Outcome") == "unknown");
+  CHECK(Again.Body_ ==
+        "{\"outcome\":\"unknown\",\"reason\":\"running\",\"retry\":true}\n");
+  REQUIRE(
+      eventually([&] { return All.submit(Third, All.key()).Status_ == 200; }));
+  CHECK(Upstream.runs(Key) == 1);
+}
+
+TEST_CASE("an entry without a majority answers unknown, never not_run") {
+  Fleet All(3);
+  FakeUpstream &Upstream = All.addUpstream();
+  All.start();
+  All.see(0, {0});
+  const std::string Key = All.key();
+  net::HttpResponse Got;
+  REQUIRE(eventually([&] {
+    Got = All.submit(0, Key, "once", 500);
+    return Got.Status_ == 504;
+  }));
+  CHECK(header(Got, "Medlarmoor-Outcome") == "unknown");
+  CHECK(header(All.submit(0, "bawshar-1-1", "once", 500),
+               "Medlarmoor-Outcome") == "unknown");
+  CHECK(Upstream.runs(Key) == 0);
+}
+
+TEST_CASE("a planned stop hands over and cuts nothing") {
+  Fleet All(3);
+  FakeUpstream &Upstream = All.addUpstream(nullptr, 2, Millis(250));
+  All.start();
+  const std::size_t Leaver = All.dispatcher();
+  std::vector<std::string> Keys;
+  std::vector<net::HttpResponse> Got(6);
+  std::vector<std::thread> Callers;
+  for (std::size_t I = 0; I < Got.size(); ++I)
+    Keys.push_back(All.key());
+  for (std::size_t I = 0; I < Got.size(); ++I)
+    Callers.emplace_back([&, I] { Got[I] = All.submit(I % 3, Keys[I]); });
+  REQUIRE(eventually([&] { return Upstream.mostAtOnce() == 2; }));
+  for (std::size_t At = 0; At < 3; ++At)
+    All.see(At, {0, 1, 2}, Leaver);
+  All.entry(Leaver).leave();
+  for (std::thread &Each : Callers)
+    Each.join();
+  REQUIRE(eventually([&] { return All.entry(Leaver).handedOver(); }));
+  for (std::size_t I = 0; I < Got.size(); ++I) {
+    CHECK(Got[I].Status_ == 200);
+    CHECK(Upstream.runs(Keys[I]) == 1);
+  }
+  const net::HttpResponse Again = All.submit(All.successor(), Keys[0]);
+  CHECK(header(Again, "Medlarmoor-Outcome") == "done");
+}
+
+TEST_CASE("a cancelled request that waits was not run and stays so") {
+  Fleet All(2);
+  FakeUpstream &Upstream = All.addUpstream(nullptr, 1, Millis(500));
+  All.start();
+  const std::string Running = All.key();
+  const std::string Waiting = All.key();
+  net::HttpResponse First;
+  net::HttpResponse Second;
+  std::thread One([&] { First = All.submit(0, Running); });
+  REQUIRE(eventually([&] { return Upstream.runs(Running) == 1; }));
+  std::thread Two([&] { Second = All.submit(1, Waiting); });
+  net::HttpRequest Cancel{
+      "DELETE", "/v1/services/seal/requests/" + Waiting, {}, ""};
+  REQUIRE(eventually([&] {
+    const net::HttpRequest Ask{"GET", Cancel.Target_, {}, ""};
+    return All.send(0, Ask).Body_.find("waiting") != std::string::npos;
+  }));
+  const net::HttpResponse Cancelled = All.send(0, Cancel);
+  One.join();
+  Two.join();
+  CHECK(First.Status_ == 200);
+  CHECK(header(Cancelled, "Medlarmoor-Outcome") == "not_run");
+  CHECK(header(Second, "Medlarmoor-Outcome") == "not_run");
+  CHECK(header(All.submit(0, Waiting), "Medlarmoor-Outcome") == "not_run");
+  CHECK(Upstream.runs(Waiting) == 0);
+}
+
+TEST_CASE("a shed request goes elsewhere, a crossed answer goes nowhere") {
+  Fleet All(1);
+  All.addUpstream(
+      [](const net::HttpRequest &Request, const net::HttpReply &Reply) {
+        net::HttpResponse Out{503, {}, ""};
+        Out.Headers_.add("Medlarmoor-Attempt",
+                         *Request.Headers_.find("Medlarmoor-Attempt"));
+        Out.Headers_.add("Medlarmoor-Not-Run", "1");
+        Reply(std::move(Out));
+      });
+  All.addUpstream();
+  All.start();
+  for (int I = 0; I < 20; ++I)
+    CHECK(All.submit(0, All.key()).Status_ == 200);
+
+  Fleet Crossing(1);
+  Crossing.addUpstream(
+      [](const net::HttpRequest &, const net::HttpReply &Reply) {
+        net::HttpResponse Out{200, {}, "of somebody else"};
+        Out.Headers_.add("Medlarmoor-Attempt", "another.1.seal.1");
+        Reply(std::move(Out));
+      });
+  Crossing.start();
+  for (const char *Class : {"once", "idempotent"}) {
+    const net::HttpResponse Got =
+        Crossing.submit(0, Crossing.key(), Class, 1000);
+    CHECK(Got.Status_ == 504);
+    CHECK(header(Got, "Medlarmoor-Outcome") == "unknown");
+  }
+}
