Tell ready only once the flow door has been handed its flows

Cause: a flow broke 0.22 s after the start of a demo under a loaded machine: /readyz said ready while the four entries were still handing over to each other. Ruled out: change of view or configuration (none ran at that moment).

--- a/src/medlarmoor/daemon/daemon.cpp
+++ b/src/medlarmoor/daemon/daemon.cpp
@@ -189,7 +189,8 @@
     return internal::healthPage(Progress_.stuck());
   if (Path == "/readyz")
     return internal::readyPage(Control_.status(), Time_.now(),
-                               Settings_.Membership_.Lease_);
+                               Settings_.Membership_.Lease_,
+                               !Settings_.Doors_ || Flows_.ready());
   if (Path == "/status")
     return internal::statusPage(Settings_, Control_.status());
   if (Path == "/explain")
--- a/src/medlarmoor/daemon/internal_admin_pages.cpp
+++ b/src/medlarmoor/daemon/internal_admin_pages.cpp
@@ -55,8 +55,10 @@
 }
 
 net::HttpResponse readyPage(const membership::ControlStatus &Known,
-                            TimePoint Now, Nanos Lease) {
+                            TimePoint Now, Nanos Lease, bool FlowsReady) {
   std::vector<std::string> Reasons;
+  if (!FlowsReady)
+    Reasons.emplace_back("flows are not handed over yet");
   if (!Known.InForce_)
     Reasons.emplace_back("no configuration is in force");
   if (!Known.LeaseValid_)
--- a/src/medlarmoor/daemon/internal_admin_pages.hpp
+++ b/src/medlarmoor/daemon/internal_admin_pages.hpp
@@ -21,10 +21,12 @@
 /// /healthz: 200 while no thread is stuck, else 503 with their names.
 [[nodiscard]] net::HttpResponse
 healthPage(const std::vector<std::string> &Stuck);
-/// /readyz: 200 while a configuration is in force and the own lease is valid at
-/// Now, else 503 with the reasons.
+/// /readyz: 200 while a configuration is in force, the own lease is valid at
+/// Now and the flow door, where there is one, has been handed its flows; else
+/// 503 with the reasons.
 [[nodiscard]] net::HttpResponse
-readyPage(const membership::ControlStatus &Known, TimePoint Now, Nanos Lease);
+readyPage(const membership::ControlStatus &Known, TimePoint Now, Nanos Lease,
+          bool FlowsReady);
 /// /status: what the entry is, acts on and sees.
 [[nodiscard]] net::HttpResponse
 statusPage(const config::Settings &Given,
--- a/src/medlarmoor/flow/director.hpp
+++ b/src/medlarmoor/flow/director.hpp
@@ -36,6 +36,11 @@
   void begin();
   /// True between a pause and the next view.
   [[nodiscard]] bool suspended() const noexcept { return Homes_.suspended(); }
+  /// True while this entry may be home of flows and has been handed all that
+  /// is its own.
+  [[nodiscard]] bool ready() const noexcept {
+    return Homes_.active(Now_) && !Homes_.joining() && !Homes_.leaving();
+  }
   /// Decides for a packet that the fabric brought. Inner is the IPv4 packet.
   [[nodiscard]] Decision decide(std::span<const std::byte> Inner);
   /// Decides for a packet that the entry at From passed on.
--- a/src/medlarmoor/flow/flow_thread.cpp
+++ b/src/medlarmoor/flow/flow_thread.cpp
@@ -189,6 +189,7 @@
     Director_.tick();
     Metrics_.publish(Director_);
     HandedOver_ = Director_.handedOver();
+    Ready_ = Director_.ready();
   }
   sendMessages();
 }
--- a/src/medlarmoor/flow/flow_thread.hpp
+++ b/src/medlarmoor/flow/flow_thread.hpp
@@ -50,6 +50,9 @@
   /// True once the others hold all that was handed over. Callable from another
   /// thread.
   [[nodiscard]] bool handedOver() const noexcept { return HandedOver_.load(); }
+  /// True once this entry may be home of flows and has been handed what is its
+  /// own. Callable from another thread.
+  [[nodiscard]] bool ready() const noexcept { return Ready_.load(); }
   /// Which rule chose the upstream of the flow "address:port-address:port", as
   /// JSON text. Callable from another thread; waits for the flow thread.
   [[nodiscard]] std::string explain(std::string Flow);
@@ -100,6 +103,7 @@
   std::atomic<bool> Stop_{false};
   std::atomic<bool> Leave_{false};
   std::atomic<bool> HandedOver_{false};
+  std::atomic<bool> Ready_{false};
   std::mutex QuestionLock_;
   std::deque<Question> Questions_;
   std::string Reason_;
--- a/test/daemon/pages_test.cpp
+++ b/test/daemon/pages_test.cpp
@@ -36,15 +36,18 @@
   Known.State_ = membership::EntryState::Live;
   Known.LeaseValid_ = true;
   Known.TickedAt_ = Now - Millis(100);
-  CHECK(internal::readyPage(Known, Now, Lease).Status_ == 200);
-  CHECK(internal::readyPage(Known, Now + Seconds(1), Lease).Status_ == 503);
+  CHECK(internal::readyPage(Known, Now, Lease, true).Status_ == 200);
+  CHECK(internal::readyPage(Known, Now, Lease, false).Status_ == 503);
+  CHECK(internal::readyPage(Known, Now + Seconds(1), Lease, true).Status_ ==
+        503);
   auto NoDocument = Known;
   NoDocument.InForce_.reset();
-  CHECK(internal::readyPage(NoDocument, Now, Lease).Status_ == 503);
+  CHECK(internal::readyPage(NoDocument, Now, Lease, true).Status_ == 503);
   auto Leaving = Known;
   Leaving.LeaseValid_ = false;
   Leaving.State_ = membership::EntryState::Leaving;
-  const net::HttpResponse Answer = internal::readyPage(Leaving, Now, Lease);
+  const net::HttpResponse Answer =
+      internal::readyPage(Leaving, Now, Lease, true);
   CHECK(Answer.Status_ == 503);
   CHECK(Answer.Body_.find("entry is leaving") != std::string::npos);
 }
