Keep serving under floods of connections and slow clients

A client that opened 4,500 connections to the request door, or sent bodies and stalled, shut others out: the doors refused new connections at their limit for up to 30 s.

--- a/bench/membership/process_case.cpp
+++ b/bench/membership/process_case.cpp
@@ -51,6 +51,7 @@
 bool runProcesses(int Count, const Options &Asked) {
   EntryDomain Domain;
   std::vector<harness::Process> Entries;
+  Entries.reserve(static_cast<std::size_t>(Count));
   std::vector<int> Who(static_cast<std::size_t>(Count));
   std::iota(Who.begin(), Who.end(), 1);
   for (const int I : Who)
--- a/src/medlarmoor/net/http_server.cpp
+++ b/src/medlarmoor/net/http_server.cpp
@@ -3,6 +3,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/message.hpp>
@@ -11,6 +12,9 @@
 #include <boost/beast/http/string_body.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include <cstdint>
+#include <map>
+
 namespace medlarmoor::net {
 
 namespace asio = boost::asio;
@@ -19,12 +23,19 @@
 using Tcp = asio::ip::tcp;
 using Error = boost::system::error_code;
 
+namespace {
+
+/// After a failed accept.
+constexpr Millis AcceptPause{20};
+
+} // namespace
+
 class HttpServer::Impl : public std::enable_shared_from_this<Impl> {
 public:
   Impl(asio::io_context &Io, Endpoint Where, HttpHandler Handler,
        HttpLimits Limits)
       : Where_(Where), Handler_(std::move(Handler)), Limits_(Limits),
-        Acceptor_(Io) {}
+        Acceptor_(Io), Pause_(Io) {}
 
   bool listen() {
     Error Failed;
@@ -61,6 +72,10 @@
 private:
   class Session;
   void accept();
+  void onAccept(Error Failed, Tcp::socket Socket);
+  /// Closes the connection that has waited longest for its request to become
+  /// whole; false when each is being answered.
+  bool evictOldest();
 
   Endpoint Where_;
   HttpHandler Handler_;
@@ -68,6 +83,10 @@
   Tcp::acceptor Acceptor_;
   std::string Reason_;
   std::size_t Open_ = 0;
+  /// Connections whose request is not whole yet, by when they began to wait.
+  std::map<std::uint64_t, Session *> Unfinished_;
+  std::uint64_t Order_ = 0;
+  asio::steady_timer Pause_;
 };
 
 /// One client connection; reads a request, answers it, reads the next.
@@ -81,11 +100,22 @@
     if (Remote.address().is_v4())
       From_ = {Ipv4(Remote.address().to_v4().to_uint()), Remote.port()};
   }
-  ~Session() { Owner_->closed(); }
+  ~Session() {
+    finished();
+    Owner_->closed();
+  }
   Session(const Session &) = delete;
   Session &operator=(const Session &) = delete;
 
+  /// Ends the wait for a request, as a client that goes away does.
+  void evict() {
+    Stream_.cancel();
+    Stream_.close();
+  }
+
   void read() {
+    Since_ = ++Owner_->Order_;
+    Owner_->Unfinished_[Since_] = this;
     Parser_.emplace();
     Parser_->body_limit(Owner_->limits().BodyBytes_);
     Stream_.expires_after(Owner_->limits().Idle_);
@@ -96,7 +126,10 @@
   }
 
 private:
+  void finished() { Owner_->Unfinished_.erase(Since_); }
+
   void onRead(Error Failed) {
+    finished();
     if (Failed == http::error::body_limit)
       return write({413, {}, "body over the limit\n"}, false);
     if (Failed &&
@@ -142,6 +175,7 @@
   }
 
   std::shared_ptr<Impl> Owner_;
+  std::uint64_t Since_ = 0;
   beast::tcp_stream Stream_;
   Endpoint From_;
   beast::flat_buffer Buffer_;
@@ -152,15 +186,37 @@
 void HttpServer::Impl::accept() {
   Acceptor_.async_accept(
       [Self = shared_from_this()](Error Failed, Tcp::socket Socket) {
-        if (Failed == asio::error::operation_aborted)
-          return;
-        if (!Failed && Self->Open_ < Self->Limits_.Connections_)
-          std::make_shared<Session>(Self, std::move(Socket))->read();
-        if (Self->Acceptor_.is_open())
-          Self->accept();
+        if (Failed != asio::error::operation_aborted)
+          Self->onAccept(Failed, std::move(Socket));
       });
 }
 
+void HttpServer::Impl::onAccept(Error Failed, Tcp::socket Socket) {
+  if (Failed) {
+    // For example no free descriptor: accepting again at once would fail too.
+    evictOldest();
+    Pause_.expires_after(AcceptPause);
+    Pause_.async_wait([Self = shared_from_this()](Error) {
+      if (Self->Acceptor_.is_open())
+        Self->accept();
+    });
+    return;
+  }
+  if (Open_ < Limits_.Connections_ || evictOldest())
+    std::make_shared<Session>(shared_from_this(), std::move(Socket))->read();
+  if (Acceptor_.is_open())
+    accept();
+}
+
+bool HttpServer::Impl::evictOldest() {
+  if (Unfinished_.empty())
+    return false;
+  Session *Oldest = Unfinished_.begin()->second;
+  Unfinished_.erase(Unfinished_.begin());
+  Oldest->evict();
+  return true;
+}
+
 HttpServer::HttpServer(asio::io_context &Io, Endpoint Where,
                        HttpHandler Handler, HttpLimits Limits)
     : Impl_(std::make_shared<Impl>(Io, Where, std::move(Handler), Limits)) {}
--- a/src/medlarmoor/request/internal/door.hpp
+++ b/src/medlarmoor/request/internal/door.hpp
@@ -45,10 +45,23 @@
     CallerStream Stream_;
     /// Between two requests.
     bool Idle_ = true;
+    /// A whole request has arrived and is being answered.
+    bool Answering_ = false;
+    /// Bytes that the body of the request may take.
+    std::uint64_t Reserved_ = 0;
+    /// When it began to wait for its request, as a rising number.
+    std::uint64_t Since_ = 0;
+    bool Evicted_ = false;
   };
 
   [[nodiscard]] Awaitable<void> accept();
   [[nodiscard]] Awaitable<void> run(std::shared_ptr<Session> Of);
+  /// Closes the connection that has waited longest for its request to become
+  /// whole; false when each is being answered.
+  bool evictOldest();
+  /// Makes room for a body, at the cost of the oldest unfinished requests.
+  void reserve(Session &Of, std::uint64_t Bytes);
+  void release(Session &Of) noexcept;
   [[nodiscard]] Awaitable<bool> serveOne(Session &Of,
                                          beast::flat_buffer &Buffer);
 
@@ -59,6 +72,8 @@
   TooLarge Refuse_;
   asio::ip::tcp::acceptor Acceptor_;
   std::set<std::shared_ptr<Session>> Sessions_;
+  std::uint64_t Reserved_ = 0;
+  std::uint64_t Order_ = 0;
   bool Closing_ = false;
   std::string Reason_;
 };
--- a/src/medlarmoor/telemetry/registry.cpp
+++ b/src/medlarmoor/telemetry/registry.cpp
@@ -35,16 +35,20 @@
 /// Writes the buckets, the sum and the count of one histogram.
 void appendHistogram(std::string &Out, const std::string &Name,
                      const std::string &Labels, const Histogram &Each) {
-  const std::string Before = Labels.empty() ? "" : Labels + ",";
+  const std::string Start =
+      Name + "_bucket{" + (Labels.empty() ? "" : Labels + ",") + "le=\"";
   const std::string Around = Labels.empty() ? "" : "{" + Labels + "}";
   std::uint64_t Count = 0;
   for (const Histogram::Bucket &Bucket : Each.buckets()) {
     Count = Bucket.Count_;
-    Out += Name + "_bucket{" + Before + "le=\"" + number(Bucket.UpTo_) +
-           "\"} " + std::to_string(Count) + "\n";
+    Out += Start;
+    Out += number(Bucket.UpTo_);
+    Out += "\"} " + std::to_string(Count) + "\n";
   }
-  Out += Name + "_sum" + Around + " " + number(Each.sum()) + "\n";
-  Out += Name + "_count" + Around + " " + std::to_string(Count) + "\n";
+  Out += Name;
+  Out += "_sum" + Around + " " + number(Each.sum()) + "\n";
+  Out += Name;
+  Out += "_count" + Around + " " + std::to_string(Count) + "\n";
 }
 
 void appendHistograms(
