--- a/src/medlarmoor/request/dispatcher_attempts.cpp
+++ b/src/medlarmoor/request/dispatcher_attempts.cpp
@@ -117,7 +117,9 @@
     return send(Each);
   freeSlot(Each, AttemptEnd::Abandoned, Nanos(0));
   if (!Wanted || !MaySend)
-    return refuse(Each, Wanted ? "too_late_to_send" : "cancelled");
+    return refuse(Each, Wanted              ? "too_late_to_send"
+                        : Each.CancelAsked_ ? "cancelled"
+                                            : "caller_left");
   Each.Replicated_ = false;
   requeue(Each, ReplicationPause);
   startNext();
--- a/src/medlarmoor/request/internal/router.cpp
+++ b/src/medlarmoor/request/internal/router.cpp
@@ -93,6 +93,13 @@
   Members_.onView(Now);
   Office_.onView(std::move(Now));
   reviewTenures();
+  reviewForwards();
+}
+
+void Router::reviewForwards() {
+  for (const Forward &Each : Forwards_)
+    if (!Members_.isMember(Each.To_) && *Each.Opened_)
+      (*Each.Opened_)->Stream_.close();
 }
 
 void Router::leave() {
--- a/src/medlarmoor/request/internal/router.hpp
+++ b/src/medlarmoor/request/internal/router.hpp
@@ -11,6 +11,7 @@
 #include <medlarmoor/wire/http_seal.hpp>
 
 #include <functional>
+#include <list>
 #include <map>
 #include <optional>
 
@@ -61,6 +62,11 @@
     /// The answer broke off while it was passed on.
     bool Broken_ = false;
   };
+  /// A request that waits at another entry.
+  struct Forward {
+    EntryName To_;
+    std::shared_ptr<ConnectionPtr> Opened_;
+  };
   /// A service that this entry gave up and hands over.
   struct Exit {
     WallTime From_;
@@ -92,6 +98,9 @@
 
   Desk *desk(const ServiceName &Name);
   void reviewTenures();
+  /// Gives up waiting at entries that are no longer members, so that their
+  /// requests go to the next dispatcher.
+  void reviewForwards();
   void handOn(const ServiceName &Service, Exit &Of);
   void count(const Verdict &Of);
   void sign(HttpMessage &Message);
@@ -121,6 +130,8 @@
   /// the minting time from which on its ledger is whole.
   std::map<ServiceName, WallTime> Dispatched_;
   std::map<ServiceName, Exit> Exits_;
+  /// Requests that wait at another entry for the head of their answer.
+  std::list<Forward> Forwards_;
   bool Leaving_ = false;
   unsigned Ticks_ = 0;
   TimePoint Started_;
--- a/src/medlarmoor/request/internal/router_answers.cpp
+++ b/src/medlarmoor/request/internal/router_answers.cpp
@@ -278,11 +278,13 @@
   const Hop Trace = Traces_.below(Of.Open_->Trace_);
   const HttpMessage Message = forwarded(Of, To, Trace);
   const Nanos Left = Of.Open_->Asked_.Deadline_ - Time_.now() + Seconds(1);
+  const auto Listed = Forwards_.insert(Forwards_.end(), {To.Name_, Opened});
   const CallResult Got = co_await call(
       Pool_,
       {Endpoint(To.Address_, Own_.Ports_.Internal_),
        std::chrono::steady_clock::now() + Left, false, PeerSilence},
       Message, *Opened);
+  Forwards_.erase(Listed);
   Traces_.end(Trace, "request.forward", telemetry::SpanKind::Client,
               {{"to", To.Name_.value()}}, Got.Answer_ ? "" : "no_answer");
   Into.Moved_ = true;
