--- a/bench/demo/demo_run.cpp
+++ b/bench/demo/demo_run.cpp
@@ -61,22 +61,15 @@
   Elapsed_ = secondsSince(Start_);
   ControlBytes_ = controlBytes() - BytesBefore;
   AllOver_ = finishLoad(World_);
-  return report(gatherVerdict(World_));
+  return report(gatherVerdict(World_, Start_));
 }
 
 bool DemoRun::startSystem() {
   if (!World_.start())
     return failed(World_.lastReason());
-  for (std::uint8_t I = 1; I <= FirstEntries; ++I)
-    if (!World_.startEntry(I))
-      return failed(World_.lastReason());
-  if (!applyAndWait("first document"))
-    return false;
-  SlowestInForce_ = 0;
-  for (const std::string &Name : World_.entryNames())
-    if (!World_.waitReady(Name, ReadyLimit))
-      return failed(Name + " is not ready");
-  World_.publishEntries();
+  if (!startEntries(World_, FirstEntries))
+    return failed(World_.lastReason());
+  note("four entries are ready");
   return true;
 }
 
@@ -102,7 +95,7 @@
   const std::string Joined = World_.entryNames().back();
   if (!World_.waitReady(Joined, ReadyLimit))
     return failed(Joined + " is not ready");
-  World_.publishEntries();
+  World_.serve(Joined);
   note(Joined + " has joined");
   const std::string Old = World_.entryNames().front();
   const TimePoint Asked = std::chrono::steady_clock::now();
@@ -185,11 +178,13 @@
           {"false_not_run", Number(Seen.FalseNotRun_), 0},
           {"false_done", Number(Seen.FalseDone_), 0},
           {"cut_requests", Number(Seen.CutCalls_ + Seen.Unanswered_), 0},
+          {"answers_not_kept", Number(Seen.DoneBefore_), 0},
           {"new_work_on_drained_upstream", Number(LateWork_), 0},
           {"config_reverts", Number(Sampler_.reverts()), 0},
           {"config_in_force_s", SlowestInForce_, InForceSeconds},
           {"planned_stop_exit_code", static_cast<double>(RetireCode_), 0},
           {"control_bytes_per_s_per_entry", PerEntry, ControlBytesASecond},
+          {"idle_run", Seen.Flows_ == 0 || Seen.Done_ == 0 ? 1.0 : 0.0, 0},
           {"unfinished_work", AllOver_ ? 0.0 : 1.0, 0},
           {"missing_witnesses", Number(Seen.Missing_), 0}};
 }
--- a/src/medlarmoor/membership/mesh.hpp
+++ b/src/medlarmoor/membership/mesh.hpp
@@ -137,6 +137,7 @@
   bool HasTable_ = false;
   bool Urgent_ = false;
   bool Changed_ = true;
+  bool WatchesList_ = true;
   std::uint64_t Stale_ = 0;
 };
 
