Test that answers stream whole or visibly cut, and a domain cut in two

A 3 MB answer is passed on while it arrives; one that is a byte short ends in a broken connection, never in a shorter answer. Of five entries whose views part into two and three, only the three run a request of class once.

--- a/bench/requests/process_cases.cpp
+++ b/bench/requests/process_cases.cpp
@@ -1,8 +1,11 @@
 #include <bench/requests/cases.hpp>
+#include <bench/requests/large_answer.hpp>
 #include <bench/requests/process_world.hpp>
 
 #include <harness/json_http.hpp>
 #include <harness/wait.hpp>
+#include <medlarmoor/core/clock.hpp>
+#include <medlarmoor/request/key_parts.hpp>
 
 namespace medlarmoor::bench {
 
@@ -19,6 +22,9 @@
 constexpr Millis FaultTime = Seconds(4);
 constexpr Millis LeaveGrace = Seconds(3);
 constexpr std::size_t FaultyUpstreams = 4;
+constexpr std::size_t LargeBytes = 200'000'000;
+/// What an entry may hold in all.
+constexpr std::uint64_t EntryMemoryKiB = 64 * 1024;
 
 void bound(Record &Into, const char *Key, std::uint64_t Measured,
            std::uint64_t Most) {
@@ -113,7 +119,14 @@
   ProcessWorld::run(Seconds(5));
   (void)callJson(All.addresses().proxyHarness(), "DELETE", "/rules");
   ProcessWorld::run(After);
-  return report("domain_cut_in_two", World, World.finish());
+  const auto Passed =
+      callJson(All.addresses().proxyHarness(), "GET", "/counters");
+  return report("domain_cut_in_two", World, World.finish(), [&](Record &Out) {
+    // Without traffic between entries through the proxy there was no cut.
+    Out.Figures_["bytes_through_proxy"] = Passed ? (*Passed)["bytes"] : json();
+    Out.Bound_["internal_bytes_through_proxy_above"] = 0;
+    Out.Held_ &= Passed && (*Passed)["bytes"].value("internal", 0) > 0;
+  });
 }
 
 bool upstreamLeaves(const Options &Asked) {
@@ -157,6 +170,35 @@
   });
 }
 
+/// Downloads one answer of hundreds of megabytes through every entry.
+bool largeAnswer(const Options &Asked) {
+  ProcessWorld World(Asked);
+  if (!World.start(0.5))
+    return false;
+  World.setFaults(SIZE_MAX, {{"answerBytes", LargeBytes}});
+  Random Source(Asked.Seed_);
+  Record Out{"requests", "large_answer", "medlarmoor", Asked.Seed_};
+  std::uint64_t Most = 0;
+  std::uint64_t Broken = 0;
+  for (const std::string &Name : World.cluster().entryNames()) {
+    const config::Settings &Own = World.cluster().settings(Name);
+    const Download Got = download(
+        {Own.Address_, Own.Ports_.Requests_},
+        request::mintKey(Own.Domain_, Clock().wallNow(), Source).value());
+    Broken += Got.whole() && Got.Bytes_ > LargeBytes ? 0 : 1;
+    Out.Figures_["megabytes_a_second"].push_back(
+        static_cast<double>(Got.Bytes_) / 1e6 / Got.Seconds_);
+  }
+  for (const std::string &Name : World.cluster().entryNames())
+    Most = std::max(Most, peakMemoryKiB(World.cluster().entry(Name).id()));
+  Out.Figures_["in_process"] = false;
+  Out.Figures_["answer_bytes"] = LargeBytes;
+  bound(Out, "answers_not_whole", Broken, 0);
+  bound(Out, "peak_entry_memory_kib", Most, EntryMemoryKiB);
+  print(Out);
+  return Out.Held_;
+}
+
 } // namespace
 
 std::vector<RequestCase> processCases() {
@@ -169,7 +211,8 @@
           {"answers_duplicate", answersDuplicate},
           {"domain_cut_in_two", domainCut},
           {"upstream_leaves", upstreamLeaves},
-          {"silent_connections", silentConnections}};
+          {"silent_connections", silentConnections},
+          {"large_answer", largeAnswer}};
 }
 
 } // namespace medlarmoor::bench
--- a/test/request/fleet.cpp
+++ b/test/request/fleet.cpp
@@ -105,16 +105,21 @@
 
 FakeUpstream &Fleet::addUpstream(FakeUpstream::Behave Answer,
                                  std::uint32_t Slots, Millis Service) {
-  const auto Number = static_cast<std::uint8_t>(Upstreams_.size() + 1);
-  const Endpoint Where(Net_.address(2, Number), UpstreamPort);
-  Upstreams_.push_back(std::make_unique<FakeUpstream>(Where, Answer, Service));
+  const Endpoint Where = reserveUpstream(Slots);
+  Upstreams_.push_back(
+      std::make_unique<FakeUpstream>(Where, std::move(Answer), Service));
+  return *Upstreams_.back();
+}
+
+Endpoint Fleet::reserveUpstream(std::uint32_t Slots) {
+  const auto Number = static_cast<std::uint8_t>(Service_.Upstreams_.size() + 1);
   config::Upstream Of;
   Of.Name_ = UpstreamName("u" + std::to_string(Number));
   Of.Domain_ = DomainName("seeb");
-  Of.Requests_ = Where;
+  Of.Requests_ = Endpoint(Net_.address(2, Number), UpstreamPort);
   Of.Slots_ = Slots;
   Service_.Upstreams_.push_back(Of);
-  return *Upstreams_.back();
+  return Of.Requests_;
 }
 
 void Fleet::start(config::ServicePolicy Policy) {
--- a/test/request/fleet.hpp
+++ b/test/request/fleet.hpp
@@ -69,6 +69,8 @@
   FakeUpstream &addUpstream(FakeUpstream::Behave Answer = nullptr,
                             std::uint32_t Slots = 2,
                             Millis Service = Millis(0));
+  /// Puts an upstream into the document that the test itself runs there.
+  Endpoint reserveUpstream(std::uint32_t Slots = 2);
   /// Starts the entries with the service "seal" and a view of all of them.
   void start(config::ServicePolicy Policy = {});
   /// Gives entry At a view of the entries Members; Leaving hands over.
--- a/test/request/request_thread_test.cpp
+++ b/test/request/request_thread_test.cpp
@@ -1,3 +1,4 @@
+#include <request/cutting_upstream.hpp>
 #include <request/fleet.hpp>
 
 #include <catch2/catch.hpp>
@@ -226,3 +227,39 @@
     CHECK(header(Got, "Medlarmoor-Outcome") == "unknown");
   }
 }
+
+TEST_CASE("of a domain cut in two only the majority runs a request") {
+  Fleet All(5);
+  FakeUpstream &Upstream = All.addUpstream();
+  All.start();
+  for (const std::size_t At : {0U, 1U})
+    All.see(At, {0, 1});
+  for (const std::size_t At : {2U, 3U, 4U})
+    All.see(At, {2, 3, 4});
+  int Done = 0;
+  REQUIRE(eventually([&] {
+    const std::string Key = All.key();
+    const std::string Minor =
+        header(All.submit(0, Key, "once", 300), "Medlarmoor-Outcome");
+    const std::string Major =
+        header(All.submit(2, Key, "once", 300), "Medlarmoor-Outcome");
+    CHECK(Upstream.runs(Key) <= 1);
+    CHECK(Minor != "not_run");
+    Done += Major == "done" ? 1 : 0;
+    return Done >= 5 && Minor == "unknown";
+  }));
+}
+
+TEST_CASE("a whole answer streams through, a cut one is seen as cut") {
+  constexpr std::size_t Promised = 3'000'000;
+  for (const std::size_t Sent : {Promised, Promised - 1}) {
+    Fleet All(2);
+    const CuttingUpstream Upstream(All.reserveUpstream(), Promised, Sent);
+    All.start();
+    for (std::size_t At = 0; At < 2; ++At) {
+      const net::HttpResponse Got = All.submit(At, All.key(), "idempotent");
+      CHECK(Got.Status_ == (Sent == Promised ? 200 : 0));
+      CHECK((Sent < Promised || Got.Body_ == std::string(Promised, 'x')));
+    }
+  }
+}
