Name the entries that serve in the request experiments

Cause: the fabric and the callers are told of serving entries only; the experiments published entries that they had not marked as serving, so no request was made and the cases failed their own check for work done.

--- a/bench/requests/process_world.cpp
+++ b/bench/requests/process_world.cpp
@@ -45,10 +45,11 @@
       return failed(World_.lastReason());
   if (!World_.apply() || !World_.waitInForce(1))
     return failed("no document in force " + World_.lastReason());
-  for (const std::string &Name : World_.entryNames())
+  for (const std::string &Name : World_.entryNames()) {
     if (!World_.waitReady(Name, ReadyLimit))
       return failed(Name + " is not ready");
-  World_.publishEntries();
+    World_.serve(Name);
+  }
   // Requests whose keys were minted before the entries agreed are unknown.
   run(Seconds(2));
   const json Load{{"services", {Service}},
