Tell the cost of a change in slots of the flow table

diff estimated moved flows from the weights alone; it now fills the tables that the entries use and counts the slots that differ.

--- a/src/medlarmoor/ctl/diff.cpp
+++ b/src/medlarmoor/ctl/diff.cpp
@@ -7,9 +7,6 @@
 #include <medlarmoor/ctl/internal_unreachable.hpp>
 #include <medlarmoor/platform/read_document.hpp>
 
-#include <cmath>
-#include <cstdio>
-
 namespace medlarmoor::ctl {
 
 using nlohmann::ordered_json;
@@ -26,24 +23,18 @@
          Each.After_;
 }
 
-/// A share as tenths of a percent, rounded.
-std::string percent(double Share) {
-  char Out[16];
-  std::snprintf(Out, sizeof(Out), "%.1f %%", Share * 100);
-  return Out;
-}
-
 void addCosts(Outcome &Out, const std::vector<internal::Cost> &Costs) {
   Out.Json_["costs"] = ordered_json::array();
   for (const internal::Cost &Each : Costs) {
-    Out.Json_["costs"].push_back(
-        {{"service", Each.Service_.value()},
-         {"domain", Each.Domain_.value()},
-         {"newFlowsMovedPercent", std::round(Each.Moved_ * 1000) / 10},
-         {"flowsAtStake", Each.FlowsAtStake_}});
+    Out.Json_["costs"].push_back({{"service", Each.Service_.value()},
+                                  {"domain", Each.Domain_.value()},
+                                  {"slots", Each.Slots_},
+                                  {"slotsMoved", Each.Moved_},
+                                  {"flowsAtStake", Each.FlowsAtStake_}});
     Out.Text_ += "  cost: " + Each.Service_.value() + " in " +
-                 Each.Domain_.value() + ": " + percent(Each.Moved_) +
-                 " of new flows go elsewhere, at most " +
+                 Each.Domain_.value() + ": " + std::to_string(Each.Moved_) +
+                 " of " + std::to_string(Each.Slots_) +
+                 " table slots move, at most " +
                  std::to_string(Each.FlowsAtStake_) +
                  " open flows on upstreams that leave\n";
   }
--- a/src/medlarmoor/ctl/internal_cost.cpp
+++ b/src/medlarmoor/ctl/internal_cost.cpp
@@ -1,4 +1,6 @@
+#include <medlarmoor/core/hash.hpp>
 #include <medlarmoor/ctl/internal_cost.hpp>
+#include <medlarmoor/flow/consistent_table.hpp>
 
 #include <algorithm>
 #include <map>
@@ -9,7 +11,11 @@
 
 namespace {
 
-using Shares = std::map<UpstreamName, double>;
+using flow::ConsistentTable;
+using flow::UpstreamIndex;
+
+/// Numbers upstreams by name, equally for both documents.
+using Numbers = std::map<UpstreamName, UpstreamIndex>;
 
 const Service *find(const Environment &In, const ServiceName &Name) {
   const auto At =
@@ -18,33 +24,37 @@
   return At == In.Services_.end() ? nullptr : &*At;
 }
 
-/// The shares of new flows that the entries of Domain give the upstreams: to
-/// those of their own domain, or to all where it has none.
-Shares sharesOf(const Service &In, const DomainName &Domain) {
+/// The table by which the entries of Domain choose among the upstreams of
+/// their own domain, or among all where it has none.
+ConsistentTable tableOf(const Service &In, const DomainName &Domain,
+                        Numbers &Known) {
   const auto Collect = [&](bool OwnOnly) {
-    Shares Out;
-    double Sum = 0;
-    for (const Upstream &Each : In.Upstreams_)
-      if (!Each.Drain_ && (!OwnOnly || Each.Domain_ == Domain)) {
-        Out[Each.Name_] = Each.Weight_;
-        Sum += Each.Weight_;
-      }
-    for (auto &[Name, Share] : Out)
-      Share /= Sum;
+    std::vector<flow::TableShare> Out;
+    for (const Upstream &Each : In.Upstreams_) {
+      if (Each.Drain_ || (OwnOnly && Each.Domain_ != Domain))
+        continue;
+      const auto Next = static_cast<UpstreamIndex>(Known.size());
+      const auto Number = Known.try_emplace(Each.Name_, Next).first->second;
+      Out.push_back({Number, hashText(Each.Name_.value()), Each.Weight_});
+    }
     return Out;
   };
-  Shares Own = Collect(true);
-  return Own.empty() ? Collect(false) : Own;
+  const std::vector<flow::TableShare> Own = Collect(true);
+  return ConsistentTable(Own.empty() ? Collect(false) : Own);
 }
 
-/// What the upstreams together lose.
-double lost(const Shares &Before, const Shares &After) {
-  double Out = 0;
-  for (const auto &[Name, Share] : Before) {
-    const auto At = After.find(Name);
-    Out += std::max(0.0, Share - (At == After.end() ? 0 : At->second));
+/// Counts the slots that differ, at the resolution of the larger table.
+void compare(const ConsistentTable &Before, const ConsistentTable &After,
+             Cost &Out) {
+  Out.Slots_ = std::max(Before.slots().size(), After.slots().size());
+  if (Before.empty() || After.empty()) {
+    Out.Moved_ = Before.empty() ? 0 : Out.Slots_;
+    return;
   }
-  return Out;
+  const std::uint64_t Step =
+      (std::uint64_t{1} << flow::FlowHashBits) / Out.Slots_;
+  for (std::size_t I = 0; I < Out.Slots_; ++I)
+    Out.Moved_ += Before.at(I * Step) == After.at(I * Step) ? 0 : 1;
 }
 
 /// Connections of those upstreams of Domain that get no new flows any more.
@@ -72,10 +82,13 @@
   for (const Service &Each : Before.Services_) {
     const Service *Next = find(After, Each.Name_);
     for (const FailureDomain &Domain : Before.Domains_) {
-      const Shares Old = sharesOf(Each, Domain.Name_);
-      const Shares New = Next ? sharesOf(*Next, Domain.Name_) : Shares();
-      const Cost Change{Each.Name_, Domain.Name_, lost(Old, New),
-                        atStake(Each, Next, Domain.Name_)};
+      Numbers Known;
+      const ConsistentTable Old = tableOf(Each, Domain.Name_, Known);
+      const ConsistentTable New =
+          Next ? tableOf(*Next, Domain.Name_, Known) : ConsistentTable();
+      Cost Change{Each.Name_, Domain.Name_, 0, 0,
+                  atStake(Each, Next, Domain.Name_)};
+      compare(Old, New, Change);
       if (Change.Moved_ > 0 || Change.FlowsAtStake_ > 0)
         Out.push_back(Change);
     }
--- a/src/medlarmoor/ctl/internal_cost.hpp
+++ b/src/medlarmoor/ctl/internal_cost.hpp
@@ -3,6 +3,8 @@
 
 #include <medlarmoor/config/environment.hpp>
 
+#include <cstddef>
+#include <cstdint>
 #include <vector>
 
 namespace medlarmoor::ctl::internal {
@@ -11,9 +13,12 @@
 struct Cost {
   ServiceName Service_;
   DomainName Domain_;
-  /// Share of the new flows that go to another upstream than before, from 0
-  /// to 1. Established flows stay where they are.
-  double Moved_ = 0;
+  /// Slots of the service's table, after the change or before, whichever is
+  /// larger.
+  std::size_t Slots_ = 0;
+  /// Slots whose new flows go to another upstream than before. Established
+  /// flows stay where they are.
+  std::size_t Moved_ = 0;
   /// Connections that the upstreams that leave or are gone may hold.
   std::uint64_t FlowsAtStake_ = 0;
 };
