Measure configuration with real processes

An entry that starts without a document listens to its neighbours for a second before it asks the platform, which may answer old data.

--- a/src/medlarmoor/config/follower.cpp
+++ b/src/medlarmoor/config/follower.cpp
@@ -6,8 +6,10 @@
 
 namespace {
 
-/// Without any view for this long an entry watches the platform by itself.
-constexpr Millis LonelyAfter{1000};
+/// An entry without a document first listens to its neighbours for this long,
+/// because the platform may answer old data. Without any view after it, the
+/// entry watches the platform by itself.
+constexpr Millis ListenFirst{1000};
 /// A gap between ticks that tells that the process stood still.
 constexpr Millis PauseGap{1000};
 constexpr Millis PartRetry{200};
@@ -29,11 +31,16 @@
       Random_(Source()), RetryParts_(Time.now()), NextReport_(Time.now()),
       Started_(Time.now()), LastTick_(Time.now()) {}
 
-bool Follower::isStranger() const {
-  return Live_.empty() && Clock_.now() - Started_ >= LonelyAfter;
+bool Follower::isStranger() const { return Live_.empty() && !isListening(); }
+
+bool Follower::isListening() const {
+  return Replica_.version() == ConfigVersion(0) &&
+         Clock_.now() - Started_ < ListenFirst;
 }
 
-bool Follower::watches() const { return Tree_.watches(Self_) || isStranger(); }
+bool Follower::watches() const {
+  return (Tree_.watches(Self_) || isStranger()) && !isListening();
+}
 
 bool Follower::leads() const { return Tree_.leader() == Self_ || isStranger(); }
 
--- a/src/medlarmoor/config/follower.hpp
+++ b/src/medlarmoor/config/follower.hpp
@@ -76,6 +76,7 @@
   void admitLoss(FollowerActions &Out);
   void replant();
   [[nodiscard]] bool isStranger() const;
+  [[nodiscard]] bool isListening() const;
 
   EntryName Self_;
   Clock Clock_;
--- a/src/medlarmoor/platform/client.cpp
+++ b/src/medlarmoor/platform/client.cpp
@@ -1,5 +1,6 @@
 #include <medlarmoor/platform/client.hpp>
 #include <medlarmoor/platform/internal_answers.hpp>
+#include <medlarmoor/platform/internal_traffic.hpp>
 #include <medlarmoor/telemetry/registry.hpp>
 
 namespace medlarmoor::platform {
@@ -22,7 +23,8 @@
       Reads_(Metrics.counter(CallsMetric, "call=\"read\"")),
       Writes_(Metrics.counter(CallsMetric, "call=\"write\"")),
       Lists_(Metrics.counter(CallsMetric, "call=\"list\"")),
-      Watches_(Metrics.counter(CallsMetric, "call=\"watch\"")) {}
+      Watches_(Metrics.counter(CallsMetric, "call=\"watch\"")),
+      Bytes_(Metrics.counter("medlarmoor_platform_bytes_total")) {}
 
 void Client::send(std::string Method, std::string Target, std::string Body,
                   Millis Timeout, net::HttpDone Done) {
@@ -32,7 +34,14 @@
   Request.Body_ = std::move(Body);
   if (!Request.Body_.empty())
     Request.Headers_.add("Content-Type", "application/json");
-  Http_.send(Where_, std::move(Request), Timeout, std::move(Done));
+  Bytes_.add(internal::ExchangeBytes + Request.Body_.size());
+  Http_.send(Where_, std::move(Request), Timeout,
+             [&Bytes = Bytes_, Done = std::move(Done)](
+                 std::optional<HttpResponse> Answer, std::string Reason) {
+               if (Answer)
+                 Bytes.add(Answer->Body_.size());
+               Done(std::move(Answer), std::move(Reason));
+             });
 }
 
 void Client::get(const std::string &Kind, const std::string &Name,
--- a/src/medlarmoor/platform/client.hpp
+++ b/src/medlarmoor/platform/client.hpp
@@ -16,7 +16,8 @@
 
 /// Asynchronous calls to the platform's object API. Each Done runs once on the
 /// io_context's thread, never within the call. Calls are counted in the metric
-/// medlarmoor_platform_calls_total by kind of call.
+/// medlarmoor_platform_calls_total by kind of call, and their bytes both ways
+/// in medlarmoor_platform_bytes_total.
 class Client {
 public:
   /// Where is the API, Source the local address of connections, Timeout the
@@ -57,6 +58,7 @@
   telemetry::Counter &Writes_;
   telemetry::Counter &Lists_;
   telemetry::Counter &Watches_;
+  telemetry::Counter &Bytes_;
 };
 
 } // namespace medlarmoor::platform
--- a/src/medlarmoor/platform/config_thread.cpp
+++ b/src/medlarmoor/platform/config_thread.cpp
@@ -6,6 +6,7 @@
 #include <medlarmoor/platform/client.hpp>
 #include <medlarmoor/platform/config_thread.hpp>
 #include <medlarmoor/platform/internal_outbox.hpp>
+#include <medlarmoor/platform/internal_traffic.hpp>
 #include <medlarmoor/telemetry/event_log.hpp>
 #include <medlarmoor/telemetry/registry.hpp>
 #include <medlarmoor/wire/http_seal.hpp>
@@ -277,6 +278,7 @@
 
   void onPulled(const EntryName &From, const std::string &Target,
                 std::optional<net::HttpResponse> Answer) {
+    PulledBytes_.add(internal::ExchangeBytes);
     if (Answer)
       PulledBytes_.add(Answer->Body_.size());
     if (Answer && !isSealed(From, Target, *Answer))
@@ -295,8 +297,9 @@
     const auto Version = Each.Document_->Version_.value();
     VersionGauge_.set(static_cast<std::int64_t>(Version));
     Adopted_.add();
-    Log_.info("config_in_force",
-              {{"environment", Given_.Environment_}, {"version", Version}});
+    Log_.info("config_in_force", {{"environment", Given_.Environment_},
+                                  {"version", Version},
+                                  {"digest", Each.Document_->Digest_}});
   }
 
   void perform(const config::Tell &Each) {
@@ -361,7 +364,7 @@
     net::HttpResponse Out = answer(Request);
     Out.Headers_.add(wire::SealHeader, Seal_.sign(std::to_string(Out.Status_),
                                                   Request.Target_, Out.Body_));
-    ServedBytes_.add(Out.Body_.size());
+    ServedBytes_.add(internal::ExchangeBytes + Out.Body_.size());
     return Out;
   }
 
