--- a/bench/config/config_race.cpp
+++ b/bench/config/config_race.cpp
@@ -74,6 +74,7 @@
       return true;
     own(Next, Number_) = Mark;
     const std::uint64_t Seen = There.Manifest_.Version_.value();
+    World_.expect(Seen + 1, Next);
     const int Code =
         World_.apply("operator-" + std::to_string(Number_), Next, Seen);
     const std::lock_guard Guard(Into_.Lock_);
--- a/bench/config/config_world.cpp
+++ b/bench/config/config_world.cpp
@@ -65,7 +65,9 @@
         return false;
   const auto First = accept(Cluster_.document());
   if (!First || !inForce(*First, Seconds(20))) {
-    Reason_ = "the first document is not in force everywhere";
+    Cluster_.folder().keep();
+    Reason_ = "the first document is not in force everywhere, see " +
+              Cluster_.folder().path().string();
     return false;
   }
   return true;
