--- a/src/medlarmoor/flow/replicator.hpp
+++ b/src/medlarmoor/flow/replicator.hpp
@@ -10,6 +10,7 @@
 
 #include <deque>
 #include <map>
+#include <set>
 #include <vector>
 
 namespace medlarmoor::flow {
@@ -41,9 +42,10 @@
   void adoptConfiguration(TimePoint Now);
 
   void receive(const EntryName &From, const Update &Told, TimePoint Now);
-  /// Sends what is due.
+  /// Prepares what is due.
   void tick(TimePoint Now);
-  [[nodiscard]] std::vector<wire::Outgoing> takeOutgoing();
+  /// The messages to send now, acknowledgements among them.
+  [[nodiscard]] std::vector<wire::Outgoing> takeOutgoing(TimePoint Now);
 
   /// Bytes of updates sent so far, without their signed envelopes.
   [[nodiscard]] std::uint64_t bytesSent() const noexcept { return BytesSent_; }
@@ -77,10 +79,14 @@
   [[nodiscard]] std::optional<FlowId> localFlow(const WireFlow &Flow) const;
   [[nodiscard]] const membership::Member *nextHome(FlowId Id);
 
+  void leaveTo();
   void startTransfer(const EntryName &To, Update Last);
   void grantTo(const EntryName &To, ViewId Seen);
   void continueTransfer(Peer &To);
   bool takeException(const WireException &Told, TimePoint Now);
+  void relay(const EntryName &From, const WireException &Told,
+             std::uint8_t Relays);
+  void passOnCopies(const EntryName &Of);
   void takeCount(Peer &From, const WireCount &Told);
   void forgetCounts(Peer &From);
 
@@ -109,6 +115,8 @@
   std::vector<wire::Outgoing> Outgoing_;
   std::size_t CountCursor_ = 0;
   bool LeaveStarted_ = false;
+  /// Members that were handed what is theirs, or are being handed it.
+  std::set<EntryName> LeftTo_;
   std::uint64_t BytesSent_ = 0;
   std::uint64_t UpdatesSent_ = 0;
 };
