Give a flow to the entry that was granted it while the grant is on its way

Flows broke within 0.3 s of load on entries that had just started together. Cause, from a trace of one flow's packets on all entries: an entry that has granted a newcomer is still asked by it until the grant arrives, up to a tick later. It looked for the home without the newcomer, found another newcomer, which sent the packet back, until the hops were used up and whoever held it decided. The first packet and the next one ended at different entries. Now the settled entry, when it knows nothing and takes the asker for the home, says that the flow is the asker's. Ruled out: the fault proxy (the same without it) and differing views (equal at all entries, versions too).

In the flow package, whose owners may want a test of it beside theirs.

--- a/src/medlarmoor/flow/director.cpp
+++ b/src/medlarmoor/flow/director.cpp
@@ -152,6 +152,10 @@
     return Mine ? decideHere(Id, Copy, Seen)
                 : passOn(*Via.Sender_, Via, PeerIntent::Yours);
   }
+  // It has been granted the flow, and the grant is still on its way.
+  if (Asked && Active && Copy == nullptr && Passable && !Homes_.waiting() &&
+      isHome(*Via.Sender_, Id))
+    return passOn(*Via.Sender_, Via, PeerIntent::Yours);
   const Member *Home = Asked ? Homes_.homeWithout(Id, Seed, Via.Sender_->Name_)
                              : Homes_.home(Id, Seed);
   // Who gives a flow away is not its home, whatever this entry's view says;
@@ -186,6 +190,11 @@
   return decideHere(Id, Copy, Seen);
 }
 
+bool Director::isHome(const Member &Each, FlowId Id) {
+  const Member *Home = Homes_.home(Id, Book_.serviceOf(Id).seed());
+  return Home != nullptr && Home->Name_ == Each.Name_;
+}
+
 Decision Director::passOn(const Member &To, const Arrival &Via,
                           PeerIntent Intent) const {
   const auto Hops = static_cast<std::uint8_t>(Via.Header_.Hops_ + 1);
--- a/src/medlarmoor/flow/director.hpp
+++ b/src/medlarmoor/flow/director.hpp
@@ -84,6 +84,7 @@
                                     const Packet &Seen);
   [[nodiscard]] Decision openFlow(FlowId Id, const Packet &Seen);
   [[nodiscard]] Decision continueFlow(FlowId Id, const Packet &Seen);
+  [[nodiscard]] bool isHome(const membership::Member &Each, FlowId Id);
   [[nodiscard]] Decision passOn(const membership::Member &To,
                                 const Arrival &Via, PeerIntent Intent) const;
   [[nodiscard]] bool ownsFirst(FlowId Id, const FlowRecord &Record);
