--- a/bench/membership/membership.cpp
+++ b/bench/membership/membership.cpp
@@ -94,6 +94,40 @@
   return Net.runUntil(Condition, EventLimit) ? secondsSince(Net, Start) : -1;
 }
 
+/// The mean bytes a second of one member, sampled once a second.
+class ByteSeries {
+public:
+  explicit ByteSeries(MeshNetwork &Net)
+      : Net_(Net), Start_(Net.clock().now()), Last_(Start_), Bytes_(total()) {}
+
+  void sample() {
+    const TimePoint Now = Net_.clock().now();
+    if (Now - Last_ < Seconds(1))
+      return;
+    const double Next = total();
+    const double Period = std::chrono::duration<double>(Now - Last_).count();
+    Points_.push_back({secondsSince(Net_, Start_), (Next - Bytes_) / Period});
+    Last_ = Now;
+    Bytes_ = Next;
+  }
+  [[nodiscard]] const nlohmann::json &points() const { return Points_; }
+
+private:
+  [[nodiscard]] double total() const {
+    double Sum = 0;
+    for (std::size_t I = 0; I < Net_.size(); ++I)
+      Sum +=
+          static_cast<double>(Net_.usage(I).BytesIn_ + Net_.usage(I).BytesOut_);
+    return Sum / static_cast<double>(Net_.size());
+  }
+
+  MeshNetwork &Net_;
+  TimePoint Start_;
+  TimePoint Last_;
+  double Bytes_;
+  nlohmann::json Points_ = nlohmann::json::array();
+};
+
 bool withinBounds(const nlohmann::json &Figures) {
   return Figures["bytes_per_s_max"] <= BytesBound &&
          Figures["bytes_per_s_max_with_restart"] <= BytesBound &&
@@ -110,8 +144,15 @@
     Net.add("seeb-" + std::to_string(1000 + I));
   Record Out{"membership", "mesh-" + std::to_string(Members), "medlarmoor",
              Seed};
-  const auto Full = [&] { return Net.converged(Members); };
-  const auto OneLess = [&] { return Net.converged(Members - 1); };
+  ByteSeries Bytes(Net);
+  const auto Full = [&] {
+    Bytes.sample();
+    return Net.converged(Members);
+  };
+  const auto OneLess = [&] {
+    Bytes.sample();
+    return Net.converged(Members - 1);
+  };
   const double Started = timeUntil(Net, Full);
   Net.run(SettlePeriod);
   const Totals Before(Net);
@@ -131,7 +172,14 @@
   Net.perform(0, Net.mesh(0).farewell());
   Net.kill(0);
   Out.Figures_["farewell_seen_s"] = timeUntil(Net, OneLess);
-  Net.run(std::max(Nanos(0), Calm.When_ + RestartPeriod - Net.clock().now()));
+  const TimePoint End = Calm.When_ + RestartPeriod;
+  (void)Net.runUntil(
+      [&] {
+        Bytes.sample();
+        return Net.clock().now() >= End;
+      },
+      RestartPeriod);
+  Out.Figures_["bytes_per_s"] = Bytes.points();
   Out.Figures_["bytes_per_s_max_with_restart"] =
       usageBetween(Calm, Totals(Net))["bytes_per_s_max"];
   Out.Bound_ = {{"bytes_per_s_max", BytesBound},
