--- a/src/medlarmoor/membership/control_thread.cpp
+++ b/src/medlarmoor/membership/control_thread.cpp
@@ -152,7 +152,11 @@
       Members_(Metrics.gauge("medlarmoor_membership_members")),
       Disagreements_(Metrics.gauge("medlarmoor_membership_list_disagreements")),
       TickDelay_(Metrics.histogram("medlarmoor_control_tick_delay_seconds")),
-      TickDue_(Time.now()) {}
+      TickDue_(Time.now()) {
+  for (const char *Reason : {"short", "version", "signature", "decode", "own",
+                             "clock", "incarnation", "replay"})
+    refused(Reason).add(0);
+}
 
 bool ControlThread::Impl::start() {
   if (!Socket_.open({Settings_.Address_, Settings_.Ports_.Control_})) {
--- a/src/medlarmoor/request/internal/desk.cpp
+++ b/src/medlarmoor/request/internal/desk.cpp
@@ -207,6 +207,7 @@
       Trace, "request.attempt", telemetry::SpanKind::Client,
       {{"upstream", Of.To_.Name_.value()}, {"attempt", Of.Attempt_.value()}},
       End == AttemptEnd::Whole ? "" : "no_whole_answer");
+  Counts_.AttemptTime_.record(Time_.now() - Began);
   Decides_.answered(Of.Ticket_, End, Time_.now() - Began, std::move(Kept));
   pump();
 }
--- a/src/medlarmoor/request/internal/meters.hpp
+++ b/src/medlarmoor/request/internal/meters.hpp
@@ -24,7 +24,8 @@
         Waiting_(All.gauge("medlarmoor_requests_waiting")),
         LedgerKeys_(All.gauge("medlarmoor_ledger_keys")),
         Ticks_(All.counter("medlarmoor_thread_ticks_total",
-                           "thread=\"requests\"")) {}
+                           "thread=\"requests\"")),
+        AttemptTime_(All.histogram("medlarmoor_request_attempt_seconds")) {}
 
   telemetry::Counter &Done_;
   telemetry::Counter &NotRun_;
@@ -38,6 +39,7 @@
   telemetry::Gauge &Waiting_;
   telemetry::Gauge &LedgerKeys_;
   telemetry::Counter &Ticks_;
+  telemetry::Histogram &AttemptTime_;
 };
 
 } // namespace medlarmoor::request::internal
