--- a/src/medlarmoor/flow/director.hpp
+++ b/src/medlarmoor/flow/director.hpp
@@ -37,6 +37,11 @@
   void begin();
   /// True between a pause and the next view.
   [[nodiscard]] bool suspended() const noexcept { return Homes_.suspended(); }
+  /// True while this entry may be home of flows and has been handed all that
+  /// is its own.
+  [[nodiscard]] bool ready() const noexcept {
+    return Homes_.active(Now_) && !Homes_.joining() && !Homes_.leaving();
+  }
   /// Reads a packet and asks the processor to load its flow's record. Prepare
   /// all packets of a batch first, so that they are loaded side by side. Inner
   /// is the IPv4 packet.
@@ -90,6 +95,7 @@
                                     const Packet &Seen);
   [[nodiscard]] Decision openFlow(FlowId Id, const Packet &Seen);
   [[nodiscard]] Decision continueFlow(FlowId Id, const Packet &Seen);
+  [[nodiscard]] bool isHome(const membership::Member &Each, FlowId Id);
   [[nodiscard]] Decision passOn(const membership::Member &To,
                                 const Arrival &Via, PeerIntent Intent) const;
   [[nodiscard]] bool ownsFirst(FlowId Id, const FlowRecord &Record);
--- a/src/medlarmoor/request/internal/router.hpp
+++ b/src/medlarmoor/request/internal/router.hpp
@@ -8,8 +8,10 @@
 #include <medlarmoor/request/internal/desk.hpp>
 #include <medlarmoor/request/submission_reader.hpp>
 #include <medlarmoor/telemetry/fwd.hpp>
+#include <medlarmoor/wire/http_seal.hpp>
 
 #include <functional>
+#include <list>
 #include <map>
 #include <optional>
 
@@ -20,7 +22,8 @@
 class Router {
 public:
   Router(asio::io_context &Io, const config::Settings &Own, Clock Time,
-         Meters &Counts, telemetry::EventLog &Log, Random Source);
+         Meters &Counts, telemetry::EventLog &Log, telemetry::SpanLog &Spans,
+         Random Source);
 
   void onConfig(config::InForcePtr Now);
   void onView(membership::ViewPtr Now);
@@ -49,6 +52,7 @@
   struct Ask {
     Verb Verb_ = Verb::Submit;
     OpenRequestPtr Open_;
+    std::string Traceparent_;
     /// Forwarded by another entry; it goes no further.
     bool Inner_ = false;
     Findings Findings_;
@@ -58,6 +62,11 @@
     /// The answer broke off while it was passed on.
     bool Broken_ = false;
   };
+  /// A request that waits at another entry.
+  struct Forward {
+    EntryName To_;
+    std::shared_ptr<ConnectionPtr> Opened_;
+  };
   /// A service that this entry gave up and hands over.
   struct Exit {
     WallTime From_;
@@ -79,26 +88,36 @@
                                       Verdict &Into, bool Close);
   [[nodiscard]] Awaitable<bool> respond(const Ask &Of, const Verdict &With,
                                         bool Close);
-  [[nodiscard]] HttpMessage forwarded(const Ask &Of,
-                                      const membership::Member &To) const;
-  [[nodiscard]] net::HttpResponse takeCopies(const HttpMessage &Message);
+  [[nodiscard]] HttpMessage
+  forwarded(const Ask &Of, const membership::Member &To, const Hop &Trace);
+  [[nodiscard]] net::HttpResponse takeCopies(const HttpMessage &Message,
+                                             const EntryName &From);
   [[nodiscard]] net::HttpResponse takeHandover(const HttpMessage &Message);
   [[nodiscard]] Awaitable<void> pause(Nanos Time);
   void watch(const OpenRequestPtr &Of, std::function<void()> OnLeft);
 
   Desk *desk(const ServiceName &Name);
   void reviewTenures();
+  /// Gives up waiting at entries that are no longer members, so that their
+  /// requests go to the next dispatcher.
+  void reviewForwards();
   void handOn(const ServiceName &Service, Exit &Of);
   void count(const Verdict &Of);
-  void sign(HttpMessage &Message) const;
+  void sign(HttpMessage &Message);
+  /// The entry that sent Message; nothing when its signature does not hold.
+  [[nodiscard]] std::optional<EntryName> sender(const HttpMessage &Message);
+  void readList();
+  [[nodiscard]] Awaitable<void> fetchList();
 
   asio::io_context &Io_;
   const config::Settings &Own_;
   Clock Time_;
   Meters &Counts_;
   telemetry::EventLog &Log_;
+  Tracer Traces_;
   Random Source_;
   DispatcherIdentity Self_;
+  wire::HttpSeal Seal_;
   Ledger Known_;
   Tenure Office_;
   Quorum Members_;
@@ -111,8 +130,12 @@
   /// the minting time from which on its ledger is whole.
   std::map<ServiceName, WallTime> Dispatched_;
   std::map<ServiceName, Exit> Exits_;
+  /// Requests that wait at another entry for the head of their answer.
+  std::list<Forward> Forwards_;
   bool Leaving_ = false;
   unsigned Ticks_ = 0;
+  TimePoint Started_;
+  TimePoint ListAsked_;
 };
 
 } // namespace medlarmoor::request::internal
