Let an entry advertise the address that the platform's list gives it

Cause: heartbeats carried the address that an entry binds, so after the first contact its neighbours went past whatever stands on the listed address, the fault proxy of the tests among them: domain_cut_in_two saw 520 bytes of control and none of the internal port pass the proxy, so its cut proved nothing.

--- a/src/medlarmoor/config/internal_toml.cpp
+++ b/src/medlarmoor/config/internal_toml.cpp
@@ -191,10 +191,10 @@
   Out = Millis(Value);
 }
 
-void TableReader::address(std::string_view Key, Ipv4 &Out) {
-  std::string Value;
+void TableReader::address(std::string_view Key, Ipv4 &Out, Presence Need) {
+  std::string Value = Out.text();
   const std::size_t Before = Out_.items().size();
-  text(Key, Value, Presence::Required);
+  text(Key, Value, Need);
   if (Out_.items().size() != Before)
     return;
   if (const std::optional<Ipv4> Read = Ipv4::parse(Value))
--- a/src/medlarmoor/config/internal_toml.hpp
+++ b/src/medlarmoor/config/internal_toml.hpp
@@ -61,7 +61,8 @@
                std::int64_t Greatest);
   /// A duration in whole milliseconds, from 1 to one day.
   void duration(std::string_view Key, Millis &Out);
-  void address(std::string_view Key, Ipv4 &Out);
+  void address(std::string_view Key, Ipv4 &Out,
+               Presence Need = Presence::Required);
   void endpoint(std::string_view Key, Endpoint &Out);
   /// A list of at least one endpoint.
   void endpoints(std::string_view Key, std::vector<Endpoint> &Out);
--- a/src/medlarmoor/config/read_settings.cpp
+++ b/src/medlarmoor/config/read_settings.cpp
@@ -159,6 +159,8 @@
   readName(In, "name", Read.Name_);
   readName(In, "domain", Read.Domain_);
   In.address("address", Read.Address_);
+  Read.Advertise_ = Read.Address_;
+  In.address("advertise", Read.Advertise_, Presence::Optional);
   In.endpoint("platform", Read.Platform_);
   In.name("environment", Read.Environment_);
   In.flag("doors", Read.Doors_);
@@ -196,6 +198,8 @@
       << "environment = \"" << Each.Environment_ << "\"\n"
       << "doors = " << (Each.Doors_ ? "true" : "false") << "\n"
       << "log_level = \"" << Each.LogLevel_ << "\"\n";
+  if (Each.Advertise_ != Ipv4())
+    Out << "advertise = \"" << Each.Advertise_.text() << "\"\n";
   for (const SharedKey &Key : Each.Keys_)
     Out << "\n[[keys]]\nid = " << unsigned{Key.Id_} << "\nsecret = \""
         << toHex(Key.Secret_) << "\"\n";
--- a/src/medlarmoor/config/settings.hpp
+++ b/src/medlarmoor/config/settings.hpp
@@ -52,6 +52,9 @@
   /// The address of this instance: it binds its ports here and connects from
   /// here.
   Ipv4 Address_;
+  /// Where the other entries reach this instance: the address that the
+  /// platform's list gives it. 0.0.0.0 stands for Address_.
+  Ipv4 Advertise_;
   Ports Ports_;
   Endpoint Platform_;
   /// The environment whose document this entry serves.
--- a/src/medlarmoor/membership/control_thread.cpp
+++ b/src/medlarmoor/membership/control_thread.cpp
@@ -132,7 +132,7 @@
                           telemetry::EventLog &Events)
     : Settings_(Settings), Mailboxes_(Mailboxes), Time_(Time),
       Metrics_(Metrics), Events_(Events),
-      Mesh_(Settings.Name_, Settings.Address_, Settings.Membership_,
+      Mesh_(Settings.Name_, Settings.Advertise_, Settings.Membership_,
             wire::drawIncarnation(Time.wallNow(), Source_), Time,
             Random(Source_()), seeds(Settings)),
       Sealer_(Settings.Name_, Mesh_.incarnation(),
