Drop a packet rather than decide when joining entries ask in a circle

Entries that join together take each other for homes before; a packet went round them until its hops were used up, and the last one decided by the default though the settled entry had a record. Such a packet is now dropped; the caller sends it again, and grants end the circle within ticks.

--- a/src/medlarmoor/flow/director.cpp
+++ b/src/medlarmoor/flow/director.cpp
@@ -169,8 +169,9 @@
     return Drop{DropReason::NoHome};
   if (!Homes_.isSelf(Home)) {
     if (!Passable)
-      return Active ? decideHere(Id, Copy, Seen)
-                    : Decision(Drop{DropReason::TooManyHops});
+      return Active && !Homes_.waiting()
+                 ? decideHere(Id, Copy, Seen)
+                 : Decision(Drop{DropReason::TooManyHops});
     const bool GivenAway = Active && Copy == nullptr && !Homes_.waiting() &&
                            Homes_.ownBut(*Home, Id, Seed);
     return passOn(*Home, Via,
@@ -181,7 +182,10 @@
       Copy != nullptr || Given
           ? nullptr
           : Homes_.previous(Id, Seed, Seen.first(), Except);
-  if (Previous != nullptr && Passable)
+  // Entries that join together may ask in a circle; the packet comes again.
+  if (Previous != nullptr && !Passable)
+    return Drop{DropReason::TooManyHops};
+  if (Previous != nullptr)
     return passOn(*Previous, Via, PeerIntent::ToPrevious);
   const Member *Contender =
       Copy != nullptr || Given || Asked ? nullptr : Homes_.contender(Id, Seed);
--- a/test/flow/director_test.cpp
+++ b/test/flow/director_test.cpp
@@ -203,6 +203,34 @@
   CHECK_FALSE(Fleet.director(3).homes().waiting());
 }
 
+TEST_CASE("flows that open while several entries join reach one upstream") {
+  DocumentBuilder Doc;
+  FlowFleet Fleet = settled(1, Doc.service("redaccion", 15, 0.02).build());
+  for (int I = 0; I < 3; ++I)
+    Fleet.add();
+  Fleet.showAll();
+  std::map<std::uint16_t, Endpoint> Where;
+  std::uint16_t Port = 2000;
+  for (int Step = 0; Step < 20; ++Step) {
+    for (int I = 0; I < 60; ++I, ++Port) {
+      const Delivery First = Fleet.send(Port % 4U, caller(Port), Address, Syn);
+      if (First.Kind_ == Kind::Upstream)
+        Where[Port] = First.Upstream_;
+    }
+    for (const auto &[Of, Upstream] : Where) {
+      const Delivery Next =
+          Fleet.send((Of + 1U) % 4U, caller(Of), Address, Ack);
+      const bool Dropped = Next.Kind_ == Kind::Dropped;
+      INFO("step " << Step << " port " << Of);
+      REQUIRE((Dropped || Next.Upstream_ == Upstream));
+    }
+    Fleet.step();
+  }
+  CHECK(Where.size() > 1000);
+  for (std::size_t Entry = 0; Entry < 4; ++Entry)
+    CHECK_FALSE(Fleet.director(Entry).homes().waiting());
+}
+
 TEST_CASE("an entry that was paused is nobody's home until a view names it") {
   DocumentBuilder Doc;
   FlowFleet Fleet = settled(3, Doc.service("booking", 15, 0.25).build());
