--- a/src/medlarmoor/flow/replicator.hpp
+++ b/src/medlarmoor/flow/replicator.hpp
@@ -21,7 +21,7 @@
 class Replicator {
 public:
   /// BytesPerSecond bounds what it sends while no home changes; a change of
-  /// home may use three times as much.
+  /// home may use twice as much.
   Replicator(FlowBook &Book, Homes &Where, Random &Draw,
              std::uint32_t BytesPerSecond);
 
@@ -115,8 +115,8 @@
   std::vector<wire::Outgoing> Outgoing_;
   std::size_t CountCursor_ = 0;
   bool LeaveStarted_ = false;
-  /// Members that were handed what is theirs, or are being handed it.
-  std::set<EntryName> LeftTo_;
+  /// Members that were told, and whether they were handed something.
+  std::map<EntryName, bool> LeftTo_;
   std::uint64_t BytesSent_ = 0;
   std::uint64_t UpdatesSent_ = 0;
 };
