--- a/src/medlarmoor/flow/flow_thread.cpp
+++ b/src/medlarmoor/flow/flow_thread.cpp
@@ -165,7 +165,7 @@
   }
   if (HeldView_ && Director_.suspended() && !Doubtful)
     takeView(*HeldView_);
-  if (!Director_.suspended())
+  if (!Doubtful)
     HeldView_.reset();
 }
 
@@ -189,6 +189,7 @@
     Director_.tick();
     Metrics_.publish(Director_);
     HandedOver_ = Director_.handedOver();
+    Ready_ = Director_.ready();
   }
   sendMessages();
 }
--- a/src/medlarmoor/platform/config_thread.cpp
+++ b/src/medlarmoor/platform/config_thread.cpp
@@ -6,6 +6,7 @@
 #include <medlarmoor/platform/client.hpp>
 #include <medlarmoor/platform/config_thread.hpp>
 #include <medlarmoor/platform/internal_outbox.hpp>
+#include <medlarmoor/platform/internal_traffic.hpp>
 #include <medlarmoor/telemetry/event_log.hpp>
 #include <medlarmoor/telemetry/registry.hpp>
 #include <medlarmoor/wire/http_seal.hpp>
@@ -33,6 +34,8 @@
 /// How long one watch waits for a change.
 constexpr Millis WatchTime{10'000};
 constexpr Millis PullTimeout{800};
+/// A whole document may be large.
+constexpr Millis WholePullTimeout{4000};
 const std::string ManifestKind = "manifest";
 const std::string PartKind = "part";
 const std::string StatusKind = "status";
@@ -260,7 +263,7 @@
     const std::string Target = Request.Target_;
     Request.Headers_.add(wire::SealHeader, Seal_.sign("GET", Target, {}));
     Peers_.send({Address->second, Given_.Ports_.Config_}, std::move(Request),
-                PullTimeout,
+                Each.Have_ == ConfigVersion(0) ? WholePullTimeout : PullTimeout,
                 [this, From, Target](std::optional<net::HttpResponse> Answer,
                                      const std::string &) {
                   onPulled(From, Target, Answer);
@@ -293,6 +296,7 @@
 
   void onPulled(const EntryName &From, const std::string &Target,
                 std::optional<net::HttpResponse> Answer) {
+    countReceived(internal::ExchangeBytes);
     if (Answer)
       countReceived(Answer->Body_.size());
     if (Answer && !isSealed(From, Target, *Answer))
@@ -311,8 +315,9 @@
     const auto Version = Each.Document_->Version_.value();
     VersionGauge_.set(static_cast<std::int64_t>(Version));
     Adopted_.add();
-    Log_.info("config_in_force",
-              {{"environment", Given_.Environment_}, {"version", Version}});
+    Log_.info("config_in_force", {{"environment", Given_.Environment_},
+                                  {"version", Version},
+                                  {"digest", Each.Document_->Digest_}});
   }
 
   void perform(const config::Tell &Each) {
@@ -377,7 +382,7 @@
     net::HttpResponse Out = answer(Request);
     Out.Headers_.add(wire::SealHeader, Seal_.sign(std::to_string(Out.Status_),
                                                   Request.Target_, Out.Body_));
-    countServed(Out.Body_.size());
+    countServed(internal::ExchangeBytes + Out.Body_.size());
     return Out;
   }
 
