--- a/src/medlarmoor/membership/control_thread.cpp
+++ b/src/medlarmoor/membership/control_thread.cpp
@@ -2,6 +2,7 @@
 #include <medlarmoor/config/settings.hpp>
 #include <medlarmoor/core/overloaded.hpp>
 #include <medlarmoor/membership/control_thread.hpp>
+#include <medlarmoor/membership/internal_control_meters.hpp>
 #include <medlarmoor/membership/internal_list_reader.hpp>
 #include <medlarmoor/membership/mesh.hpp>
 #include <medlarmoor/net/http_client.hpp>
@@ -82,12 +83,10 @@
   void readList();
   void onConfig(const config::InForcePtr &Next);
   void note();
-  telemetry::Counter &refused(const std::string &Reason);
 
   const config::Settings &Settings_;
   ControlMailboxes Mailboxes_;
   Clock Time_;
-  telemetry::Registry &Metrics_;
   telemetry::EventLog &Events_;
   Random Source_ = seeded();
   Mesh Mesh_;
@@ -108,18 +107,7 @@
   std::array<bool, 3> ViewDue_{};
   EntryState LastState_ = EntryState::Starting;
   config::InForcePtr InForce_;
-  telemetry::Counter &BytesOut_;
-  telemetry::Counter &BytesIn_;
-  telemetry::Counter &Sent_;
-  telemetry::Counter &Received_;
-  telemetry::Counter &MailboxFull_;
-  telemetry::Counter &ListReads_;
-  telemetry::Counter &ListFailures_;
-  telemetry::Counter &Renewals_;
-  telemetry::Counter &Ticks_;
-  telemetry::Gauge &Members_;
-  telemetry::Gauge &Disagreements_;
-  telemetry::Histogram &TickDelay_;
+  internal::ControlMeters Count_;
   TimePoint TickDue_;
 
   mutable std::mutex StatusLock_;
@@ -130,33 +118,13 @@
                           ControlMailboxes Mailboxes, Clock Time,
                           telemetry::Registry &Metrics,
                           telemetry::EventLog &Events)
-    : Settings_(Settings), Mailboxes_(Mailboxes), Time_(Time),
-      Metrics_(Metrics), Events_(Events),
+    : Settings_(Settings), Mailboxes_(Mailboxes), Time_(Time), Events_(Events),
       Mesh_(Settings.Name_, Settings.Address_, Settings.Membership_,
             wire::drawIncarnation(Time.wallNow(), Source_), Time,
             Random(Source_()), seeds(Settings)),
       Sealer_(Settings.Name_, Mesh_.incarnation(),
               wire::KeyRing(Settings.Keys_), Time),
-      Http_(Io_, Settings.Address_),
-      BytesOut_(Metrics.counter("medlarmoor_control_bytes_sent_total")),
-      BytesIn_(Metrics.counter("medlarmoor_control_bytes_received_total")),
-      Sent_(Metrics.counter("medlarmoor_control_messages_sent_total")),
-      Received_(Metrics.counter("medlarmoor_control_messages_received_total")),
-      MailboxFull_(Metrics.counter("medlarmoor_control_mailbox_full_total")),
-      ListReads_(Metrics.counter("medlarmoor_membership_list_reads_total")),
-      ListFailures_(
-          Metrics.counter("medlarmoor_membership_list_failures_total")),
-      Renewals_(Metrics.counter("medlarmoor_membership_lease_lapses_total")),
-      Ticks_(Metrics.counter("medlarmoor_thread_ticks_total",
-                             "thread=\"control\"")),
-      Members_(Metrics.gauge("medlarmoor_membership_members")),
-      Disagreements_(Metrics.gauge("medlarmoor_membership_list_disagreements")),
-      TickDelay_(Metrics.histogram("medlarmoor_control_tick_delay_seconds")),
-      TickDue_(Time.now()) {
-  for (const char *Reason : {"short", "version", "signature", "decode", "own",
-                             "clock", "incarnation", "replay"})
-    refused(Reason).add(0);
-}
+      Http_(Io_, Settings.Address_), Count_(Metrics), TickDue_(Time.now()) {}
 
 bool ControlThread::Impl::start() {
   if (!Socket_.open({Settings_.Address_, Settings_.Ports_.Control_})) {
@@ -203,13 +171,13 @@
 }
 
 void ControlThread::Impl::onTick() {
-  TickDelay_.record(Time_.now() - TickDue_);
+  Count_.TickDelay_.record(Time_.now() - TickDue_);
   // What has arrived counts before silence is judged.
   drainSocket();
   perform(Mesh_.tick());
   pushViews();
   note();
-  Ticks_.add();
+  Count_.Ticks_.add();
   scheduleTick();
 }
 
@@ -228,7 +196,7 @@
     const auto Datagram = Socket_.receive(Buffer_);
     if (!Datagram)
       return;
-    BytesIn_.add(Datagram->Bytes_.size() + HeaderBytes);
+    Count_.BytesIn_.add(Datagram->Bytes_.size() + HeaderBytes);
     onDatagram(Datagram->Bytes_);
   }
 }
@@ -250,12 +218,12 @@
 void ControlThread::Impl::onDatagram(std::span<const std::byte> Bytes) {
   auto Opened = Sealer_.open(Bytes);
   if (!Opened) {
-    refused(Sealer_.lastReason()).add();
+    Count_.refused(Sealer_.lastReason()).add();
     if (!Sealer_.staleSender().value().empty())
       perform(Mesh_.onStaleRun(Sealer_.staleSender()));
     return;
   }
-  Received_.add();
+  Count_.Received_.add();
   perform(Mesh_.onMessage(*Opened));
   route(std::move(*Opened));
 }
@@ -268,7 +236,7 @@
            std::holds_alternative<wire::ConfigNotice>(Each.Message_))
     To = &Mailboxes_.ToConfig_;
   if (To && !To->push(std::move(Each)))
-    MailboxFull_.add();
+    Count_.MailboxFull_.add();
 }
 
 void ControlThread::Impl::perform(const Actions &Asked) {
@@ -278,7 +246,7 @@
                           [this](const ReadList &) { readList(); },
                           [this](const Renew &What) {
                             Sealer_.renew(What.Run_);
-                            Renewals_.add();
+                            Count_.Renewals_.add();
                             Events_.warn("lease_lapsed",
                                          {{"incarnation", What.Run_.value()}});
                             dropWaiting();
@@ -310,15 +278,15 @@
   const std::vector<std::byte> Bytes = Sealer_.seal(Each);
   for (const Ipv4 Address : To) {
     Socket_.send({Address, Settings_.Ports_.Control_}, Bytes);
-    BytesOut_.add(Bytes.size() + HeaderBytes);
-    Sent_.add();
+    Count_.BytesOut_.add(Bytes.size() + HeaderBytes);
+    Count_.Sent_.add();
   }
 }
 
 /// What arrived while the process did not run is too old to act on.
 void ControlThread::Impl::dropWaiting() {
   while (const auto Datagram = Socket_.receive(Buffer_))
-    BytesIn_.add(Datagram->Bytes_.size() + HeaderBytes);
+    Count_.BytesIn_.add(Datagram->Bytes_.size() + HeaderBytes);
 }
 
 void ControlThread::Impl::publish(const ViewPtr &Next) {
@@ -326,7 +294,7 @@
                {{"view", Next->id().value()},
                 {"members", Next->members().size()},
                 {"self", Next->find(Settings_.Name_) ? "member" : "outside"}});
-  Members_.set(static_cast<std::int64_t>(Next->members().size()));
+  Count_.Members_.set(static_cast<std::int64_t>(Next->members().size()));
   ViewDue_.fill(true);
   pushViews();
 }
@@ -341,7 +309,7 @@
 }
 
 void ControlThread::Impl::readList() {
-  ListReads_.add();
+  Count_.ListReads_.add();
   net::HttpRequest Request;
   Request.Target_ = "/v1/instances?domain=" + Settings_.Domain_.value();
   Http_.send(Settings_.Platform_, std::move(Request), ListTimeout,
@@ -351,9 +319,9 @@
                if (Answer && Answer->Status_ == 200)
                  List = internal::parseInstances(Answer->Body_);
                if (Answer)
-                 BytesIn_.add(Answer->Body_.size());
+                 Count_.BytesIn_.add(Answer->Body_.size());
                if (!List) {
-                 ListFailures_.add();
+                 Count_.ListFailures_.add();
                  Events_.debug("list_unread", {{"reason", Reason}});
                }
                perform(Mesh_.onList(List));
@@ -374,7 +342,8 @@
     Events_.info("entry_state",
                  {{"from", text(LastState_)}, {"to", text(State)}});
   LastState_ = State;
-  Disagreements_.set(static_cast<std::int64_t>(Mesh_.listDisagreements()));
+  Count_.Disagreements_.set(
+      static_cast<std::int64_t>(Mesh_.listDisagreements()));
   const std::lock_guard Guard(StatusLock_);
   Status_ = {State,
              Mesh_.incarnation(),
@@ -385,11 +354,6 @@
              Mesh_.leaseValid()};
 }
 
-telemetry::Counter &ControlThread::Impl::refused(const std::string &Reason) {
-  return Metrics_.counter("medlarmoor_control_refused_total",
-                          "reason=\"" + Reason + "\"");
-}
-
 void ControlThread::Impl::leave() {
   asio::post(Io_, [this] {
     perform(Mesh_.leave());
