--- a/src/medlarmoor/config/settings.hpp
+++ b/src/medlarmoor/config/settings.hpp
@@ -53,7 +53,7 @@
   /// here.
   Ipv4 Address_;
   /// Where the other entries reach this instance: the address that the
-  /// platform's list gives it. 0.0.0.0 stands for Address_.
+  /// platform's list gives it; Address_ unless the settings say otherwise.
   Ipv4 Advertise_;
   Ports Ports_;
   Endpoint Platform_;
