Open listening sockets in one place

The same ten lines stood in the HTTP server, the request door and two stand-ins; net::listenOn serves all four.

--- a/src/medlarmoor/net/http_server.cpp
+++ b/src/medlarmoor/net/http_server.cpp
@@ -1,5 +1,6 @@
 #include <medlarmoor/net/http_server.hpp>
 #include <medlarmoor/net/internal_http.hpp>
+#include <medlarmoor/net/listen_on.hpp>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
@@ -38,19 +39,9 @@
         Acceptor_(Io), Pause_(Io) {}
 
   bool listen() {
-    Error Failed;
-    const Tcp::endpoint Local = internal::toTcp(Where_);
-    Acceptor_.open(Local.protocol(), Failed);
-    if (!Failed)
-      Acceptor_.set_option(asio::socket_base::reuse_address(true), Failed);
-    if (!Failed)
-      Acceptor_.bind(Local, Failed);
-    if (!Failed)
-      Acceptor_.listen(asio::socket_base::max_listen_connections, Failed);
-    if (Failed) {
-      Reason_ = Where_.text() + ": " + Failed.message();
+    Reason_ = listenOn(Acceptor_, Where_);
+    if (!Reason_.empty())
       return false;
-    }
     accept();
     return true;
   }
--- a/src/medlarmoor/request/internal/door.cpp
+++ b/src/medlarmoor/request/internal/door.cpp
@@ -1,4 +1,5 @@
 #include <medlarmoor/net/internal_http.hpp>
+#include <medlarmoor/net/listen_on.hpp>
 #include <medlarmoor/request/internal/door.hpp>
 
 #include <boost/asio/co_spawn.hpp>
@@ -31,19 +32,9 @@
       Answer_(std::move(Answer)), Refuse_(std::move(Refuse)), Acceptor_(Io) {}
 
 bool Door::listen() {
-  Error Failed;
-  const asio::ip::tcp::endpoint Local = net::internal::toTcp(Where_);
-  Acceptor_.open(Local.protocol(), Failed);
-  if (!Failed)
-    Acceptor_.set_option(asio::socket_base::reuse_address(true), Failed);
-  if (!Failed)
-    Acceptor_.bind(Local, Failed);
-  if (!Failed)
-    Acceptor_.listen(asio::socket_base::max_listen_connections, Failed);
-  if (Failed) {
-    Reason_ = Where_.text() + ": " + Failed.message();
+  Reason_ = net::listenOn(Acceptor_, Where_);
+  if (!Reason_.empty())
     return false;
-  }
   asio::co_spawn(Io_, accept(), asio::detached);
   return true;
 }
--- a/test/harness/raw_http_server.cpp
+++ b/test/harness/raw_http_server.cpp
@@ -1,6 +1,7 @@
 #include <harness/raw_http_server.hpp>
 
 #include <medlarmoor/net/internal_http.hpp>
+#include <medlarmoor/net/listen_on.hpp>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/write.hpp>
@@ -39,20 +40,11 @@
       : Where_(Where), Handler_(std::move(OnRequest)), Acceptor_(Io) {}
 
   bool listen() {
-    Error Failed;
-    const Tcp::endpoint Local = net::internal::toTcp(Where_);
-    Acceptor_.open(Local.protocol(), Failed);
-    if (!Failed)
-      Acceptor_.set_option(asio::socket_base::reuse_address(true), Failed);
-    if (!Failed)
-      Acceptor_.bind(Local, Failed);
-    if (!Failed)
-      Acceptor_.listen(asio::socket_base::max_listen_connections, Failed);
-    if (Failed)
-      Reason_ = Where_.text() + ": " + Failed.message();
-    else
-      accept();
-    return !Failed;
+    Reason_ = net::listenOn(Acceptor_, Where_);
+    if (!Reason_.empty())
+      return false;
+    accept();
+    return true;
   }
 
   void close() {
--- a/test/harness/tcp_relay.cpp
+++ b/test/harness/tcp_relay.cpp
@@ -1,6 +1,7 @@
 #include <harness/tcp_relay.hpp>
 
 #include <medlarmoor/net/internal_http.hpp>
+#include <medlarmoor/net/listen_on.hpp>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -177,17 +178,11 @@
         Shown_(Shown), Acceptor_(Io) {}
 
   bool listen() {
-    Error Failed;
-    Acceptor_.open(Tcp::v4(), Failed);
-    Acceptor_.set_option(asio::socket_base::reuse_address(true), Failed);
-    Acceptor_.bind(net::internal::toTcp(Listen_), Failed);
-    if (!Failed)
-      Acceptor_.listen(asio::socket_base::max_listen_connections, Failed);
-    if (Failed)
-      Reason_ = Listen_.text() + ": " + Failed.message();
-    else
-      accept();
-    return !Failed;
+    Reason_ = net::listenOn(Acceptor_, Listen_);
+    if (!Reason_.empty())
+      return false;
+    accept();
+    return true;
   }
 
   void close() {
