Do not finish a stand-in's job that was cancelled after its timer fired

A cancel erased the running job while the success of its timer was already queued, and the handler then unhooked a dangling iterator. The timer now finds its job by number; a test cancels one job from the answer of another whose timer fired at the same moment.

--- a/test/harness/run_host.cpp
+++ b/test/harness/run_host.cpp
@@ -39,7 +39,8 @@
           Request.Body_,
           std::nullopt,
           std::move(Answer),
-          asio::steady_timer(Io_)};
+          asio::steady_timer(Io_),
+          ++LastNumber_};
   if (const auto Left = toNumber(Headers.find("Medlarmoor-Deadline-Ms")))
     New.Deadline_ = Clock_.now() + Millis(*Left);
   Queue_.push_back(std::move(New));
@@ -65,13 +66,19 @@
   Counters_.Running_ = Running_.size();
   Counters_.RunningMax_ = std::max(Counters_.RunningMax_, Counters_.Running_);
   Which->Timer_.expires_after(serviceTime());
-  Which->Timer_.async_wait([this, Which](boost::system::error_code Failed) {
-    if (!Failed)
-      finish(Which);
-  });
+  Which->Timer_.async_wait(
+      [this, Number = Which->Number_](boost::system::error_code Failed) {
+        if (!Failed)
+          finish(Number);
+      });
 }
 
-void RunHost::finish(Jobs::iterator Which) {
+void RunHost::finish(std::uint64_t Number) {
+  const auto Which =
+      std::find_if(Running_.begin(), Running_.end(),
+                   [&](const Job &Each) { return Each.Number_ == Number; });
+  if (Which == Running_.end())
+    return; // cancelled after its timer had fired
   Job Done = std::move(*Which);
   Running_.erase(Which);
   Counters_.Running_ = Running_.size();
--- a/test/harness/run_host.hpp
+++ b/test/harness/run_host.hpp
@@ -61,12 +61,14 @@
     std::optional<TimePoint> Deadline_;
     RawHttpServer::Reply Answer_;
     boost::asio::steady_timer Timer_;
+    /// Drawn in order; a timer that fires late finds its job by it.
+    std::uint64_t Number_ = 0;
   };
   using Jobs = std::list<Job>;
 
   void startNext();
   void run(Jobs::iterator Which);
-  void finish(Jobs::iterator Which);
+  void finish(std::uint64_t Number);
   void send(Job Done);
   void cross(RawHttpServer::Reply Answer, std::string Bytes);
   void later(Millis Delay, RawHttpServer::Reply Answer, std::string Bytes);
@@ -86,6 +88,7 @@
   std::vector<RunRecord> Runs_;
   Jobs Queue_;
   Jobs Running_;
+  std::uint64_t LastNumber_ = 0;
   /// The answer that waits for another to be crossed with.
   std::optional<std::pair<RawHttpServer::Reply, std::string>> Uncrossed_;
   /// Requests that are never answered, their connections open.
--- a/test/process/standin_test.cpp
+++ b/test/process/standin_test.cpp
@@ -2,6 +2,7 @@
 #include <harness/flow_host.hpp>
 #include <harness/json_http.hpp>
 #include <harness/process.hpp>
+#include <harness/run_host.hpp>
 #include <harness/subnet.hpp>
 #include <harness/temp_folder.hpp>
 #include <harness/upstream_server.hpp>
@@ -9,6 +10,7 @@
 
 #include <medlarmoor/net/http_client.hpp>
 
+#include <boost/asio/io_context.hpp>
 #include <catch2/catch.hpp>
 
 #include <csignal>
@@ -152,3 +154,27 @@
   CHECK(Caller.outcomes().Broken_[1].Reason_ == "other upstream");
   CHECK(First.counters().Misrouted_ == 0);
 }
+
+TEST_CASE("a job that is cancelled after its timer fired is not finished",
+          "[standin_test]") {
+  boost::asio::io_context Io;
+  UpstreamFaults Faults;
+  Faults.Service_ = Millis(0);
+  RunHost Host(Io, "a", 2, 1, Faults);
+  const auto Request = [](const char *Attempt) {
+    net::HttpRequest Out;
+    Out.Headers_.add("Medlarmoor-Attempt", Attempt);
+    return Out;
+  };
+  int Answers = 0;
+  Host.onRun(Request("first"), [&](const std::string &) {
+    ++Answers;
+    Host.onCancel("second");
+  });
+  Host.onRun(Request("second"), [&](const std::string &Bytes) {
+    ++Answers;
+    CHECK(Bytes.find("cancelled while it ran") != std::string::npos);
+  });
+  Io.run();
+  CHECK(Answers == 2);
+}
