Let few instances read the store for all

Nobody agrees on a reader; a wrong guess costs calls, never freshness.

Waits of a watch now make up for its spacing, since answers further apart than a peer's trust made readers alternate.

--- a/src/medlarmoor/config/edge_settings.hpp
+++ b/src/medlarmoor/config/edge_settings.hpp
@@ -25,10 +25,12 @@
   Endpoint Metrics_;
   /// The object store.
   Endpoint Store_;
-  /// Other instances to ask when the store is out of reach.
+  /// Other instances to begin gossip with, at their Peers_; they may be down.
   std::vector<Endpoint> Seeds_;
-  /// Where other instances ask this one.
+  /// Where other instances fetch snapshots. The port is the same on all.
   Endpoint Peers_;
+  /// Where other instances send gossip. The port is the same on all.
+  Endpoint Gossip_;
   /// Between the stop signal and the kill.
   Millis Grace_{6000};
   /// A change of the routes must be in force this soon.
@@ -36,6 +38,14 @@
   /// No flow is older than this.
   Millis FlowAge_{60'000};
   std::string LogLevel_ = "INFO";
+
+  /// Where the seeds receive gossip.
+  [[nodiscard]] std::vector<Endpoint> gossipSeeds() const {
+    std::vector<Endpoint> Out;
+    for (const Endpoint Each : Seeds_)
+      Out.emplace_back(Each.address(), Gossip_.port());
+    return Out;
+  }
 };
 
 } // namespace medlarmoor::config
--- a/src/medlarmoor/config/read_edge_settings.cpp
+++ b/src/medlarmoor/config/read_edge_settings.cpp
@@ -32,6 +32,7 @@
   if (!Out.ReadinessPath_.starts_with('/'))
     In.report("readiness_path", "'readiness_path' does not begin with '/'");
   In.endpoint("peers", Out.Peers_);
+  In.endpoint("gossip", Out.Gossip_);
   In.endpoint("metrics", Out.Metrics_);
   In.finish();
   if (Out.Readiness_ == Out.Metrics_ && Out.Metrics_ != Endpoint())
--- a/src/medlarmoor/core/time.hpp
+++ b/src/medlarmoor/core/time.hpp
@@ -10,8 +10,8 @@
 using Millis = std::chrono::milliseconds;
 using Seconds = std::chrono::seconds;
 
-/// A moment on the steady clock of this process. It is never sent to another
-/// process; remaining times are.
+/// A moment on the clock since boot, which never goes back and counts suspended
+/// time. It is never sent to another process; ages and remaining times are.
 using TimePoint = std::chrono::time_point<std::chrono::steady_clock, Nanos>;
 
 /// A moment on the wall clock, used only where two processes must compare.
--- a/src/medlarmoor/discovery/catalog.cpp
+++ b/src/medlarmoor/discovery/catalog.cpp
@@ -10,44 +10,52 @@
 
 Catalog::Catalog(CatalogLimits Limits) : Limits_(Limits) {}
 
-void Catalog::replaceAll(std::vector<Upstream> Listed, TimePoint Now) {
-  std::unordered_set<UpstreamName> Names;
-  for (Upstream &Each : Listed) {
-    Names.insert(Each.Name_);
-    put(std::move(Each), Now);
+void Catalog::apply(UpstreamChanges Changes, std::uint64_t Revision,
+                    TimePoint Now) {
+  if (Changes.Whole_) {
+    dropAllBut(Changes.Listed_, Revision, Now);
+    HistoryBegins_ = Revision;
+    Ready_ = true;
+  }
+  for (Upstream &Each : Changes.Listed_)
+    put(std::move(Each), Revision, Now);
+  for (const UpstreamName &Name : Changes.Removed_) {
+    const auto Found = Entries_.find(Name);
+    if (Found != Entries_.end() && Found->second->State_ == State::Listed)
+      drop(*Found->second, Revision, Now);
   }
-  for (const auto &[Name, Entry] : Entries_)
-    if (Entry->State_ == State::Listed && !Names.contains(Name))
-      drop(*Entry, Now);
-  Ready_ = true;
   rebuild();
 }
 
-void Catalog::put(Upstream Each, TimePoint Now) {
+void Catalog::put(Upstream Each, std::uint64_t Revision, TimePoint Now) {
   std::unique_ptr<CatalogEntry> &Entry = Entries_[Each.Name_];
   if (!Entry)
     Entry = std::make_unique<CatalogEntry>();
-  if (Entry->State_ != State::Listed || Entry->Tag_ == affinity::NoTag)
+  const bool Known =
+      Entry->Tag_ != affinity::NoTag && Entry->State_ == State::Listed;
+  if (!Known)
     Entry->Since_ = Now;
+  if (!Known || Entry->Upstream_ != Each)
+    Entry->Revision_ = Revision;
   Entry->State_ = State::Listed;
   Entry->Tag_ = affinity::tagOf(Each.Name_);
   Entry->Upstream_ = std::move(Each);
   Entry->ReportedAt_ = Now;
 }
 
-void Catalog::apply(std::vector<Upstream> Changed,
-                    const std::vector<UpstreamName> &Removed, TimePoint Now) {
-  for (Upstream &Each : Changed)
-    put(std::move(Each), Now);
-  for (const UpstreamName &Name : Removed) {
-    const auto Found = Entries_.find(Name);
-    if (Found != Entries_.end() && Found->second->State_ == State::Listed)
-      drop(*Found->second, Now);
-  }
-  rebuild();
+void Catalog::dropAllBut(const std::vector<Upstream> &Listed,
+                         std::uint64_t Revision, TimePoint Now) {
+  std::unordered_set<UpstreamName> Names;
+  for (const Upstream &Each : Listed)
+    Names.insert(Each.Name_);
+  for (const auto &[Name, Entry] : Entries_)
+    if (Entry->State_ == State::Listed && !Names.contains(Name))
+      drop(*Entry, Revision, Now);
 }
 
-void Catalog::storeReturned(TimePoint Now) { StoreReturnedAt_ = Now; }
+void Catalog::storeReturned(TimePoint When) {
+  StoreReturnedAt_ = std::max(StoreReturnedAt_.value_or(When), When);
+}
 
 void Catalog::expire(TimePoint Now) {
   bool Changed = false;
@@ -60,6 +68,7 @@
     }
     if (Entry.State_ == State::Retired &&
         Now >= Entry.Since_ + Limits_.FlowAge_) {
+      HistoryBegins_ = std::max(HistoryBegins_, Entry.Revision_);
       It = Entries_.erase(It);
       Changed = true;
     } else {
@@ -89,11 +98,17 @@
       }));
 }
 
-std::vector<Upstream> Catalog::snapshot() const {
-  std::vector<Upstream> Out;
-  for (const auto &[Name, Entry] : Entries_)
+UpstreamChanges Catalog::changesSince(std::uint64_t Revision) const {
+  UpstreamChanges Out;
+  Out.Whole_ = Revision < HistoryBegins_;
+  for (const auto &[Name, Entry] : Entries_) {
+    if (!Out.Whole_ && Entry->Revision_ <= Revision)
+      continue;
     if (Entry->State_ == State::Listed)
-      Out.push_back(Entry->Upstream_);
+      Out.Listed_.push_back(Entry->Upstream_);
+    else if (!Out.Whole_)
+      Out.Removed_.push_back(Name);
+  }
   return Out;
 }
 
@@ -123,11 +138,12 @@
   return StoreReturnedAt_ && Now < *StoreReturnedAt_ + Limits_.ReturnGrace_;
 }
 
-void Catalog::drop(CatalogEntry &Entry, TimePoint Now) {
+void Catalog::drop(CatalogEntry &Entry, std::uint64_t Revision, TimePoint Now) {
   // A draining upstream ends as announced; only silence can be the outage's.
   const bool MayReturn = withinGrace(Now) && !Entry.Upstream_.Draining_;
   Entry.State_ = MayReturn ? State::Lapsed : State::Retired;
   Entry.Since_ = Now;
+  Entry.Revision_ = Revision;
 }
 
 } // namespace medlarmoor::discovery
--- a/src/medlarmoor/discovery/catalog.hpp
+++ b/src/medlarmoor/discovery/catalog.hpp
@@ -3,6 +3,7 @@
 
 #include <medlarmoor/discovery/catalog_entry.hpp>
 #include <medlarmoor/discovery/catalog_limits.hpp>
+#include <medlarmoor/discovery/upstream_changes.hpp>
 
 #include <memory>
 #include <optional>
@@ -18,14 +19,10 @@
 public:
   explicit Catalog(CatalogLimits Limits);
 
-  /// The store lists exactly these. Names that are not among them are removed.
-  void replaceAll(std::vector<Upstream> Listed, TimePoint Now);
-  /// The store lists Changed now, or lists them with other values, and no
-  /// longer lists Removed.
-  void apply(std::vector<Upstream> Changed,
-             const std::vector<UpstreamName> &Removed, TimePoint Now);
-  /// The store answers again after an outage.
-  void storeReturned(TimePoint Now);
+  /// Takes what the store or a peer listed as of Revision.
+  void apply(UpstreamChanges Changes, std::uint64_t Revision, TimePoint Now);
+  /// The store answers again since When, after an outage.
+  void storeReturned(TimePoint When);
   /// Retires lapsed upstreams that did not come back and forgets retired ones
   /// that no flow can use any more.
   void expire(TimePoint Now);
@@ -37,16 +34,18 @@
   candidates(const ServiceName &Service) const noexcept;
   /// Upstreams that are listed.
   [[nodiscard]] std::size_t listed() const noexcept;
-  /// All upstreams that are listed, for a neighbour that has no list.
-  [[nodiscard]] std::vector<Upstream> snapshot() const;
+  /// What changed after Revision; all when that is no longer known.
+  [[nodiscard]] UpstreamChanges changesSince(std::uint64_t Revision) const;
   /// True once a whole list was learnt.
   [[nodiscard]] bool ready() const noexcept { return Ready_; }
 
 private:
-  void put(Upstream Each, TimePoint Now);
+  void put(Upstream Each, std::uint64_t Revision, TimePoint Now);
+  void drop(CatalogEntry &Entry, std::uint64_t Revision, TimePoint Now);
+  void dropAllBut(const std::vector<Upstream> &Listed, std::uint64_t Revision,
+                  TimePoint Now);
   void rebuild();
   bool withinGrace(TimePoint Now) const noexcept;
-  void drop(CatalogEntry &Entry, TimePoint Now);
 
   CatalogLimits Limits_;
   std::unordered_map<UpstreamName, std::unique_ptr<CatalogEntry>> Entries_;
@@ -54,6 +53,8 @@
   std::unordered_map<ServiceName, std::vector<const CatalogEntry *>>
       Candidates_;
   std::optional<TimePoint> StoreReturnedAt_;
+  /// Changes up to this revision are not known one by one.
+  std::uint64_t HistoryBegins_ = 0;
   bool Ready_ = false;
 };
 
--- a/src/medlarmoor/discovery/catalog_entry.hpp
+++ b/src/medlarmoor/discovery/catalog_entry.hpp
@@ -22,6 +22,8 @@
   State State_ = State::Listed;
   /// When State_ last changed.
   TimePoint Since_{};
+  /// The store's revision at which it changed last, as far as is known.
+  std::uint64_t Revision_ = 0;
   /// When WarmUp_ was reported.
   TimePoint ReportedAt_{};
 
--- a/src/medlarmoor/discovery/fwd.hpp
+++ b/src/medlarmoor/discovery/fwd.hpp
@@ -5,6 +5,7 @@
 
 struct Upstream;
 struct CatalogEntry;
+struct UpstreamChanges;
 struct CatalogLimits;
 class Catalog;
 
--- a/src/medlarmoor/edge/edge_server.cpp
+++ b/src/medlarmoor/edge/edge_server.cpp
@@ -5,7 +5,9 @@
 #include <medlarmoor/edge/decision_log.hpp>
 #include <medlarmoor/edge/forwarder.hpp>
 #include <medlarmoor/edge/packet_loop.hpp>
+#include <medlarmoor/edge/peer_sync.hpp>
 #include <medlarmoor/edge/readiness.hpp>
+#include <medlarmoor/edge/snapshot_codec.hpp>
 #include <medlarmoor/net/http_server.hpp>
 #include <medlarmoor/objects/collection_reader.hpp>
 #include <medlarmoor/telemetry/event_log.hpp>
@@ -26,6 +28,24 @@
 /// How often silent flows, lapsed upstreams and the exit are looked at.
 constexpr Millis TickInterval{200};
 
+/// A watch waits for less than half of the time in which a change must be in
+/// force, so that a silent connection is noticed, and its reader replaced,
+/// within it.
+objects::FollowerTiming followerTiming(Millis ApplyLimit) {
+  objects::FollowerTiming Out;
+  Out.WatchWait_ = ApplyLimit * 45 / 100;
+  return Out;
+}
+
+/// Trust covers a watch and its answer; with the silence and the steps there is
+/// time left for reading.
+peers::ElectionTiming electionTiming(Millis ApplyLimit) {
+  peers::ElectionTiming Out;
+  Out.Trust_ = ApplyLimit * 6 / 10;
+  Out.Silence_ = ApplyLimit * 26 / 100;
+  return Out;
+}
+
 Random seeded() {
   std::random_device Device;
   return Random((std::uint64_t{Device()} << 32U) | Device());
@@ -55,6 +75,11 @@
 
   void takeUpstreams(UpstreamReader::Items Items, bool Whole);
   void takeRoutes(RouteReader::Items Items);
+  void applyUpstreams(discovery::UpstreamChanges Changes);
+  void noteListed(const discovery::Upstream &Each);
+  void mergeRoutes(const routing::RouteChanges &Changes);
+  void noteRoutes(bool Adopted, ConfigVersion Offered);
+  void storeReturned(TimePoint When);
   [[nodiscard]] Knowledge known() const;
   void tick();
   void waitForSignal();
@@ -75,6 +100,7 @@
   Readiness Readiness_;
   UpstreamReader Upstreams_;
   RouteReader RouteTables_;
+  PeerSync Peers_;
   DecisionLog Decisions_;
   PacketLoop Packets_;
   net::HttpServer RouterDoor_;
@@ -93,17 +119,38 @@
       Readiness_(Settings_.Grace_),
       Upstreams_(
           "upstreams", Io_, Settings_.Store_, Settings_.Address_,
-          std::move(Store.Upstreams_), {}, seeded(), Time_,
+          std::move(Store.Upstreams_), followerTiming(Settings_.ApplyLimit_),
+          seeded(), Time_,
           {[this](auto Items) { takeUpstreams(std::move(Items), true); },
            [this](auto Items) { takeUpstreams(std::move(Items), false); },
-           [this] { Catalog_.storeReturned(Time_.now()); }},
+           [this] {
+             storeReturned(Time_.now());
+             Peers_.storeReturned(Time_.now());
+           }},
           Metrics_, Log_),
       RouteTables_("routes", Io_, Settings_.Store_, Settings_.Address_,
-                   std::move(Store.Routes_), {}, seeded(), Time_,
+                   std::move(Store.Routes_),
+                   followerTiming(Settings_.ApplyLimit_), seeded(), Time_,
                    {[this](auto Items) { takeRoutes(std::move(Items)); },
                     [this](auto Items) { takeRoutes(std::move(Items)); },
                     [] {}},
                    Metrics_, Log_),
+      Peers_(Io_, Settings_, electionTiming(Settings_.ApplyLimit_),
+             {Upstreams_.follower(), RouteTables_.follower(),
+              [this](std::uint64_t Revision) {
+                return Catalog_.changesSince(Revision);
+              },
+              [this](std::uint64_t Revision) {
+                return Routes_.changesSince(Revision);
+              },
+              [this](auto Changes) { applyUpstreams(std::move(Changes)); },
+              [this](const auto &Changes) { mergeRoutes(Changes); },
+              [this] {
+                Upstreams_.wake();
+                RouteTables_.wake();
+              },
+              [this](TimePoint When) { storeReturned(When); }},
+             seeded(), Time_, Metrics_, Log_),
       Decisions_(
           Routes_,
           [this](TimePoint Now) {
@@ -130,6 +177,8 @@
 bool EdgeServer::Impl::start(Findings &Out) {
   if (!Packets_.start())
     Out.add({File_, 0, 0}, Packets_.lastReason());
+  if (!Peers_.start())
+    Out.add({File_, 0, 0}, Peers_.lastReason());
   for (net::HttpServer *Each : {&RouterDoor_, &MetricsDoor_})
     if (!Each->listen())
       Out.add({File_, 0, 0}, Each->lastReason());
@@ -148,33 +197,46 @@
 }
 
 void EdgeServer::Impl::takeUpstreams(UpstreamReader::Items Items, bool Whole) {
-  std::vector<discovery::Upstream> Listed;
-  std::vector<UpstreamName> Removed;
+  discovery::UpstreamChanges Changes;
+  Changes.Whole_ = Whole;
   for (auto &Each : Items) {
     if (!Each.Problem_.empty())
       Log_.warn("upstream_unreadable",
                 {{"name", Each.Name_}, {"reason", Each.Problem_}});
-    if (Each.Value_) {
-      Log_.info("upstream_listed",
-                {{"upstream", Each.Name_},
-                 {"service", Each.Value_->Service_.value()},
-                 {"address", Each.Value_->Address_.text()},
-                 {"draining", Each.Value_->Draining_ ? "yes" : "no"},
-                 {"warm_up_ms", Each.Value_->WarmUp_.count()},
-                 {"revision", Upstreams_.follower().revision()}});
-      Listed.push_back(std::move(*Each.Value_));
-    } else {
-      Log_.info("upstream_unlisted",
-                {{"upstream", Each.Name_},
-                 {"revision", Upstreams_.follower().revision()}});
-      Removed.emplace_back(Each.Name_);
-    }
+    if (Each.Value_)
+      Changes.Listed_.push_back(std::move(*Each.Value_));
+    else if (!Whole)
+      Changes.Removed_.emplace_back(Each.Name_);
   }
-  const TimePoint Now = Time_.now();
-  if (Whole)
-    Catalog_.replaceAll(std::move(Listed), Now);
-  else
-    Catalog_.apply(std::move(Listed), Removed, Now);
+  applyUpstreams(std::move(Changes));
+  Peers_.announceChange();
+}
+
+void EdgeServer::Impl::applyUpstreams(discovery::UpstreamChanges Changes) {
+  for (const discovery::Upstream &Each : Changes.Listed_)
+    noteListed(Each);
+  for (const UpstreamName &Name : Changes.Removed_)
+    Log_.info("upstream_unlisted",
+              {{"upstream", Name.value()},
+               {"revision", Upstreams_.follower().revision()}});
+  Catalog_.apply(std::move(Changes), Upstreams_.follower().revision(),
+                 Time_.now());
+}
+
+void EdgeServer::Impl::noteListed(const discovery::Upstream &Each) {
+  const discovery::CatalogEntry *Known =
+      Catalog_.find(affinity::tagOf(Each.Name_));
+  if (Known && Known->Upstream_ == Each &&
+      Known->State_ == discovery::CatalogEntry::State::Listed)
+    return;
+  Log_.info("upstream_listed",
+            {{"upstream", Each.Name_.value()},
+             {"service", Each.Service_.value()},
+             {"address", Each.Address_.text()},
+             {"draining", Each.Draining_ ? "yes" : "no"},
+             {"warm_up_ms", Each.WarmUp_.count()},
+             {"started", Each.StartedAt_.time_since_epoch().count()},
+             {"revision", Upstreams_.follower().revision()}});
 }
 
 void EdgeServer::Impl::takeRoutes(RouteReader::Items Items) {
@@ -185,13 +247,28 @@
       continue;
     }
     const ConfigVersion Offered = Each.Value_->Version_;
-    const std::size_t Count = Each.Value_->Routes_.size();
-    const bool Adopted = Routes_.adopt(std::move(*Each.Value_));
-    Log_.info(Adopted ? "routes_adopted" : "routes_kept",
-              {{"offered", Offered.value()},
-               {"in_force", Routes_.table().Version_.value()},
-               {"routes", Count}});
+    noteRoutes(Routes_.adopt(std::move(*Each.Value_),
+                             RouteTables_.follower().revision()),
+               Offered);
   }
+  Peers_.announceChange();
+}
+
+void EdgeServer::Impl::mergeRoutes(const routing::RouteChanges &Changes) {
+  noteRoutes(Routes_.merge(Changes, RouteTables_.follower().revision()),
+             Changes.Version_);
+}
+
+void EdgeServer::Impl::noteRoutes(bool Adopted, ConfigVersion Offered) {
+  Log_.info(Adopted ? "routes_adopted" : "routes_kept",
+            {{"offered", Offered.value()},
+             {"in_force", Routes_.table().Version_.value()},
+             {"routes", Routes_.table().Routes_.size()},
+             {"revision", RouteTables_.follower().revision()}});
+}
+
+void EdgeServer::Impl::storeReturned(TimePoint When) {
+  Catalog_.storeReturned(When);
 }
 
 Knowledge EdgeServer::Impl::known() const {
--- /dev/null
+++ b/src/medlarmoor/edge/snapshot.hpp
@@ -0,0 +1,16 @@
+#ifndef MEDLARMOOR_EDGE_SNAPSHOT_HPP
+#define MEDLARMOOR_EDGE_SNAPSHOT_HPP
+
+#include <medlarmoor/peers/collection_state.hpp>
+
+namespace medlarmoor::edge {
+
+/// What a peer passes on of one collection, and how current that is.
+template <typename Changes> struct Snapshot {
+  peers::CollectionState State_;
+  Changes Changes_;
+};
+
+} // namespace medlarmoor::edge
+
+#endif // MEDLARMOOR_EDGE_SNAPSHOT_HPP
--- a/src/medlarmoor/objects/collection_reader.hpp
+++ b/src/medlarmoor/objects/collection_reader.hpp
@@ -54,8 +54,12 @@
 
   /// Begins to follow.
   void start() { step(); }
+  /// Looks again whether a call is due, when a pause may have ended early.
+  void wake() { Timer_.cancel(); }
 
   [[nodiscard]] const Follower &follower() const noexcept { return Follower_; }
+  /// For what peers pass on.
+  [[nodiscard]] Follower &follower() noexcept { return Follower_; }
 
 private:
   void step() {
@@ -73,10 +77,8 @@
 
   void pause(TimePoint Until) {
     Timer_.expires_after(std::max(Nanos(0), Until - Time_.now()));
-    Timer_.async_wait([this](boost::system::error_code Failed) {
-      if (!Failed)
-        step();
-    });
+    // A pause that was cancelled is over, too.
+    Timer_.async_wait([this](boost::system::error_code) { step(); });
   }
 
   void send(std::string Target, Millis Wait, bool List) {
@@ -123,11 +125,14 @@
     if (Follower_.pageRead(Read.More_, Read.LastName_, Read.Revision_, Sent,
                            Now))
       Receivers_.Listed_(std::exchange(Listed_, {}));
+    else if (!Read.More_)
+      Listed_.clear();
   }
 
   void takeChanges(Page<Item> Read, TimePoint Now) {
-    Follower_.changesRead(!Read.Items_.empty(), Read.Revision_, Now);
-    if (!Read.Items_.empty())
+    const bool News =
+        Follower_.changesRead(!Read.Items_.empty(), Read.Revision_, Now);
+    if (News && !Read.Items_.empty())
       Receivers_.Changed_(std::move(Read.Items_));
   }
 
--- a/src/medlarmoor/objects/follower.cpp
+++ b/src/medlarmoor/objects/follower.cpp
@@ -15,17 +15,24 @@
     : Timing_(Timing), Source_(Source) {}
 
 FollowerStep Follower::next(TimePoint Now) const {
-  if (Now < NotBefore_)
-    return Pause{NotBefore_};
+  if (const TimePoint Until = std::max(NotBefore_, DeferUntil_); Now < Until)
+    return Pause{Until};
   if (ListAfter_)
     return ListCall{*ListAfter_};
-  return WatchCall{Revision_, Timing_.WatchWait_};
+  // Answers are never further apart than the longest wait, whatever pause or
+  // peer's reading came before this call.
+  const Nanos Age = CurrentAsOf_ ? Now - *CurrentAsOf_ : Nanos(0);
+  const Millis Wait =
+      Timing_.WatchWait_ - std::chrono::duration_cast<Millis>(Age);
+  return WatchCall{Revision_, std::max(Wait, Millis(0))};
 }
 
 bool Follower::pageRead(bool More, const std::string &LastName,
                         std::uint64_t Revision, TimePoint Sent, TimePoint Now) {
   succeeded();
   NotBefore_ = Now;
+  if (!ListAfter_)
+    return false;
   if (!ListRevision_) {
     ListRevision_ = Revision;
     ListSent_ = Sent;
@@ -36,17 +43,38 @@
   }
   // Changes while the list was read come again with the first watch.
   Revision_ = *ListRevision_;
+  Changed_ = Revision_;
   CurrentAsOf_ = ListSent_;
   ListAfter_.reset();
   ListRevision_.reset();
   return true;
 }
 
-void Follower::changesRead(bool Any, std::uint64_t Revision, TimePoint Now) {
+bool Follower::changesRead(bool Any, std::uint64_t Revision, TimePoint Now) {
   succeeded();
-  Revision_ = std::max(Revision_, Revision);
-  CurrentAsOf_ = Now;
   NotBefore_ = Any ? Now + Timing_.Spacing_ : Now;
+  if (Revision < Revision_)
+    return false;
+  Revision_ = Revision;
+  if (Any)
+    Changed_ = Revision;
+  CurrentAsOf_ = Now;
+  return true;
+}
+
+void Follower::adopt(std::uint64_t Upto, std::uint64_t Changed,
+                     TimePoint AsOf) {
+  Revision_ = Upto;
+  Changed_ = Changed;
+  CurrentAsOf_ = AsOf;
+  ListAfter_.reset();
+  ListRevision_.reset();
+}
+
+void Follower::defer(std::uint64_t Upto, TimePoint AsOf, TimePoint Until) {
+  Revision_ = std::max(Revision_, Upto);
+  CurrentAsOf_ = std::max(CurrentAsOf_.value_or(AsOf), AsOf);
+  DeferUntil_ = Until;
 }
 
 void Follower::historyLost(TimePoint Now) {
--- a/src/medlarmoor/objects/follower.hpp
+++ b/src/medlarmoor/objects/follower.hpp
@@ -24,13 +24,24 @@
   /// page begins when More. Tells whether the list is whole.
   bool pageRead(bool More, const std::string &LastName, std::uint64_t Revision,
                 TimePoint Sent, TimePoint Now);
-  /// A watch gave its answer.
-  void changesRead(bool Any, std::uint64_t Revision, TimePoint Now);
+  /// A watch gave its answer. Tells whether its changes are still news: what a
+  /// peer passed on meanwhile may be newer.
+  [[nodiscard]] bool changesRead(bool Any, std::uint64_t Revision,
+                                 TimePoint Now);
+  /// A peer gave the whole collection as it was at revision Upto, of which
+  /// Changed was the last that changed it.
+  void adopt(std::uint64_t Upto, std::uint64_t Changed, TimePoint AsOf);
+  /// A peer that reads the store has found, at AsOf, no change since what is
+  /// known here. No call is made before Until.
+  void defer(std::uint64_t Upto, TimePoint AsOf, TimePoint Until);
   /// The store has dropped the history after the last revision.
   void historyLost(TimePoint Now);
   /// A call gave no usable answer.
   void failed(TimePoint Now);
 
+  /// Peers cannot replace reading for now.
+  void stopDeferring() noexcept { DeferUntil_ = {}; }
+
   /// The moment at which the collection was last known to be current; nothing
   /// before the first whole list.
   [[nodiscard]] std::optional<TimePoint> currentAsOf() const noexcept {
@@ -42,7 +53,14 @@
   }
   /// True when calls have failed for long enough to call it an outage.
   [[nodiscard]] bool storeAway(TimePoint Now) const noexcept;
+  /// All changes up to this revision are known.
   [[nodiscard]] std::uint64_t revision() const noexcept { return Revision_; }
+  /// The last revision that changed the collection, as far as is known.
+  [[nodiscard]] std::uint64_t changed() const noexcept { return Changed_; }
+  /// True while a peer's reading replaces calls.
+  [[nodiscard]] bool deferring(TimePoint Now) const noexcept {
+    return Now < DeferUntil_;
+  }
 
 private:
   void succeeded() noexcept;
@@ -55,7 +73,9 @@
   std::optional<std::uint64_t> ListRevision_;
   TimePoint ListSent_{};
   std::uint64_t Revision_ = 0;
+  std::uint64_t Changed_ = 0;
   TimePoint NotBefore_{};
+  TimePoint DeferUntil_{};
   unsigned Failures_ = 0;
   std::optional<TimePoint> FailingSince_;
   std::optional<TimePoint> CurrentAsOf_;
--- /dev/null
+++ b/src/medlarmoor/peers/member.hpp
@@ -0,0 +1,23 @@
+#ifndef MEDLARMOOR_PEERS_MEMBER_HPP
+#define MEDLARMOOR_PEERS_MEMBER_HPP
+
+#include <medlarmoor/core/endpoint.hpp>
+#include <medlarmoor/core/ids.hpp>
+#include <medlarmoor/core/time.hpp>
+
+namespace medlarmoor::peers {
+
+/// Another instance, as gossip tells of it.
+struct Member {
+  /// Where it receives gossip; names it.
+  Endpoint Address_;
+  DomainName Domain_;
+  /// How long ago it was last heard of, by anyone.
+  Millis Age_{0};
+
+  friend bool operator==(const Member &, const Member &) = default;
+};
+
+} // namespace medlarmoor::peers
+
+#endif // MEDLARMOOR_PEERS_MEMBER_HPP
--- a/src/medlarmoor/routing/fwd.hpp
+++ b/src/medlarmoor/routing/fwd.hpp
@@ -4,6 +4,7 @@
 namespace medlarmoor::routing {
 
 struct Route;
+struct RouteChanges;
 struct RouteTable;
 struct WeightedService;
 class Router;
--- a/src/medlarmoor/routing/route.hpp
+++ b/src/medlarmoor/routing/route.hpp
@@ -29,6 +29,8 @@
   /// The service for a flow with that hash; equal on all instances.
   [[nodiscard]] const ServiceName &
   serviceFor(std::uint64_t FlowHash) const noexcept;
+
+  friend bool operator==(const Route &, const Route &) = default;
 };
 
 } // namespace medlarmoor::routing
--- a/src/medlarmoor/routing/router.hpp
+++ b/src/medlarmoor/routing/router.hpp
@@ -1,16 +1,27 @@
 #ifndef MEDLARMOOR_ROUTING_ROUTER_HPP
 #define MEDLARMOOR_ROUTING_ROUTER_HPP
 
+#include <medlarmoor/routing/route_changes.hpp>
 #include <medlarmoor/routing/route_table.hpp>
 
+#include <cstdint>
+#include <unordered_map>
+
 namespace medlarmoor::routing {
 
 /// Holds the newest route table that was learnt and never goes back to an
 /// older one.
 class Router {
 public:
-  /// Puts Table in force when its version is higher; tells whether it did.
-  bool adopt(RouteTable Table);
+  /// Puts Table, which the store had as of Revision, in force when its version
+  /// is higher; tells whether it did.
+  bool adopt(RouteTable Table, std::uint64_t Revision);
+  /// Puts the table in force that Changes make of the present one, when its
+  /// version is higher; tells whether it did.
+  bool merge(const RouteChanges &Changes, std::uint64_t Revision);
+
+  /// What changed after Revision; all when that is no longer known.
+  [[nodiscard]] RouteChanges changesSince(std::uint64_t Revision) const;
 
   /// The route of a virtual address, or null.
   [[nodiscard]] const Route *find(Endpoint Virtual) const noexcept;
@@ -19,8 +30,14 @@
   [[nodiscard]] const RouteTable &table() const noexcept { return Table_; }
 
 private:
+  void noteChanges(const RouteTable &Next, std::uint64_t Revision);
+
   RouteTable Table_;
   bool Ready_ = false;
+  /// Changes up to this revision are not known one by one.
+  std::uint64_t HistoryBegins_ = 0;
+  /// The revision at which each address changed last; also removed ones.
+  std::unordered_map<Endpoint, std::uint64_t> ChangedAt_;
 };
 
 } // namespace medlarmoor::routing
--- a/src/medlarmoor/routing/weighted_service.hpp
+++ b/src/medlarmoor/routing/weighted_service.hpp
@@ -11,6 +11,9 @@
 struct WeightedService {
   ServiceName Service_;
   std::uint32_t Weight_ = 1;
+
+  friend bool operator==(const WeightedService &,
+                         const WeightedService &) = default;
 };
 
 } // namespace medlarmoor::routing
