--- /dev/null
+++ b/test/edge/forwarder_test.cpp
@@ -0,0 +1,246 @@
+#include <harness/catalog_builder.hpp>
+
+#include <medlarmoor/edge/forwarder.hpp>
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+using namespace medlarmoor;
+using namespace medlarmoor::edge;
+using namespace medlarmoor::harness;
+using affinity::NoTag;
+using affinity::Packet;
+using affinity::tagOf;
+
+namespace {
+
+const Endpoint Virtual{Ipv4(0xc6120001), 443};
+const Knowledge Current{true, true};
+
+affinity::Tag tag(const std::string &Name) { return tagOf(UpstreamName(Name)); }
+
+/// One instance with a route to the service "web".
+struct Instance {
+  explicit Instance(std::vector<discovery::Upstream> Upstreams,
+                    std::uint64_t Seed = 1)
+      : Forwarder_(Catalog_, Router_,
+                   {DomainName("seeb"), placement::LeastLoaded{}, Random(Seed)},
+                   {}) {
+    Catalog_.apply(whole(std::move(Upstreams)), 1, at(0));
+    routing::RouteTable Table;
+    Table.Version_ = ConfigVersion(1);
+    routing::Route Route;
+    Route.Address_ = Virtual;
+    Route.Services_ = {{ServiceName("web"), 1}};
+    Route.Timeout_ = Millis(1000);
+    Table.Routes_.emplace(Virtual, Route);
+    Router_.adopt(Table, 1);
+  }
+
+  /// The upstream that In is delivered to; empty when it is not delivered.
+  std::string deliver(Packet &In, TimePoint Now) {
+    const Decision Made = Forwarder_.handle(In, Current, Now);
+    const auto *To = std::get_if<Deliver>(&Made);
+    return To ? To->Upstream_->Upstream_.Name_.value() : "";
+  }
+
+  discovery::Catalog Catalog_{{}};
+  routing::Router Router_;
+  Forwarder Forwarder_;
+};
+
+Packet packet(std::uint16_t Port) {
+  Packet Out;
+  Out.Flow_ = {{Ipv4(0x64400007), Port}, Virtual};
+  return Out;
+}
+
+/// The SYN of a client, or its Copy-th copy.
+Packet syn(std::uint16_t Port, std::uint32_t Copy = 0) {
+  Packet Out = packet(Port);
+  Out.Syn_ = true;
+  Out.Acknowledged_ = Copy;
+  return Out;
+}
+
+Packet data(std::uint16_t Port, affinity::Tag Tag) {
+  Packet Out = packet(Port);
+  Out.Tag_ = Tag;
+  Out.Length_ = 100;
+  return Out;
+}
+
+} // namespace
+
+TEST_CASE("any instance delivers the packets of any flow by their tag") {
+  Instance First({upstream("i-1"), upstream("i-2"), upstream("i-3")}, 1);
+  Instance Started({upstream("i-3"), upstream("i-2"), upstream("i-1")}, 2);
+  for (std::uint16_t Port = 1; Port <= 50; ++Port) {
+    Packet Opening = syn(Port);
+    const std::string Chosen = First.deliver(Opening, at(0));
+    REQUIRE(Opening.Tag_ == tag(Chosen));
+    Packet Next = data(Port, Opening.Tag_);
+    CHECK(Started.deliver(Next, at(10)) == Chosen);
+    CHECK(First.deliver(Next, at(20)) == Chosen);
+  }
+}
+
+TEST_CASE("release: open flows go on at an upstream that left the list") {
+  Instance Each({upstream("i-1"), upstream("i-2")});
+  Each.Catalog_.apply(unlisted("i-1"), 2, at(0));
+  Packet Next = data(1, tag("i-1"));
+  CHECK(Each.deliver(Next, at(100)) == "i-1");
+  for (std::uint16_t Port = 2; Port < 10; ++Port) {
+    Packet Opening = syn(Port);
+    CHECK(Each.deliver(Opening, at(100)) == "i-2");
+  }
+}
+
+TEST_CASE("a copy of a SYN that comes early goes to the same upstream") {
+  Instance Each({upstream("i-1"), upstream("i-2")});
+  Packet Opening = syn(1);
+  const std::string Chosen = Each.deliver(Opening, at(0));
+  Packet Copy = syn(1, 1);
+  CHECK(Each.deliver(Copy, at(50)) == Chosen);
+  CHECK(Copy.Tag_ == Opening.Tag_);
+  CHECK(Each.Forwarder_.flows().size() == 1);
+}
+
+TEST_CASE(
+    "dark upstream: a SYN without an answer is tried elsewhere and others "
+    "avoid it") {
+  Instance Each({upstream("i-1"), upstream("i-2"), upstream("i-3")});
+  Packet Opening = syn(1);
+  const std::string Dark = Each.deliver(Opening, at(0));
+  Packet Copy = syn(1, 1);
+  const Decision Made = Each.Forwarder_.handle(Copy, Current, at(200));
+  const auto &Moved = std::get<Deliver>(Made);
+  CHECK(Moved.Reason_ == DeliverReason::Moved);
+  CHECK(Moved.Upstream_->Upstream_.Name_.value() != Dark);
+  for (std::uint16_t Port = 2; Port < 20; ++Port) {
+    Packet Other = syn(Port);
+    CHECK(Each.deliver(Other, at(210)) != Dark);
+  }
+}
+
+TEST_CASE("a flow that two upstreams answered stays with the first that the "
+          "client took") {
+  Instance Each({upstream("i-1"), upstream("i-2")});
+  Packet Opening = syn(1);
+  const std::string First = Each.deliver(Opening, at(0));
+  Packet Copy = syn(1, 1);
+  const std::string Second = Each.deliver(Copy, at(200));
+  REQUIRE(First != Second);
+  // The slow first answer arrives, and then the second one's tag.
+  Packet Accepted = data(1, tag(First));
+  CHECK(Each.deliver(Accepted, at(210)) == First);
+  Packet Later = data(1, tag(Second));
+  CHECK(Each.deliver(Later, at(220)) == First);
+  CHECK(Each.Forwarder_.flows().active(tag(First)) == 1);
+  CHECK(Each.Forwarder_.flows().active(tag(Second)) == 0);
+}
+
+TEST_CASE("a flow ends its count with its FIN, and packets still follow it") {
+  Instance Each({upstream("i-1")});
+  Packet Opening = syn(1);
+  Each.deliver(Opening, at(0));
+  Packet Next = data(1, tag("i-1"));
+  Each.deliver(Next, at(5));
+  CHECK(Each.Forwarder_.flows().active(tag("i-1")) == 1);
+  Packet End = packet(1);
+  End.Tag_ = tag("i-1");
+  End.Fin_ = true;
+  CHECK(Each.deliver(End, at(50)) == "i-1");
+  CHECK(Each.Forwarder_.flows().active(tag("i-1")) == 0);
+  Packet LastAck = packet(1);
+  LastAck.Tag_ = tag("i-1");
+  CHECK(Each.deliver(LastAck, at(52)) == "i-1");
+  CHECK(Each.Forwarder_.flows().active(tag("i-1")) == 0);
+}
+
+TEST_CASE("a flow is reset only by what is known to be current") {
+  Instance Each({});
+  Packet Opening = syn(1);
+  Packet Elsewhere = syn(2);
+  Elsewhere.Flow_.Virtual_ = {Ipv4(0xc6120001), 9999};
+
+  auto Made = Each.Forwarder_.handle(Elsewhere, Current, at(0));
+  CHECK(std::get<Reject>(Made).Reason_ == RejectReason::NoRoute);
+  Made = Each.Forwarder_.handle(Opening, Current, at(0));
+  CHECK(std::get<Reject>(Made).Reason_ == RejectReason::NoUpstream);
+
+  Made = Each.Forwarder_.handle(Elsewhere, {false, true}, at(0));
+  CHECK(std::get<Drop>(Made).Reason_ == DropReason::Outdated);
+  Made = Each.Forwarder_.handle(Opening, {true, false}, at(0));
+  CHECK(std::get<Drop>(Made).Reason_ == DropReason::Outdated);
+}
+
+TEST_CASE("an open flow is never reset") {
+  Instance Each({upstream("i-1")});
+  for (const affinity::Tag Tag : {tag("i-1"), tag("i-9"), NoTag}) {
+    Packet Next = data(1, Tag);
+    const Decision Made = Each.Forwarder_.handle(Next, Current, at(0));
+    CHECK_FALSE(std::holds_alternative<Reject>(Made));
+  }
+}
+
+TEST_CASE("nothing is decided before routes and upstreams are known") {
+  discovery::Catalog Catalog{{}};
+  routing::Router Router;
+  Forwarder Each(Catalog, Router,
+                 {DomainName("seeb"), placement::LeastLoaded{}, Random(1)}, {});
+  Packet Opening = syn(1);
+  const Decision Made = Each.handle(Opening, Current, at(0));
+  CHECK(std::get<Drop>(Made).Reason_ == DropReason::NotReady);
+}
+
+TEST_CASE("whatever the order of events, packets go only to the upstream of "
+          "their tag or of their flow") {
+  CHECK(rc::check([] {
+    Instance Each({upstream("i-0"), upstream("i-1"), upstream("i-2")});
+    std::map<std::uint16_t, std::vector<std::string>> Offered;
+    std::map<std::uint16_t, std::string> Taken;
+    TimePoint Now = at(0);
+    std::uint64_t Revision = 1;
+    const int Steps = *rc::gen::inRange(1, 80);
+    for (int I = 0; I < Steps; ++I) {
+      Now += Millis(*rc::gen::inRange(0, 250));
+      const std::uint16_t Port = *rc::gen::inRange<std::uint16_t>(1, 6);
+      const std::string Name = "i-" + std::to_string(*rc::gen::inRange(0, 4));
+      switch (*rc::gen::inRange(0, 6)) {
+      case 0:
+        Each.Catalog_.apply(unlisted(Name), ++Revision, Now);
+        break;
+      case 1:
+        Each.Catalog_.apply(listed({upstream(Name)}), ++Revision, Now);
+        break;
+      case 2:
+        Each.Forwarder_.expire(Now);
+        break;
+      case 3: {
+        if (Taken.contains(Port))
+          break;
+        Packet Opening = syn(Port);
+        const std::string To = Each.deliver(Opening, Now);
+        if (To.empty())
+          break;
+        RC_ASSERT(Opening.Tag_ == tag(To));
+        const auto *Entry = Each.Catalog_.find(Opening.Tag_);
+        RC_ASSERT(Entry->takesNew() || !Offered[Port].empty());
+        Offered[Port].push_back(To);
+        break;
+      }
+      default: {
+        if (Offered[Port].empty())
+          break;
+        if (!Taken.contains(Port))
+          Taken[Port] = *rc::gen::elementOf(Offered[Port]);
+        Packet Next = data(Port, tag(Taken[Port]));
+        const std::string To = Each.deliver(Next, Now);
+        RC_ASSERT(To.empty() || To == Taken[Port]);
+        break;
+      }
+      }
+    }
+  }));
+}
--- /dev/null
+++ b/test/placement/ejector_test.cpp
@@ -0,0 +1,42 @@
+#include <harness/catalog_builder.hpp>
+
+#include <medlarmoor/placement/ejector.hpp>
+
+#include <catch2/catch.hpp>
+
+using namespace medlarmoor;
+using namespace medlarmoor::placement;
+using medlarmoor::harness::at;
+
+namespace {
+
+const affinity::Tag Dark(1);
+
+} // namespace
+
+TEST_CASE("an upstream that leaves handshakes unanswered is ejected for longer "
+          "each time") {
+  Ejector Each({.Base_ = Millis(1500), .Longest_ = Millis(12'000)});
+  CHECK(Each.handshakeTimedOut(Dark, at(0)) == Millis(1500));
+  CHECK(Each.ejected(Dark, at(1499)));
+  CHECK_FALSE(Each.ejected(Dark, at(1500)));
+  CHECK(Each.handshakeTimedOut(Dark, at(1600)) == Millis(3000));
+  CHECK(Each.handshakeTimedOut(Dark, at(5000)) == Millis(6000));
+  CHECK(Each.handshakeTimedOut(Dark, at(20'000)) == Millis(12'000));
+  CHECK(Each.handshakeTimedOut(Dark, at(40'000)) == Millis(12'000));
+}
+
+TEST_CASE("timeouts of one burst count once") {
+  Ejector Each({});
+  CHECK(Each.handshakeTimedOut(Dark, at(0)) == Millis(1500));
+  CHECK(Each.handshakeTimedOut(Dark, at(1)) == Millis(0));
+  CHECK_FALSE(Each.ejected(Dark, at(1500)));
+}
+
+TEST_CASE("an upstream that answers again is forgiven") {
+  Ejector Each({});
+  Each.handshakeTimedOut(Dark, at(0));
+  Each.handshakeCompleted(Dark);
+  CHECK_FALSE(Each.ejected(Dark, at(1)));
+  CHECK(Each.handshakeTimedOut(Dark, at(10)) == Millis(1500));
+}
