Place fewer flows at slow upstreams, and serve at home behind a cut

Cause: a slow upstream was as good as any other once it had a free slot, and when more than half of a service was ejected, as behind a cut of a failure domain, flows went to dark upstreams again although the own domain had room. The length of flows against their route's mean now scales what a new flow costs at an upstream, and the ejected come back only when what is left is overloaded.

Ruled out: moves of SYNs explain few of the late requests at srv_slow (3 moves, 44 late); each instance still learns of a slow upstream by its own first flows.

--- a/src/medlarmoor/edge/forwarder.cpp
+++ b/src/medlarmoor/edge/forwarder.cpp
@@ -33,7 +33,8 @@
 }
 
 void Forwarder::expire(TimePoint Now) {
-  Flows_.expire(Now);
+  for (const auto &[Key, Flow] : Flows_.expire(Now))
+    end(Key, Flow, Now);
   Catalog_.expire(Now);
 }
 
@@ -58,7 +59,7 @@
   const auto &Candidates =
       Catalog_.candidates(Route->serviceFor(In.Flow_.hash()));
   const CatalogEntry *Chosen =
-      Choice_.choose(Candidates, Flows_, Outliers_, Previous, Now);
+      Choice_.choose(Candidates, Flows_, Times_, Outliers_, Previous, Now);
   if (!Chosen) {
     if (!Known.UpstreamsCurrent_)
       return Drop{DropReason::Outdated};
@@ -103,10 +104,16 @@
   if (Flow.Upstream_ != In.Tag_)
     Flows_.move(Flow, In.Tag_, Now);
   Flow.Open_ = true;
+  Flow.OpenedAt_ = Now;
   Flow.Timeout_ = requestTimeout(In.Flow_.Virtual_);
   Outliers_.handshakeCompleted(In.Tag_);
 }
 
+void Forwarder::end(const affinity::FlowKey &Key, const TrackedFlow &Flow,
+                    TimePoint Now) {
+  Times_.ended(Key.Virtual_, Flow.Upstream_, Now - Flow.OpenedAt_, Now);
+}
+
 Millis Forwarder::requestTimeout(Endpoint Virtual) const noexcept {
   const routing::Route *Route = Routes_.find(Virtual);
   return Route && Route->Timeout_ > Millis(0) ? Route->Timeout_
--- a/src/medlarmoor/edge/forwarder.hpp
+++ b/src/medlarmoor/edge/forwarder.hpp
@@ -8,6 +8,7 @@
 #include <medlarmoor/placement/ejector.hpp>
 #include <medlarmoor/placement/flow_tracker.hpp>
 #include <medlarmoor/placement/selector.hpp>
+#include <medlarmoor/placement/service_times.hpp>
 #include <medlarmoor/routing/router.hpp>
 
 namespace medlarmoor::edge {
@@ -38,6 +39,8 @@
   Decision follow(const affinity::Packet &In, TimePoint Now);
   void settle(placement::TrackedFlow &Flow, const affinity::Packet &In,
               TimePoint Now);
+  void end(const affinity::FlowKey &Key, const placement::TrackedFlow &Flow,
+           TimePoint Now);
   [[nodiscard]] Millis requestTimeout(Endpoint Virtual) const noexcept;
 
   discovery::Catalog &Catalog_;
@@ -45,6 +48,7 @@
   placement::Selector Choice_;
   placement::Ejector Outliers_;
   placement::FlowTracker Flows_;
+  placement::ServiceTimes Times_;
 };
 
 } // namespace medlarmoor::edge
--- a/src/medlarmoor/placement/flow_tracker.cpp
+++ b/src/medlarmoor/placement/flow_tracker.cpp
@@ -22,7 +22,7 @@
     release(At->second.Upstream_);
   else
     Checks_.emplace_back(Now + CheckInterval, Key);
-  At->second = {Upstream, Now, Now, Now + Timeout, Timeout, false};
+  At->second = {Upstream, Now, Now, {}, Now + Timeout, Timeout, false};
   ++Active_[Upstream];
   return At->second;
 }
@@ -47,18 +47,24 @@
   Flows_.erase(Found);
 }
 
-void FlowTracker::expire(TimePoint Now) {
+std::vector<std::pair<affinity::FlowKey, TrackedFlow>>
+FlowTracker::expire(TimePoint Now) {
+  std::vector<std::pair<affinity::FlowKey, TrackedFlow>> Silent;
   while (!Checks_.empty() && Checks_.front().first <= Now) {
     const affinity::FlowKey Key = Checks_.front().second;
     Checks_.pop_front();
     const TrackedFlow *Flow = find(Key);
     if (!Flow)
       continue;
-    if (Flow->ExpiresAt_ <= Now)
-      erase(Key);
-    else
+    if (Flow->ExpiresAt_ > Now) {
       Checks_.emplace_back(Now + CheckInterval, Key);
+      continue;
+    }
+    if (Flow->Open_)
+      Silent.emplace_back(Key, *Flow);
+    erase(Key);
   }
+  return Silent;
 }
 
 std::uint32_t FlowTracker::active(affinity::Tag Upstream) const noexcept {
--- a/src/medlarmoor/placement/flow_tracker.hpp
+++ b/src/medlarmoor/placement/flow_tracker.hpp
@@ -8,6 +8,7 @@
 #include <deque>
 #include <unordered_map>
 #include <utility>
+#include <vector>
 
 namespace medlarmoor::placement {
 
@@ -29,8 +30,9 @@
   void touch(TrackedFlow &Flow, TimePoint Now) noexcept;
   /// The flow has ended.
   void erase(const affinity::FlowKey &Key);
-  /// Forgets flows whose client has been silent for their timeout.
-  void expire(TimePoint Now);
+  /// Forgets flows whose client has been silent for their timeout, and gives
+  /// those that were open.
+  std::vector<std::pair<affinity::FlowKey, TrackedFlow>> expire(TimePoint Now);
 
   /// Flows at work at an upstream.
   [[nodiscard]] std::uint32_t active(affinity::Tag Upstream) const noexcept;
--- a/src/medlarmoor/placement/fwd.hpp
+++ b/src/medlarmoor/placement/fwd.hpp
@@ -10,6 +10,7 @@
 class FlowTracker;
 class Ejector;
 class Selector;
+class ServiceTimes;
 
 } // namespace medlarmoor::placement
 
--- a/src/medlarmoor/placement/selector.hpp
+++ b/src/medlarmoor/placement/selector.hpp
@@ -22,20 +22,29 @@
   /// Avoid are passed over as long as others are left.
   [[nodiscard]] const discovery::CatalogEntry *
   choose(const std::vector<const discovery::CatalogEntry *> &Candidates,
-         const FlowTracker &Flows, const Ejector &Outliers,
-         const discovery::CatalogEntry *Avoid, TimePoint Now);
+         const FlowTracker &Flows, const ServiceTimes &Times,
+         const Ejector &Outliers, const discovery::CatalogEntry *Avoid,
+         TimePoint Now);
 
 private:
   using Pool = std::vector<const discovery::CatalogEntry *>;
 
-  void fillPool(const Pool &Candidates, const Ejector &Outliers,
-                const discovery::CatalogEntry *Avoid, TimePoint Now);
+  /// What a choice looks at.
+  struct View {
+    const FlowTracker &Flows_;
+    const ServiceTimes &Times_;
+    TimePoint Now_;
+  };
+
   [[nodiscard]] double cost(const discovery::CatalogEntry &Each,
-                            const FlowTracker &Flows, TimePoint Now) const;
-  const discovery::CatalogEntry *lowestCost(const FlowTracker &Flows,
-                                            TimePoint Now, const LeastLoaded &);
-  const discovery::CatalogEntry *lowestCost(const FlowTracker &Flows,
-                                            TimePoint Now, const RandomOfTwo &);
+                            const View &Seen) const;
+  [[nodiscard]] bool overloaded(const discovery::CatalogEntry &Each,
+                                const View &Seen) const;
+  const discovery::CatalogEntry *lowestCost(const View &Seen,
+                                            const LeastLoaded &Policy);
+  const discovery::CatalogEntry *lowestCost(const View &Seen,
+                                            const RandomOfTwo &Policy);
+  const discovery::CatalogEntry *fromPool(const View &Seen);
 
   DomainName Home_;
   SelectionPolicy Policy_;
--- a/src/medlarmoor/placement/tracked_flow.hpp
+++ b/src/medlarmoor/placement/tracked_flow.hpp
@@ -12,6 +12,8 @@
   TimePoint FirstSeen_{};
   /// When the SYN was last sent to Upstream_.
   TimePoint PlacedAt_{};
+  /// When the client answered the upstream; valid when Open_.
+  TimePoint OpenedAt_{};
   /// When it stops to count if the client sends nothing more.
   TimePoint ExpiresAt_{};
   /// How long it counts after a packet.
--- a/test/placement/selector_test.cpp
+++ b/test/placement/selector_test.cpp
@@ -3,6 +3,7 @@
 #include <medlarmoor/placement/ejector.hpp>
 #include <medlarmoor/placement/flow_tracker.hpp>
 #include <medlarmoor/placement/selector.hpp>
+#include <medlarmoor/placement/service_times.hpp>
 
 #include <catch2/catch.hpp>
 
@@ -25,7 +26,7 @@
   /// The name of the next choice, which is then at work there.
   std::string place(TimePoint Now = at(0)) {
     const auto *Chosen = Selector_.choose(Catalog_.candidates(Web), Flows_,
-                                          Outliers_, Avoid_, Now);
+                                          Times_, Outliers_, Avoid_, Now);
     if (!Chosen)
       return "";
     const auto Port = static_cast<std::uint16_t>(++Ports_);
@@ -36,6 +37,7 @@
 
   discovery::Catalog Catalog_{{}};
   FlowTracker Flows_;
+  ServiceTimes Times_;
   Ejector Outliers_{{}};
   const discovery::CatalogEntry *Avoid_ = nullptr;
   Selector Selector_{DomainName("seeb"), LeastLoaded{}, Random(1)};
@@ -100,6 +102,32 @@
   CHECK(Placed.size() == 4);
 }
 
+TEST_CASE("cut: upstreams of the own domain serve alone while they can") {
+  Bench Each({upstream("i-1"), remote("i-2"), remote("i-3"), remote("i-4")});
+  for (const char *Name : {"i-2", "i-3", "i-4"})
+    Each.Outliers_.handshakeTimedOut(affinity::tagOf(UpstreamName(Name)),
+                                     at(0));
+  for (int I = 0; I < 4; ++I)
+    CHECK(Each.place(at(10)) == "i-1");
+  // Two flows at work and two waiting: another one tries its luck elsewhere.
+  CHECK(Each.place(at(10)) != "i-1");
+}
+
+TEST_CASE("slow upstream: it gets as many flows as it can finish in time") {
+  Bench Each({upstream("i-1"), upstream("i-2")});
+  for (int I = 0; I < 20; ++I) {
+    Each.Times_.ended({Ipv4(2), 443}, affinity::tagOf(UpstreamName("i-1")),
+                      Millis(30), at(I));
+    Each.Times_.ended({Ipv4(2), 443}, affinity::tagOf(UpstreamName("i-2")),
+                      Millis(150), at(I));
+  }
+  std::map<std::string, int> Placed;
+  for (int I = 0; I < 10; ++I)
+    ++Placed[Each.place(at(20))];
+  CHECK(Placed["i-2"] >= 1);
+  CHECK(Placed["i-1"] >= 7);
+}
+
 TEST_CASE("a retry avoids the upstream that did not answer") {
   Bench Each({upstream("i-1"), upstream("i-2")});
   Each.Avoid_ = Each.Catalog_.find(affinity::tagOf(UpstreamName("i-1")));
