Tell on that the store came back, log beliefs, never wait for a log reader

An instance that heard of the removals from a peer which had itself heard of them second-hand did not know of the outage, and took the upstreams as gone. The news of the return is passed on now, and an instance whose own calls failed needs no news. Ruled out: the readers themselves, which kept the entries; a late grace, since the resets came 0.9 s after the return.

Logs go to standard output through a bounded buffer that is written only when its reader takes it; ejections, returns, silent flows, peers and reloads get lines, handshakes, flows and store calls histograms. A changed settings file is taken over without a signal, too.

--- a/src/medlarmoor/config/edge_settings.hpp
+++ b/src/medlarmoor/config/edge_settings.hpp
@@ -46,6 +46,8 @@
       Out.emplace_back(Each.address(), Gossip_.port());
     return Out;
   }
+
+  friend bool operator==(const EdgeSettings &, const EdgeSettings &) = default;
 };
 
 } // namespace medlarmoor::config
--- a/src/medlarmoor/edge/decision.hpp
+++ b/src/medlarmoor/edge/decision.hpp
@@ -1,6 +1,8 @@
 #ifndef MEDLARMOOR_EDGE_DECISION_HPP
 #define MEDLARMOOR_EDGE_DECISION_HPP
 
+#include <medlarmoor/affinity/tag.hpp>
+#include <medlarmoor/core/time.hpp>
 #include <medlarmoor/discovery/fwd.hpp>
 
 #include <cstdint>
@@ -12,6 +14,10 @@
 enum class DeliverReason : unsigned char {
   /// Its flow is established.
   Established,
+  /// It is the first packet of the client behind the handshake.
+  Opened,
+  /// It ends a flow.
+  Ended,
   /// It opens a flow.
   Placed,
   /// It is a copy of the SYN that was sent to the same upstream.
@@ -47,6 +53,14 @@
   std::uint32_t Candidates_ = 0;
   /// Flows at work there before this one, as this instance sees it.
   std::uint32_t Active_ = 0;
+  /// Opened: since the first SYN. Ended: since it was opened.
+  Nanos Elapsed_{0};
+  /// Moved: the upstream that did not answer.
+  affinity::Tag Previous_;
+  /// Moved: for how long that one takes no new flows; 0 when it did not before.
+  Millis Ejected_{0};
+  /// Opened: the upstream had been ejected.
+  bool Restored_ = false;
 };
 
 /// Answer the packet with a reset.
--- a/src/medlarmoor/edge/decision_log.cpp
+++ b/src/medlarmoor/edge/decision_log.cpp
@@ -15,6 +15,7 @@
 constexpr std::uint32_t MovedPerSecond = 100;
 constexpr std::uint32_t RejectedPerSecond = 200;
 constexpr std::uint32_t DroppedPerSecond = 50;
+constexpr std::uint32_t SilentPerSecond = 50;
 
 constexpr const char *PacketsMetric = "medlarmoor_edge_packets_total";
 
@@ -42,20 +43,28 @@
 
 } // namespace
 
-DecisionLog::DecisionLog(const routing::Router &Routes,
+DecisionLog::DecisionLog(const discovery::Catalog &Upstreams,
+                         const routing::Router &Routes,
                          std::function<Millis(TimePoint)> Age,
                          telemetry::EventLog &Log, telemetry::Registry &Metrics)
-    : Routes_(Routes), Age_(std::move(Age)), Log_(Log),
+    : Upstreams_(Upstreams), Routes_(Routes), Age_(std::move(Age)), Log_(Log),
+      HandshakeTimes_(Metrics.histogram("medlarmoor_edge_handshake_seconds")),
+      FlowTimes_(Metrics.histogram("medlarmoor_edge_flow_seconds")),
       Established_(Metrics.counter(PacketsMetric, "decision=\"established\"")),
       Placed_(Metrics.counter(PacketsMetric, "decision=\"placed\"")),
       Repeated_(Metrics.counter(PacketsMetric, "decision=\"repeated\"")),
       Moved_(Metrics.counter(PacketsMetric, "decision=\"moved\"")),
       Rejected_(Metrics.counter(PacketsMetric, "decision=\"rejected\"")),
       Dropped_(Metrics.counter(PacketsMetric, "decision=\"dropped\"")),
+      SilentHandshakes_(Metrics.counter("medlarmoor_edge_silent_total",
+                                        "state=\"handshake\"")),
+      SilentFlows_(
+          Metrics.counter("medlarmoor_edge_silent_total", "state=\"open\"")),
       Malformed_(Metrics.counter(PacketsMetric, "decision=\"malformed\"")),
       Unsent_(Metrics.counter("medlarmoor_edge_unsent_total")),
       PlacedLines_(PlacedPerSecond), MovedLines_(MovedPerSecond),
-      RejectedLines_(RejectedPerSecond), DroppedLines_(DroppedPerSecond) {}
+      RejectedLines_(RejectedPerSecond), DroppedLines_(DroppedPerSecond),
+      SilentLines_(SilentPerSecond) {}
 
 void DecisionLog::decided(const affinity::Packet &In, const Decision &Made,
                           TimePoint Now) {
@@ -70,6 +79,7 @@
   reportLeftOut("flow_moved", MovedLines_, Now);
   reportLeftOut("flow_rejected", RejectedLines_, Now);
   reportLeftOut("packet_dropped", DroppedLines_, Now);
+  reportLeftOut("flow_silent", SilentLines_, Now);
 }
 
 void DecisionLog::delivered(const affinity::Packet &In, const Deliver &To,
@@ -77,35 +87,83 @@
   switch (To.Reason_) {
   case DeliverReason::Established:
     return Established_.add();
+  case DeliverReason::Opened:
+    Established_.add();
+    HandshakeTimes_.record(To.Elapsed_);
+    if (To.Restored_)
+      Log_.info("upstream_restored",
+                {{"upstream", To.Upstream_->Upstream_.Name_.value()},
+                 {"flow", In.Flow_.text()}});
+    return;
+  case DeliverReason::Ended:
+    Established_.add();
+    return FlowTimes_.record(To.Elapsed_);
   case DeliverReason::Repeated:
     return Repeated_.add();
   case DeliverReason::Placed:
-    Placed_.add();
-    if (PlacedLines_.take(Now))
-      Log_.info("flow_placed",
-                {{"flow", In.Flow_.text()},
-                 {"upstream", To.Upstream_->Upstream_.Name_.value()},
-                 {"active", To.Active_},
-                 {"candidates", To.Candidates_},
-                 {"routes", Routes_.table().Version_.value()},
-                 {"list_age_ms", Age_(Now).count()}});
-    return;
+    return placed(In, To, Now);
   case DeliverReason::Moved:
-    Moved_.add();
-    if (MovedLines_.take(Now))
-      Log_.info("flow_moved",
-                {{"flow", In.Flow_.text()},
-                 {"reason", "handshake_timeout"},
-                 {"upstream", To.Upstream_->Upstream_.Name_.value()},
-                 {"copy", In.Acknowledged_},
-                 {"active", To.Active_},
-                 {"candidates", To.Candidates_},
-                 {"routes", Routes_.table().Version_.value()},
-                 {"list_age_ms", Age_(Now).count()}});
-    return;
+    return moved(In, To, Now);
   }
 }
 
+void DecisionLog::placed(const affinity::Packet &In, const Deliver &To,
+                         TimePoint Now) {
+  Placed_.add();
+  if (PlacedLines_.take(Now))
+    Log_.info("flow_placed",
+              {{"flow", In.Flow_.text()},
+               {"upstream", To.Upstream_->Upstream_.Name_.value()},
+               {"copy", In.Acknowledged_},
+               {"active", To.Active_},
+               {"candidates", To.Candidates_},
+               {"routes", Routes_.table().Version_.value()},
+               {"list_age_ms", Age_(Now).count()}});
+}
+
+void DecisionLog::moved(const affinity::Packet &In, const Deliver &To,
+                        TimePoint Now) {
+  Moved_.add();
+  const std::string Previous = nameOf(To.Previous_);
+  if (MovedLines_.take(Now))
+    Log_.info("flow_moved",
+              {{"flow", In.Flow_.text()},
+               {"reason", "handshake_timeout"},
+               {"from", Previous},
+               {"upstream", To.Upstream_->Upstream_.Name_.value()},
+               {"copy", In.Acknowledged_},
+               {"active", To.Active_},
+               {"candidates", To.Candidates_},
+               {"routes", Routes_.table().Version_.value()},
+               {"list_age_ms", Age_(Now).count()}});
+  if (To.Ejected_ > Millis(0))
+    Log_.info("upstream_ejected", {{"upstream", Previous},
+                                   {"reason", "handshake_timeout"},
+                                   {"flow", In.Flow_.text()},
+                                   {"for_ms", To.Ejected_.count()}});
+}
+
+void DecisionLog::silent(const affinity::FlowKey &Key,
+                         const placement::TrackedFlow &Flow, TimePoint Now) {
+  (Flow.Open_ ? SilentFlows_ : SilentHandshakes_).add();
+  if (!SilentLines_.take(Now))
+    return;
+  const auto Age = [Now](TimePoint Since) {
+    return std::chrono::duration_cast<Millis>(Now - Since).count();
+  };
+  Log_.info("flow_silent", {{"flow", Key.text()},
+                            {"upstream", nameOf(Flow.Upstream_)},
+                            {"state", Flow.Open_ ? "open" : "handshake"},
+                            {"age_ms", Age(Flow.FirstSeen_)},
+                            {"timeout_ms", Flow.Timeout_.count()}});
+}
+
+std::string DecisionLog::nameOf(affinity::Tag Upstream) const {
+  const discovery::CatalogEntry *Known = Upstreams_.find(Upstream);
+  return Known ? Known->Upstream_.Name_.value()
+               : "tag:" + std::to_string(Upstream.value());
+}
+
 void DecisionLog::rejected(const affinity::Packet &In, const Reject &Made,
                            TimePoint Now) {
   Rejected_.add();
--- a/src/medlarmoor/edge/edge_server.cpp
+++ b/src/medlarmoor/edge/edge_server.cpp
@@ -18,6 +18,8 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <csignal>
+#include <filesystem>
+#include <optional>
 #include <random>
 #include <utility>
 
@@ -27,6 +29,8 @@
 
 /// How often silent flows, lapsed upstreams and the exit are looked at.
 constexpr Millis TickInterval{200};
+/// How often the settings file is looked at for a change without a signal.
+constexpr Millis FileCheckInterval{2000};
 
 /// A watch waits for less than half of the time in which a change must be in
 /// force, so that a silent connection is noticed, and its reader replaced,
@@ -79,12 +83,13 @@
   void noteListed(const discovery::Upstream &Each);
   void mergeRoutes(const routing::RouteChanges &Changes);
   void noteRoutes(bool Adopted, ConfigVersion Offered);
-  void storeReturned(TimePoint When);
   [[nodiscard]] Knowledge known() const;
   void tick();
+  void noteUsage();
+  void checkFile(TimePoint Now);
   void waitForSignal();
   void stop();
-  void reload();
+  void reload(const char *Cause);
   net::HttpResponse answerRouter(const net::HttpRequest &Request) const;
   net::HttpResponse answerMetrics(const net::HttpRequest &Request) const;
 
@@ -107,6 +112,11 @@
   net::HttpServer MetricsDoor_;
   boost::asio::signal_set Signals_;
   boost::asio::steady_timer Ticks_;
+  TimePoint NextFileCheck_{};
+  std::optional<std::filesystem::file_time_type> FileChanged_;
+  telemetry::Gauge &TrackedFlows_;
+  telemetry::Gauge &ListedUpstreams_;
+  telemetry::Gauge &RouteVersion_;
 };
 
 EdgeServer::Impl::Impl(config::EdgeSettings Settings, std::string File,
@@ -123,17 +133,14 @@
           seeded(), Time_,
           {[this](auto Items) { takeUpstreams(std::move(Items), true); },
            [this](auto Items) { takeUpstreams(std::move(Items), false); },
-           [this] {
-             storeReturned(Time_.now());
-             Peers_.storeReturned(Time_.now());
-           }},
+           [this] { Peers_.storeReturned(Time_.now()); }},
           Metrics_, Log_),
       RouteTables_("routes", Io_, Settings_.Store_, Settings_.Address_,
                    std::move(Store.Routes_),
                    followerTiming(Settings_.ApplyLimit_), seeded(), Time_,
                    {[this](auto Items) { takeRoutes(std::move(Items)); },
                     [this](auto Items) { takeRoutes(std::move(Items)); },
-                    [] {}},
+                    [this] { Peers_.storeReturned(Time_.now()); }},
                    Metrics_, Log_),
       Peers_(Io_, Settings_, electionTiming(Settings_.ApplyLimit_),
              {Upstreams_.follower(), RouteTables_.follower(),
@@ -149,10 +156,10 @@
                 Upstreams_.wake();
                 RouteTables_.wake();
               },
-              [this](TimePoint When) { storeReturned(When); }},
+              [this](TimePoint When) { Catalog_.storeReturned(When); }},
              seeded(), Time_, Metrics_, Log_),
       Decisions_(
-          Routes_,
+          Catalog_, Routes_,
           [this](TimePoint Now) {
             const auto Since = Upstreams_.follower().currentAsOf();
             return Since ? std::chrono::duration_cast<Millis>(Now - *Since)
@@ -172,7 +179,12 @@
           [this](const net::HttpRequest &Request, const net::HttpReply &Reply) {
             Reply(answerMetrics(Request));
           }),
-      Signals_(Io_, SIGTERM, SIGINT, SIGHUP), Ticks_(Io_) {}
+      Signals_(Io_, SIGTERM, SIGINT, SIGHUP), Ticks_(Io_),
+      TrackedFlows_(Metrics_.gauge("medlarmoor_edge_flows")),
+      ListedUpstreams_(Metrics_.gauge("medlarmoor_edge_upstreams")),
+      RouteVersion_(Metrics_.gauge("medlarmoor_edge_route_version")) {
+  telemetry::EventLog::batch();
+}
 
 bool EdgeServer::Impl::start(Findings &Out) {
   if (!Packets_.start())
@@ -260,17 +272,14 @@
 }
 
 void EdgeServer::Impl::noteRoutes(bool Adopted, ConfigVersion Offered) {
-  Log_.info(Adopted ? "routes_adopted" : "routes_kept",
-            {{"offered", Offered.value()},
+  Log_.info("routes_offered",
+            {{"adopted", Adopted ? "yes" : "no"},
+             {"offered", Offered.value()},
              {"in_force", Routes_.table().Version_.value()},
              {"routes", Routes_.table().Routes_.size()},
              {"revision", RouteTables_.follower().revision()}});
 }
 
-void EdgeServer::Impl::storeReturned(TimePoint When) {
-  Catalog_.storeReturned(When);
-}
-
 Knowledge EdgeServer::Impl::known() const {
   const TimePoint Now = Time_.now();
   // Beyond that age a change that others have applied may be missing.
@@ -283,10 +292,15 @@
 
 void EdgeServer::Impl::tick() {
   const TimePoint Now = Time_.now();
-  Forwarder_.expire(Now);
+  for (const auto &[Key, Flow] : Forwarder_.expire(Now))
+    Decisions_.silent(Key, Flow, Now);
   Decisions_.flush(Now);
+  noteUsage();
+  checkFile(Now);
+  telemetry::EventLog::flush();
   if (Readiness_.mayExit(Now)) {
     Log_.info("stopped", {{"flows", Forwarder_.flows().size()}});
+    telemetry::EventLog::flush();
     return Io_.stop();
   }
   Ticks_.expires_after(TickInterval);
@@ -301,7 +315,7 @@
     if (Failed)
       return;
     if (Number == SIGHUP)
-      reload();
+      reload("signal");
     else
       stop();
     waitForSignal();
@@ -316,14 +330,46 @@
                          {"grace_ms", Settings_.Grace_.count()}});
 }
 
-void EdgeServer::Impl::reload() {
+void EdgeServer::Impl::checkFile(TimePoint Now) {
+  if (Now < NextFileCheck_)
+    return;
+  NextFileCheck_ = Now + FileCheckInterval;
+  std::error_code Failed;
+  const auto Changed = std::filesystem::last_write_time(File_, Failed);
+  if (Failed || Changed == FileChanged_)
+    return;
+  const bool First = !FileChanged_;
+  FileChanged_ = Changed;
+  if (!First)
+    reload("file changed");
+}
+
+void EdgeServer::Impl::reload(const char *Cause) {
   Findings Found;
   const auto Read = config::readEdgeSettingsFile(File_, Found);
   if (!Read) {
-    Log_.error("reload_refused", {{"findings", Found.text()}});
+    Log_.error("reload_refused",
+               {{"cause", Cause}, {"findings", Found.text()}});
     return;
   }
-  Log_.info("reloaded", {{"file", File_}});
+  config::EdgeSettings Next = Settings_;
+  Next.Seeds_ = Read->Seeds_;
+  Next.LogLevel_ = Read->LogLevel_;
+  Next.Grace_ = Read->Grace_;
+  Log_.setLevel(Next.LogLevel_);
+  Peers_.setSeeds(Next.gossipSeeds());
+  Readiness_.setGrace(Next.Grace_);
+  Log_.info("reloaded", {{"cause", Cause},
+                         {"changed", Next == Settings_ ? "no" : "yes"},
+                         {"needs_restart", Next == *Read ? "no" : "yes"}});
+  Settings_ = Next;
+}
+
+void EdgeServer::Impl::noteUsage() {
+  TrackedFlows_.set(static_cast<std::int64_t>(Forwarder_.flows().size()));
+  ListedUpstreams_.set(static_cast<std::int64_t>(Catalog_.listed()));
+  RouteVersion_.set(
+      static_cast<std::int64_t>(Routes_.table().Version_.value()));
 }
 
 net::HttpResponse
--- a/src/medlarmoor/edge/forwarder.cpp
+++ b/src/medlarmoor/edge/forwarder.cpp
@@ -32,10 +32,13 @@
   return In.Syn_ ? open(In, Known, Now) : follow(In, Now);
 }
 
-void Forwarder::expire(TimePoint Now) {
-  for (const auto &[Key, Flow] : Flows_.expire(Now))
-    end(Key, Flow, Now);
+std::vector<Forwarder::SilentFlow> Forwarder::expire(TimePoint Now) {
+  std::vector<SilentFlow> Silent = Flows_.expire(Now);
+  for (const auto &[Key, Flow] : Silent)
+    if (Flow.Open_)
+      end(Key, Flow, Now);
   Catalog_.expire(Now);
+  return Silent;
 }
 
 Decision Forwarder::open(affinity::Packet &In, Knowledge Known, TimePoint Now) {
@@ -50,12 +53,17 @@
       Flow ? Catalog_.find(Flow->Upstream_) : nullptr;
   const bool TimedOut =
       Flow && !Flow->Open_ && Now - Flow->PlacedAt_ >= HandshakeTimeout;
+  Deliver Out;
   if (Previous && !TimedOut) {
     In.Tag_ = Flow->Upstream_;
-    return Deliver{Previous, DeliverReason::Repeated, 0, 0};
+    Out.Upstream_ = Previous;
+    Out.Reason_ = DeliverReason::Repeated;
+    return Out;
+  }
+  if (TimedOut) {
+    Out.Previous_ = Flow->Upstream_;
+    Out.Ejected_ = Outliers_.handshakeTimedOut(Flow->Upstream_, Now);
   }
-  if (TimedOut)
-    Outliers_.handshakeTimedOut(Flow->Upstream_, Now);
   const auto &Candidates =
       Catalog_.candidates(Route->serviceFor(In.Flow_.hash()));
   const CatalogEntry *Chosen =
@@ -66,9 +74,10 @@
     return Reject{RejectReason::NoUpstream};
   }
   In.Tag_ = Chosen->Tag_;
-  const Deliver Out{Chosen, Flow ? DeliverReason::Moved : DeliverReason::Placed,
-                    static_cast<std::uint32_t>(Candidates.size()),
-                    Flows_.active(Chosen->Tag_)};
+  Out.Upstream_ = Chosen;
+  Out.Reason_ = Flow ? DeliverReason::Moved : DeliverReason::Placed;
+  Out.Candidates_ = static_cast<std::uint32_t>(Candidates.size());
+  Out.Active_ = Flows_.active(Chosen->Tag_);
   if (Flow)
     Flows_.move(*Flow, Chosen->Tag_, Now);
   else
@@ -77,36 +86,51 @@
 }
 
 Decision Forwarder::follow(const affinity::Packet &In, TimePoint Now) {
+  Deliver Out;
   TrackedFlow *Flow = Flows_.find(In.Flow_);
-  if (Flow && In.Tag_ != affinity::NoTag)
-    settle(*Flow, In, Now);
+  if (Flow && !Flow->Open_ && In.Tag_ != affinity::NoTag)
+    settle(*Flow, In, Now, Out);
   // A flow that was offered to two upstreams stays with the first that the
   // client answered, whatever tag came later.
-  const affinity::Tag Owner = Flow && Flow->Open_ ? Flow->Upstream_ : In.Tag_;
-  const CatalogEntry *Upstream = Catalog_.find(Owner);
-  if (!Upstream)
+  Out.Upstream_ =
+      Catalog_.find(Flow && Flow->Open_ ? Flow->Upstream_ : In.Tag_);
+  if (!Out.Upstream_)
     return Drop{DropReason::UnknownTag};
-  if (In.Fin_ || In.Rst_)
-    Flows_.erase(In.Flow_);
-  else if (Flow)
-    Flows_.touch(*Flow, Now);
-  else if (In.Length_ > 0)
-    // Another instance placed it, or it was silent for long.
-    Flows_.add(In.Flow_, Upstream->Tag_, requestTimeout(In.Flow_.Virtual_), Now)
-        .Open_ = true;
-  return Deliver{Upstream, DeliverReason::Established, 0, 0};
+  count(Flow, In, Now, Out);
+  return Out;
 }
 
 void Forwarder::settle(TrackedFlow &Flow, const affinity::Packet &In,
-                       TimePoint Now) {
-  if (Flow.Open_)
-    return;
+                       TimePoint Now, Deliver &Out) {
   if (Flow.Upstream_ != In.Tag_)
     Flows_.move(Flow, In.Tag_, Now);
   Flow.Open_ = true;
   Flow.OpenedAt_ = Now;
   Flow.Timeout_ = requestTimeout(In.Flow_.Virtual_);
-  Outliers_.handshakeCompleted(In.Tag_);
+  Out.Reason_ = DeliverReason::Opened;
+  Out.Elapsed_ = Now - Flow.FirstSeen_;
+  Out.Restored_ = Outliers_.handshakeCompleted(In.Tag_);
+}
+
+void Forwarder::count(TrackedFlow *Flow, const affinity::Packet &In,
+                      TimePoint Now, Deliver &Out) {
+  const bool Last = In.Fin_ || In.Rst_;
+  if (Flow && Last) {
+    if (Flow->Open_) {
+      end(In.Flow_, *Flow, Now);
+      Out.Reason_ = DeliverReason::Ended;
+      Out.Elapsed_ = Now - Flow->OpenedAt_;
+    }
+    Flows_.erase(In.Flow_);
+  } else if (Flow) {
+    Flows_.touch(*Flow, Now);
+  } else if (In.Length_ > 0 && !Last) {
+    // Another instance placed it, or it was silent for long.
+    TrackedFlow &Joined =
+        Flows_.add(In.Flow_, In.Tag_, requestTimeout(In.Flow_.Virtual_), Now);
+    Joined.Open_ = true;
+    Joined.OpenedAt_ = Now;
+  }
 }
 
 void Forwarder::end(const affinity::FlowKey &Key, const TrackedFlow &Flow,
--- a/src/medlarmoor/edge/forwarder.hpp
+++ b/src/medlarmoor/edge/forwarder.hpp
@@ -11,6 +11,9 @@
 #include <medlarmoor/placement/service_times.hpp>
 #include <medlarmoor/routing/router.hpp>
 
+#include <utility>
+#include <vector>
+
 namespace medlarmoor::edge {
 
 /// Decides what becomes of each packet of a client. Packets of established
@@ -24,8 +27,11 @@
   /// The decision for In. The tag of a SYN that is delivered is set.
   [[nodiscard]] Decision handle(affinity::Packet &In, Knowledge Known,
                                 TimePoint Now);
-  /// Forgets what is over. Call it a few times a second.
-  void expire(TimePoint Now);
+  using SilentFlow = std::pair<affinity::FlowKey, placement::TrackedFlow>;
+
+  /// Forgets what is over and gives the flows whose clients fell silent. Call
+  /// it a few times a second.
+  std::vector<SilentFlow> expire(TimePoint Now);
 
   [[nodiscard]] const placement::FlowTracker &flows() const noexcept {
     return Flows_;
@@ -37,8 +43,12 @@
 private:
   Decision open(affinity::Packet &In, Knowledge Known, TimePoint Now);
   Decision follow(const affinity::Packet &In, TimePoint Now);
+  /// The first packet behind a handshake came.
   void settle(placement::TrackedFlow &Flow, const affinity::Packet &In,
-              TimePoint Now);
+              TimePoint Now, Deliver &Out);
+  /// Keeps the count of flows at work. Flow is null when it is not tracked.
+  void count(placement::TrackedFlow *Flow, const affinity::Packet &In,
+             TimePoint Now, Deliver &Out);
   void end(const affinity::FlowKey &Key, const placement::TrackedFlow &Flow,
            TimePoint Now);
   [[nodiscard]] Millis requestTimeout(Endpoint Virtual) const noexcept;
--- a/src/medlarmoor/edge/peer_sync.cpp
+++ b/src/medlarmoor/edge/peer_sync.cpp
@@ -3,6 +3,7 @@
 #include <medlarmoor/edge/snapshot_codec.hpp>
 #include <medlarmoor/peers/announcement_codec.hpp>
 
+#include <algorithm>
 #include <charconv>
 #include <utility>
 
@@ -111,6 +112,9 @@
   // What was asked for may have come another way meanwhile.
   if (!Read || Read->State_.Upto_ < Into.Follower_.revision())
     return bool(Read);
+  // A peer reached the store before this instance did.
+  if (Into.Follower_.storeAway(Time_.now()))
+    noteReturn(Time_.now());
   Into.Follower_.adopt(Read->State_.Upto_, Read->State_.Changed_,
                        Time_.now() - Read->State_.Age_);
   Taker(std::move(Read->Changes_));
@@ -123,6 +127,11 @@
     announce(audience(), Now);
 }
 
+void PeerSync::noteReturn(TimePoint When) {
+  StoreReturnedAt_ = std::max(StoreReturnedAt_.value_or(When), When);
+  TellReturn_(When);
+}
+
 bool PeerSync::reading(TimePoint Now) const {
   for (const Channel &Each : Channels_)
     if (Each.Follower_.deferring(Now) || !Election_.current(state(Each, Now)))
@@ -180,13 +189,18 @@
 
 void PeerSync::tick() {
   const TimePoint Now = Time_.now();
-  Members_.expire(Now);
+  for (const Endpoint Each : Members_.expire(Now))
+    Log_.info("peer_lost",
+              {{"peer", Each.text()}, {"members", Members_.size()}});
   MemberCount_.set(static_cast<std::int64_t>(Members_.size()));
   noteReading(reading(Now), Now);
   if (reading(Now))
     announce(audience(), Now);
   if (Now >= NextGossip_) {
-    NextGossip_ = Now + GossipInterval;
+    // Until it knows something, an instance asks at each tick.
+    const bool Informed = Channels_[0].Follower_.currentAsOf() &&
+                          Channels_[1].Follower_.currentAsOf();
+    NextGossip_ = Informed ? Now + GossipInterval : Now;
     gossip(Members_.gossipTargets(), Now);
   }
   Ticks_.expires_after(AnnounceInterval);
@@ -204,11 +218,11 @@
     const auto State = state(Each, Now);
     return State ? State->Age_.count() : -1;
   };
-  Log_.info(Reading ? "store_reader" : "store_reader_ended",
-            {{"members", Members_.size()},
-             {"rank", Members_.rank()},
-             {"upstreams_age_ms", Age(Channels_[0])},
-             {"routes_age_ms", Age(Channels_[1])}});
+  Log_.info("store_reader", {{"reading", Reading ? "yes" : "no"},
+                             {"members", Members_.size()},
+                             {"rank", Members_.rank()},
+                             {"upstreams_age_ms", Age(Channels_[0])},
+                             {"routes_age_ms", Age(Channels_[1])}});
 }
 
 void PeerSync::wait() {
@@ -237,11 +251,15 @@
       Members_.heard({From.From_, From.Domain_, Millis(0)}, Now);
   for (const peers::Member &Each : From.Members_)
     Members_.heard(Each, Now);
-  if (Unknown)
+  if (Unknown) {
+    Log_.info("peer_joined", {{"peer", From.From_.text()},
+                              {"domain", From.Domain_.value()},
+                              {"members", Members_.size()}});
     // An instance that has just started learns the members and who has what.
     gossip({From.From_}, Now);
+  }
   if (From.StoreReturned_)
-    TellReturn_(Now - *From.StoreReturned_);
+    noteReturn(Now - *From.StoreReturned_);
   const bool Trusted = inScope(From) && Election_.trusts(From, reading(Now));
   compare(Channels_[0], From.Upstreams_, From, Trusted, Now);
   compare(Channels_[1], From.Routes_, From, Trusted, Now);
--- a/src/medlarmoor/edge/peer_sync.hpp
+++ b/src/medlarmoor/edge/peer_sync.hpp
@@ -43,7 +43,7 @@
     std::function<void(const routing::RouteChanges &)> TakeRoutes_;
     /// Peers could not give a change: the store must.
     std::function<void()> ReadNow_;
-    /// The store came back from an outage at that moment, as a peer saw it.
+    /// The store came back from an outage at that moment.
     std::function<void(TimePoint)> StoreReturned_;
   };
 
@@ -60,10 +60,14 @@
     return Reason_;
   }
 
+  /// Replaces the seeds.
+  void setSeeds(std::vector<Endpoint> Seeds) {
+    Members_.setSeeds(std::move(Seeds));
+  }
   /// This instance has read a change itself: tells the others at once.
   void announceChange();
   /// The store came back from an outage, as this instance saw it.
-  void storeReturned(TimePoint Now) { StoreReturnedAt_ = Now; }
+  void storeReturned(TimePoint Now) { noteReturn(Now); }
 
 private:
   /// One collection as it is exchanged.
@@ -82,6 +86,8 @@
   template <typename Changes, typename Take>
   bool adopt(Channel &Into, std::optional<Snapshot<Changes>> Read,
              const Take &Taker);
+  /// The store came back at When, as this instance or a peer saw it.
+  void noteReturn(TimePoint When);
   [[nodiscard]] bool reading(TimePoint Now) const;
   [[nodiscard]] std::optional<peers::CollectionState>
   state(const Channel &Each, TimePoint Now) const;
--- a/src/medlarmoor/edge/readiness.hpp
+++ b/src/medlarmoor/edge/readiness.hpp
@@ -13,6 +13,8 @@
   /// Grace is the time between the stop signal and the kill.
   explicit Readiness(Millis Grace);
 
+  /// Replaces the time between the stop signal and the kill.
+  void setGrace(Millis Grace) noexcept { Grace_ = Grace; }
   /// The stop signal came.
   void stop(TimePoint Now);
   /// A packet came.
--- a/src/medlarmoor/objects/collection_reader.hpp
+++ b/src/medlarmoor/objects/collection_reader.hpp
@@ -50,6 +50,8 @@
                                "collection=\"" + Name_ + "\"")),
         Failures_(Metrics.counter("medlarmoor_store_failures_total",
                                   "collection=\"" + Name_ + "\"")),
+        Times_(Metrics.histogram("medlarmoor_store_call_seconds",
+                                 "collection=\"" + Name_ + "\"")),
         Log_(Log) {}
 
   /// Begins to follow.
@@ -99,6 +101,7 @@
     constexpr unsigned Ok = 200;
     constexpr unsigned Gone = 410;
     const TimePoint Now = Time_.now();
+    Times_.record(Now - Sent);
     if (Answer && Answer->Status_ == Gone) {
       Log_.info("store_history_lost",
                 {{"collection", Name_}, {"revision", Follower_.revision()}});
@@ -168,6 +171,7 @@
   boost::asio::steady_timer Timer_;
   telemetry::Counter &Calls_;
   telemetry::Counter &Failures_;
+  telemetry::Histogram &Times_;
   telemetry::EventLog &Log_;
   Items Listed_;
 };
--- a/src/medlarmoor/peers/member_table.cpp
+++ b/src/medlarmoor/peers/member_table.cpp
@@ -23,7 +23,12 @@
 
 MemberTable::MemberTable(Endpoint Self, std::vector<Endpoint> Seeds,
                          Random Source)
-    : Self_(Self), Seeds_(std::move(Seeds)), Source_(Source) {
+    : Self_(Self), Source_(Source) {
+  setSeeds(std::move(Seeds));
+}
+
+void MemberTable::setSeeds(std::vector<Endpoint> Seeds) {
+  Seeds_ = std::move(Seeds);
   std::erase(Seeds_, Self_);
 }
 
@@ -37,10 +42,14 @@
   return Inserted;
 }
 
-void MemberTable::expire(TimePoint Now) {
-  std::erase_if(Members_, [Now](const auto &Each) {
-    return Now - Each.second.HeardAt_ >= MemberLifetime;
-  });
+std::vector<Endpoint> MemberTable::expire(TimePoint Now) {
+  std::vector<Endpoint> Lost;
+  for (const auto &[Address, Known] : Members_)
+    if (Now - Known.HeardAt_ >= MemberLifetime)
+      Lost.push_back(Address);
+  for (const Endpoint Each : Lost)
+    Members_.erase(Each);
+  return Lost;
 }
 
 std::vector<Endpoint> MemberTable::all() const {
--- a/src/medlarmoor/peers/member_table.hpp
+++ b/src/medlarmoor/peers/member_table.hpp
@@ -19,8 +19,10 @@
 
   /// An instance was heard of, Member.Age_ ago. Tells whether it was unknown.
   bool heard(const Member &Each, TimePoint Now);
-  /// Forgets members that nobody has heard of for long.
-  void expire(TimePoint Now);
+  /// Replaces the seeds.
+  void setSeeds(std::vector<Endpoint> Seeds);
+  /// Forgets members that nobody has heard of for long, and gives them.
+  std::vector<Endpoint> expire(TimePoint Now);
 
   /// All members.
   [[nodiscard]] std::vector<Endpoint> all() const;
--- a/src/medlarmoor/placement/ejector.cpp
+++ b/src/medlarmoor/placement/ejector.cpp
@@ -26,8 +26,8 @@
   return Length;
 }
 
-void Ejector::handshakeCompleted(affinity::Tag Upstream) {
-  Records_.erase(Upstream);
+bool Ejector::handshakeCompleted(affinity::Tag Upstream) {
+  return Records_.erase(Upstream) > 0;
 }
 
 bool Ejector::ejected(affinity::Tag Upstream, TimePoint Now) const noexcept {
--- a/src/medlarmoor/placement/ejector.hpp
+++ b/src/medlarmoor/placement/ejector.hpp
@@ -19,8 +19,9 @@
   /// A handshake with the upstream timed out. Gives how long it is ejected;
   /// zero when it was ejected already.
   Millis handshakeTimedOut(affinity::Tag Upstream, TimePoint Now);
-  /// A handshake with the upstream was completed.
-  void handshakeCompleted(affinity::Tag Upstream);
+  /// A handshake with the upstream was completed. Tells whether it had been
+  /// ejected.
+  bool handshakeCompleted(affinity::Tag Upstream);
   /// True while the upstream is ejected.
   [[nodiscard]] bool ejected(affinity::Tag Upstream,
                              TimePoint Now) const noexcept;
--- a/src/medlarmoor/placement/flow_tracker.cpp
+++ b/src/medlarmoor/placement/flow_tracker.cpp
@@ -60,8 +60,7 @@
       Checks_.emplace_back(Now + CheckInterval, Key);
       continue;
     }
-    if (Flow->Open_)
-      Silent.emplace_back(Key, *Flow);
+    Silent.emplace_back(Key, *Flow);
     erase(Key);
   }
   return Silent;
--- a/src/medlarmoor/placement/flow_tracker.hpp
+++ b/src/medlarmoor/placement/flow_tracker.hpp
@@ -31,7 +31,7 @@
   /// The flow has ended.
   void erase(const affinity::FlowKey &Key);
   /// Forgets flows whose client has been silent for their timeout, and gives
-  /// those that were open.
+  /// them.
   std::vector<std::pair<affinity::FlowKey, TrackedFlow>> expire(TimePoint Now);
 
   /// Flows at work at an upstream.
--- a/src/medlarmoor/telemetry/event_log.cpp
+++ b/src/medlarmoor/telemetry/event_log.cpp
@@ -1,12 +1,14 @@
+#include <medlarmoor/telemetry/bounded_appender.hpp>
 #include <medlarmoor/telemetry/event_log.hpp>
 
-#include <log4cplus/consoleappender.h>
 #include <log4cplus/helpers/pointer.h>
 #include <log4cplus/initializer.h>
 #include <log4cplus/layout.h>
 #include <log4cplus/logger.h>
 #include <log4cplus/loggingmacros.h>
 
+#include <unistd.h>
+
 namespace medlarmoor::telemetry {
 
 namespace {
@@ -46,17 +48,27 @@
   return Line;
 }
 
-void attachStandardOutput() {
-  log4cplus::SharedAppenderPtr Appender(
-      new log4cplus::ConsoleAppender(false, true));
-  Appender->setLayout(std::make_unique<log4cplus::PatternLayout>(LinePattern));
-  log4cplus::Logger::getRoot().addAppender(Appender);
+/// Lines that gather before a write, when writing in batches.
+constexpr std::size_t BatchBytes = 4096;
+
+/// The process's way to standard output. It stays until the process ends.
+log4cplus::helpers::SharedObjectPtr<BoundedAppender> &output() {
+  static log4cplus::helpers::SharedObjectPtr<BoundedAppender> Each;
+  return Each;
+}
+
+void attach(std::size_t Batch) {
+  log4cplus::Logger Root = log4cplus::Logger::getRoot();
+  Root.removeAllAppenders();
+  output() = new BoundedAppender(STDOUT_FILENO, Batch);
+  output()->setLayout(std::make_unique<log4cplus::PatternLayout>(LinePattern));
+  Root.addAppender(log4cplus::SharedAppenderPtr(output().get()));
 }
 
 /// Log4cplus is started once a process and stays until its end.
 void startOnce() {
   static log4cplus::Initializer Started;
-  static const bool Attached = (attachStandardOutput(), true);
+  static const bool Attached = (attach(0), true);
   (void)Attached;
 }
 
@@ -70,11 +82,25 @@
   startOnce();
   Impl_ =
       std::make_unique<Impl>(Impl{log4cplus::Logger::getInstance(Component)});
+  setLevel(Level);
+}
+
+EventLog::~EventLog() = default;
+
+void EventLog::setLevel(std::string_view Level) {
   Impl_->Logger_.setLogLevel(
       log4cplus::getLogLevelManager().fromString(log4cplus::tstring(Level)));
 }
 
-EventLog::~EventLog() = default;
+void EventLog::batch() {
+  startOnce();
+  attach(BatchBytes);
+}
+
+void EventLog::flush() {
+  if (output())
+    output()->flush();
+}
 
 void EventLog::error(std::string_view Event,
                      std::initializer_list<Field> Fields) {
