Try a SYN elsewhere after some 40 ms instead of at its copy

An upstream answers within two network round trips, so that eight times the usual handshake tells that it will not. The SYN then goes to another one; a flow that both answer stays with the first that the client took, and the tag in its packets is set right.

Ruled out: ejecting after one unanswered handshake.

--- a/src/medlarmoor/edge/forwarder.cpp
+++ b/src/medlarmoor/edge/forwarder.cpp
@@ -1,5 +1,6 @@
 #include <medlarmoor/edge/forwarder.hpp>
 
+#include <algorithm>
 #include <utility>
 
 namespace medlarmoor::edge {
@@ -14,6 +15,13 @@
 /// An upstream that has not answered a SYN for this long will not. Clients
 /// repeat their SYN 200 ms after the first one.
 constexpr Millis HandshakeTimeout{150};
+/// Handshakes take two network round trips, until the first are measured.
+constexpr double ExpectedHandshakeMs = 5.0;
+constexpr double HandshakeWeight = 0.05;
+/// An upstream may take this many times as long as handshakes usually take.
+constexpr double PatienceFactor = 8.0;
+constexpr Millis LeastPatience{30};
+constexpr Millis MostPatience{120};
 /// Load of a flow whose route is not known.
 constexpr Millis DefaultRequestTimeout{3000};
 
@@ -23,7 +31,7 @@
                      placement::Selector Choice,
                      placement::EjectionLimits Ejections)
     : Catalog_(Catalog), Routes_(Routes), Choice_(std::move(Choice)),
-      Outliers_(Ejections) {}
+      Outliers_(Ejections), MeanHandshakeMs_(ExpectedHandshakeMs) {}
 
 Decision Forwarder::handle(affinity::Packet &In, Knowledge Known,
                            TimePoint Now) {
@@ -60,19 +68,47 @@
     Out.Reason_ = DeliverReason::Repeated;
     return Out;
   }
-  if (TimedOut) {
+  place(In, *Route, Flow, Now, Out);
+  if (Out.Upstream_)
+    return Out;
+  if (!Known.UpstreamsCurrent_)
+    return Drop{DropReason::Outdated};
+  return Reject{RejectReason::NoUpstream};
+}
+
+std::optional<Deliver> Forwarder::retry(affinity::Packet &In,
+                                        TimePoint PlacedAt, TimePoint Now) {
+  TrackedFlow *Flow = Flows_.find(In.Flow_);
+  const routing::Route *Route = Routes_.find(In.Flow_.Virtual_);
+  if (!Flow || Flow->Open_ || Flow->PlacedAt_ != PlacedAt || !Route)
+    return std::nullopt;
+  Deliver Out;
+  place(In, *Route, Flow, Now, Out);
+  if (!Out.Upstream_)
+    return std::nullopt;
+  return Out;
+}
+
+Millis Forwarder::handshakePatience() const noexcept {
+  const Millis Usual(
+      static_cast<std::int64_t>(MeanHandshakeMs_ * PatienceFactor));
+  return std::clamp(Usual, LeastPatience, MostPatience);
+}
+
+void Forwarder::place(affinity::Packet &In, const routing::Route &Route,
+                      TrackedFlow *Flow, TimePoint Now, Deliver &Out) {
+  const CatalogEntry *Previous =
+      Flow ? Catalog_.find(Flow->Upstream_) : nullptr;
+  if (Flow) {
     Out.Previous_ = Flow->Upstream_;
     Out.Ejected_ = Outliers_.handshakeTimedOut(Flow->Upstream_, Now);
   }
   const auto &Candidates =
-      Catalog_.candidates(Route->serviceFor(In.Flow_.hash()));
+      Catalog_.candidates(Route.serviceFor(In.Flow_.hash()));
   const CatalogEntry *Chosen =
       Choice_.choose(Candidates, Flows_, Times_, Outliers_, Previous, Now);
-  if (!Chosen) {
-    if (!Known.UpstreamsCurrent_)
-      return Drop{DropReason::Outdated};
-    return Reject{RejectReason::NoUpstream};
-  }
+  if (!Chosen)
+    return;
   In.Tag_ = Chosen->Tag_;
   Out.Upstream_ = Chosen;
   Out.Reason_ = Flow ? DeliverReason::Moved : DeliverReason::Placed;
@@ -82,10 +118,9 @@
     Flows_.move(*Flow, Chosen->Tag_, Now);
   else
     Flows_.add(In.Flow_, Chosen->Tag_, HandshakeLifetime, Now);
-  return Out;
 }
 
-Decision Forwarder::follow(const affinity::Packet &In, TimePoint Now) {
+Decision Forwarder::follow(affinity::Packet &In, TimePoint Now) {
   Deliver Out;
   TrackedFlow *Flow = Flows_.find(In.Flow_);
   if (Flow && !Flow->Open_ && In.Tag_ != affinity::NoTag)
@@ -97,6 +132,8 @@
   if (!Out.Upstream_)
     return Drop{DropReason::UnknownTag};
   count(Flow, In, Now, Out);
+  // Both ends repeat what they receive, so that the right tag wins.
+  In.Tag_ = Out.Upstream_->Tag_;
   return Out;
 }
 
@@ -104,6 +141,12 @@
                        TimePoint Now, Deliver &Out) {
   if (Flow.Upstream_ != In.Tag_)
     Flows_.move(Flow, In.Tag_, Now);
+  else
+    MeanHandshakeMs_ +=
+        HandshakeWeight *
+        (std::chrono::duration<double, std::milli>(Now - Flow.PlacedAt_)
+             .count() -
+         MeanHandshakeMs_);
   Flow.Open_ = true;
   Flow.OpenedAt_ = Now;
   Flow.Timeout_ = requestTimeout(In.Flow_.Virtual_);
--- a/src/medlarmoor/edge/forwarder.hpp
+++ b/src/medlarmoor/edge/forwarder.hpp
@@ -11,6 +11,7 @@
 #include <medlarmoor/placement/service_times.hpp>
 #include <medlarmoor/routing/router.hpp>
 
+#include <optional>
 #include <utility>
 #include <vector>
 
@@ -24,9 +25,17 @@
   Forwarder(discovery::Catalog &Catalog, const routing::Router &Routes,
             placement::Selector Choice, placement::EjectionLimits Ejections);
 
-  /// The decision for In. The tag of a SYN that is delivered is set.
+  /// The decision for In. Its tag is set to that of the upstream where the
+  /// packet has to carry another one.
   [[nodiscard]] Decision handle(affinity::Packet &In, Knowledge Known,
                                 TimePoint Now);
+  /// Whether the SYN In, which was placed at PlacedAt, goes to another upstream
+  /// because the first has not answered for handshakePatience(). Its tag is set
+  /// then.
+  [[nodiscard]] std::optional<Deliver> retry(affinity::Packet &In,
+                                             TimePoint PlacedAt, TimePoint Now);
+  /// How long an upstream may take to answer a SYN.
+  [[nodiscard]] Millis handshakePatience() const noexcept;
   using SilentFlow = std::pair<affinity::FlowKey, placement::TrackedFlow>;
 
   /// Forgets what is over and gives the flows whose clients fell silent. Call
@@ -42,7 +51,11 @@
 
 private:
   Decision open(affinity::Packet &In, Knowledge Known, TimePoint Now);
-  Decision follow(const affinity::Packet &In, TimePoint Now);
+  /// Chooses an upstream, another one than before when Flow is tracked; null
+  /// in Out when there is none.
+  void place(affinity::Packet &In, const routing::Route &Route,
+             placement::TrackedFlow *Flow, TimePoint Now, Deliver &Out);
+  Decision follow(affinity::Packet &In, TimePoint Now);
   /// The first packet behind a handshake came.
   void settle(placement::TrackedFlow &Flow, const affinity::Packet &In,
               TimePoint Now, Deliver &Out);
@@ -59,6 +72,8 @@
   placement::Ejector Outliers_;
   placement::FlowTracker Flows_;
   placement::ServiceTimes Times_;
+  /// Mean time from a SYN to the client's next packet, in milliseconds.
+  double MeanHandshakeMs_;
 };
 
 } // namespace medlarmoor::edge
--- a/src/medlarmoor/edge/packet_loop.hpp
+++ b/src/medlarmoor/edge/packet_loop.hpp
@@ -11,10 +11,14 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/posix/stream_descriptor.hpp>
+#include <boost/asio/steady_timer.hpp>
 
 #include <array>
+#include <deque>
 #include <functional>
+#include <span>
 #include <string>
+#include <vector>
 
 namespace medlarmoor::edge {
 
@@ -36,9 +40,25 @@
   }
 
 private:
+  /// A SYN that goes to another upstream unless it is answered soon.
+  struct PendingSyn {
+    TimePoint PlacedAt_;
+    TimePoint DueAt_;
+    affinity::Packet Packet_;
+    /// Room for the encapsulation, and the packet.
+    std::vector<std::byte> Bytes_;
+  };
+
   void wait();
-  void receiveAll();
+  /// Handles what waits; tells whether there was anything.
+  bool receiveBatch();
   void handle(std::size_t Index, Knowledge Known, TimePoint Now);
+  void deliver(std::span<std::byte> Whole, const affinity::Packet &In,
+               affinity::Tag Carried, const Deliver &To);
+  void watchSyn(const affinity::Packet &In, std::span<const std::byte> Whole,
+                TimePoint Now);
+  void armRetries(TimePoint Now);
+  void retryDue();
 
   Endpoint Where_;
   PacketCodec Codec_;
@@ -49,6 +69,10 @@
   Clock Time_;
   net::UdpSocket Socket_;
   boost::asio::posix::stream_descriptor Readable_;
+  boost::asio::steady_timer Retries_;
+  bool RetriesArmed_ = false;
+  /// In the order of their times.
+  std::deque<PendingSyn> Pending_;
   net::ReceiveBatch Received_;
   net::SendBatch Sent_;
   /// Resets of the batch under way, one place a packet.
--- a/src/medlarmoor/net/packet_batch.cpp
+++ b/src/medlarmoor/net/packet_batch.cpp
@@ -5,7 +5,6 @@
 
 namespace {
 
-constexpr std::size_t HeadroomBytes = 8;
 constexpr std::size_t StrideBytes = HeadroomBytes + DatagramBytes;
 
 } // namespace
--- a/src/medlarmoor/net/packet_batch.hpp
+++ b/src/medlarmoor/net/packet_batch.hpp
@@ -18,6 +18,9 @@
 /// The largest datagram that is passed on, for networks with jumbo frames.
 inline constexpr std::size_t DatagramBytes = 9216;
 
+/// Free bytes before each received datagram.
+inline constexpr std::size_t HeadroomBytes = 8;
+
 /// Receives datagrams in batches, with room in front of each for a longer
 /// header.
 class ReceiveBatch {
--- a/src/medlarmoor/placement/ejection_limits.hpp
+++ b/src/medlarmoor/placement/ejection_limits.hpp
@@ -9,6 +9,8 @@
 
 /// How long and how widely upstreams are ejected.
 struct EjectionLimits {
+  /// Unanswered handshakes in a row that eject: one alone may be a lost packet.
+  std::uint32_t Failures_ = 2;
   /// The first ejection; each further one without a success in between lasts
   /// twice as long.
   Millis Base_{1500};
--- a/src/medlarmoor/placement/ejector.cpp
+++ b/src/medlarmoor/placement/ejector.cpp
@@ -16,7 +16,7 @@
 
 Millis Ejector::handshakeTimedOut(affinity::Tag Upstream, TimePoint Now) {
   Record &Each = Records_[Upstream];
-  if (Now < Each.Until_)
+  if (++Each.Failures_ < Limits_.Failures_ || Now < Each.Until_)
     return Millis(0);
   const unsigned Doublings = std::min(Each.Repeats_, MostDoublings);
   const Millis Length =
@@ -27,7 +27,12 @@
 }
 
 bool Ejector::handshakeCompleted(affinity::Tag Upstream) {
-  return Records_.erase(Upstream) > 0;
+  const auto Found = Records_.find(Upstream);
+  if (Found == Records_.end())
+    return false;
+  const bool Ejected = Found->second.Repeats_ > 0;
+  Records_.erase(Found);
+  return Ejected;
 }
 
 bool Ejector::ejected(affinity::Tag Upstream, TimePoint Now) const noexcept {
--- a/src/medlarmoor/placement/ejector.hpp
+++ b/src/medlarmoor/placement/ejector.hpp
@@ -17,7 +17,7 @@
   explicit Ejector(EjectionLimits Limits);
 
   /// A handshake with the upstream timed out. Gives how long it is ejected;
-  /// zero when it was ejected already.
+  /// zero when this is too little evidence or it was ejected already.
   Millis handshakeTimedOut(affinity::Tag Upstream, TimePoint Now);
   /// A handshake with the upstream was completed. Tells whether it had been
   /// ejected.
@@ -31,6 +31,8 @@
 private:
   struct Record {
     TimePoint Until_{};
+    /// Timeouts since the last completed handshake.
+    std::uint32_t Failures_ = 0;
     /// Ejections since the last completed handshake.
     unsigned Repeats_ = 0;
   };
