Soak the edge with real processes under faults, and start from the store

Stops, reloads, drains, new and removed routes, kills, pauses, store outages of four kinds, lapsed entries, lost history, crashes with reused addresses and cut, delayed or silent store paths come in series and overlap. Checked: routes, draining, configuration, changed packets, resets of open flows, requests that run twice, wrong answers, unasked ends, service after recovery; in the planned case no request may fail.

--- /dev/null
+++ b/bench/edge_soak/soak_world.cpp
@@ -0,0 +1,306 @@
+#include <bench/edge_soak/soak_world.hpp>
+
+#include <array>
+
+namespace medlarmoor::bench::soak {
+
+namespace {
+
+// Third numbers of the addresses of each kind.
+constexpr std::uint8_t StoreNet = 1;
+constexpr std::uint8_t EdgeNet = 2;
+constexpr std::uint8_t UpstreamNet = 3;
+constexpr std::uint8_t ClientNet = 4;
+constexpr std::uint8_t VirtualNet = 5;
+constexpr std::uint16_t StorePort = 8169;
+constexpr std::uint16_t UpstreamPort = 8080;
+constexpr std::uint16_t FirstRoute = 443;
+constexpr std::uint16_t SecondRoute = 8443;
+
+constexpr std::size_t WebUpstreams = 6;
+constexpr std::uint8_t ClientAddresses = 8;
+constexpr Millis ArrivalInterval{8};
+/// One request in so many goes to the route that comes and goes.
+constexpr std::uint64_t SecondRouteShare = 20;
+/// Entries of silent upstreams lapse after three intervals of 1.2 s.
+constexpr Millis EntryLifetime{3600};
+/// Upstreams that live are back within two seconds of the store's return.
+constexpr std::uint64_t LatestReturnMs = 1800;
+constexpr Millis AddressReuse{2000};
+/// Numbers by which upstreams are told apart.
+constexpr std::uint64_t FirstIdentity = 0xa000;
+/// An upstream serves this long after it announced its end.
+constexpr Millis DrainTime{5000};
+
+std::vector<Ipv4> addresses(const harness::Subnet &From, std::uint8_t Net,
+                            std::size_t Count) {
+  std::vector<Ipv4> Out;
+  for (std::size_t I = 1; I <= Count; ++I)
+    Out.push_back(From.address(Net, static_cast<std::uint8_t>(I)));
+  return Out;
+}
+
+} // namespace
+
+SoakWorld::SoakWorld(harness::Subnet Addresses, std::size_t Edges,
+                     std::uint64_t Seed)
+    : Addresses_(std::move(Addresses)), Source_(Seed),
+      Store_(Io_, {Addresses_.address(StoreNet, 1), StorePort}),
+      Relay_(Io_, {Addresses_.address(StoreNet, 2), StorePort},
+             {Addresses_.address(StoreNet, 1), StorePort}, "store", Rules_,
+             Passed_, Shown_),
+      Edges_(Io_, addresses(Addresses_, EdgeNet, Edges),
+             {Addresses_.address(StoreNet, 2), StorePort},
+             Addresses_.address(StoreNet, 3), Folder_, Time_),
+      Clients_(
+          Io_, addresses(Addresses_, ClientNet, ClientAddresses),
+          EdgeFleet::PacketPort,
+          [this](Endpoint Client, Endpoint Virtual) {
+            return Edges_.route(Client, Virtual);
+          },
+          Judge_, Time_, Random(Seed + 1)),
+      Arrivals_(Io_) {}
+
+bool SoakWorld::start() {
+  if (!Store_.listen() || !Relay_.listen() || !Clients_.start()) {
+    Reason_ = "an address is not free";
+    return false;
+  }
+  publishRoutes();
+  for (std::size_t I = 0; I < WebUpstreams; ++I)
+    addUpstream("web", I % 2 == 0 ? "a" : "b");
+  addUpstream("files", "a");
+  Judge_.disturbed(Time_.now());
+  Edges_.start();
+  run(Millis(2500));
+  arrive();
+  return Edges_.ready() == Edges_.size();
+}
+
+void SoakWorld::run(Millis For) {
+  Io_.restart();
+  Io_.run_for(For);
+}
+
+std::string SoakWorld::planned() {
+  const std::size_t Edge = draw(Edges_.size());
+  switch (draw(4)) {
+  case 0:
+    Judge_.disturbed(Time_.now() + EdgeFleet::Grace);
+    Edges_.terminate(Edge);
+    return "stop edge " + std::to_string(Edge + 1);
+  case 1:
+    Edges_.reload(Edge);
+    return "reload edge " + std::to_string(Edge + 1);
+  case 2:
+    return drainUpstream();
+  default:
+    SecondRoute_ = !SecondRoute_;
+    publishRoutes();
+    return SecondRoute_ ? "add a route" : "remove a route";
+  }
+}
+
+std::string SoakWorld::trouble() {
+  constexpr std::array Moods{StoreMood::Busy, StoreMood::Reset,
+                             StoreMood::Silent, StoreMood::Slow};
+  const std::size_t Edge = draw(Edges_.size());
+  const Millis For(500 + static_cast<std::int64_t>(draw(4000)));
+  Judge_.disturbed(Time_.now());
+  switch (draw(8)) {
+  case 0:
+    Edges_.kill(Edge);
+    return "kill edge " + std::to_string(Edge + 1);
+  case 1:
+    Judge_.disturbed(Time_.now() + For);
+    Edges_.pause(Edge, For);
+    return "pause edge " + std::to_string(Edge + 1) + " for " +
+           std::to_string(For.count()) + " ms";
+  case 2:
+    for (std::size_t I = 0; I < Edges_.size(); ++I)
+      Edges_.kill(I);
+    return "kill all edges";
+  case 3: {
+    const std::size_t Mood = draw(Moods.size());
+    storeMood(Moods[Mood], For);
+    return "store mood " + std::to_string(Mood) + " for " +
+           std::to_string(For.count()) + " ms";
+  }
+  case 4:
+    Store_.forgetHistory();
+    return "store forgets its history";
+  case 5:
+    return crashUpstream();
+  case 6:
+    return lapseAll();
+  default:
+    return disturbStorePath();
+  }
+}
+
+std::uint64_t SoakWorld::draw(std::uint64_t Below) { return Source_() % Below; }
+
+Endpoint SoakWorld::virtualAddress(std::uint16_t Port) const {
+  return {Addresses_.address(VirtualNet, 1), Port};
+}
+
+void SoakWorld::addUpstream(const std::string &Service,
+                            const std::string &Domain) {
+  startUpstream(Service, Domain,
+                {Addresses_.address(UpstreamNet, NextUpstream_), UpstreamPort});
+}
+
+void SoakWorld::startUpstream(const std::string &Service,
+                              const std::string &Domain, Endpoint Where) {
+  const std::uint64_t Number = FirstIdentity + NextUpstream_++;
+  Upstreams_.push_back(std::make_unique<Upstream>(
+      Io_, Upstream::Identity{Number, Service, Domain, Where},
+      EdgeFleet::PacketPort, Store_, Judge_, Time_, Random(Source_())));
+  if (!Upstreams_.back()->start())
+    Judge_.broken("upstream address not free");
+}
+
+Upstream *SoakWorld::anyUpstream(const std::string &Service) {
+  std::vector<Upstream *> Fit;
+  for (const auto &Each : Upstreams_)
+    if (Each->alive() && !Each->draining() &&
+        Each->identity().Service_ == Service)
+      Fit.push_back(Each.get());
+  // The service keeps enough to serve the load.
+  return Fit.size() < WebUpstreams ? nullptr : Fit[draw(Fit.size())];
+}
+
+void SoakWorld::publishRoutes() {
+  using Json = nlohmann::json;
+  const auto Route = [this](const char *Name, std::uint16_t Port,
+                            const char *Service) {
+    return Json{{"name", Name},
+                {"host", virtualAddress(Port).address().text()},
+                {"pathPrefix", "/" + std::to_string(Port) + "/"},
+                {"type", "unsafe"},
+                {"timeoutMs", 2500},
+                {"targetLatencyMs", 200},
+                {"priority", 1},
+                {"service", Service},
+                {"maxAttempts", 1}};
+  };
+  Json Routes = Json::array({Route("r-1", FirstRoute, "web")});
+  if (SecondRoute_)
+    Routes.push_back(Route("r-2", SecondRoute, "files"));
+  ConfigVersion_ += 1 + draw(5);
+  Store_.put("config", "main",
+             {{"version", ConfigVersion_},
+              {"routes", Routes},
+              {"services", Json::array()},
+              {"limits", {{"idleTimeoutMs", 15'000}}}});
+  Judge_.routed(virtualAddress(FirstRoute), "web", TimePoint());
+  Judge_.routed(virtualAddress(SecondRoute), SecondRoute_ ? "files" : "",
+                Time_.now());
+}
+
+void SoakWorld::arrive() {
+  Clients_.ask(virtualAddress(FirstRoute), true);
+  if (draw(SecondRouteShare) == 0)
+    Clients_.ask(virtualAddress(SecondRoute), false);
+  after(ArrivalInterval, [this] { arrive(); });
+}
+
+void SoakWorld::after(Millis Delay, std::function<void()> Then) {
+  const auto Timer = std::make_shared<boost::asio::steady_timer>(Io_, Delay);
+  Timer->async_wait(
+      [Timer, Then = std::move(Then)](boost::system::error_code Failed) {
+        if (!Failed)
+          Then();
+      });
+}
+
+void SoakWorld::storeMood(StoreMood Mood, Millis For) {
+  Store_.mood(Mood);
+  Judge_.disturbed(Time_.now() + For);
+  after(For, [this] {
+    Store_.mood(StoreMood::Well);
+    Judge_.disturbed(Time_.now());
+  });
+}
+
+std::string SoakWorld::drainUpstream() {
+  Upstream *Leaving = anyUpstream("web");
+  if (!Leaving)
+    return "nothing to drain";
+  addUpstream("web", Leaving->identity().Domain_);
+  Leaving->drain();
+  after(DrainTime, [Leaving] {
+    Leaving->unregister();
+    Leaving->crash();
+  });
+  return "drain " + Leaving->name();
+}
+
+std::string SoakWorld::crashUpstream() {
+  Upstream *Lost = anyUpstream("web");
+  if (!Lost)
+    return "nothing to crash";
+  addUpstream("web", Lost->identity().Domain_);
+  Lost->crash();
+  Judge_.disturbed(Time_.now() + EntryLifetime);
+  after(EntryLifetime, [Lost] { Lost->unregister(); });
+  // Another service takes the address while the old entry is still listed.
+  after(AddressReuse, [this, Where = Lost->identity().Address_,
+                       Domain = Lost->identity().Domain_] {
+    startUpstream("files", Domain, Where);
+  });
+  return "crash " + Lost->name() + ", its address is used again";
+}
+
+std::string SoakWorld::lapseAll() {
+  const Millis For = EntryLifetime + Millis(draw(1500));
+  storeMood(StoreMood::Silent, For);
+  after(For - Millis(50), [this] {
+    for (const auto &Each : Upstreams_)
+      if (Each->alive())
+        Each->unregister();
+  });
+  for (const auto &Each : Upstreams_)
+    after(For + Millis(draw(LatestReturnMs)), [Living = Each.get()] {
+      if (Living->alive())
+        Living->registerAgain();
+    });
+  return "store silent for " + std::to_string(For.count()) +
+         " ms, all entries lapse";
+}
+
+std::string SoakWorld::disturbStorePath() {
+  const std::size_t Edge = draw(Edges_.size());
+  harness::FaultRule Rule;
+  Rule.Source_ = Edges_.address(Edge);
+  const Millis For(500 + static_cast<std::int64_t>(draw(3500)));
+  std::string What;
+  switch (draw(4)) {
+  case 0:
+    Rule.Action_ = harness::FaultAction::Cut;
+    What = "cut";
+    break;
+  case 1:
+    Rule.Action_ = harness::FaultAction::OneWay;
+    What = "cut one way";
+    break;
+  case 2:
+    Rule.Action_ = harness::FaultAction::Delay;
+    Rule.Delay_ = Millis(100 + static_cast<std::int64_t>(draw(400)));
+    What = "delay";
+    break;
+  default:
+    Relay_.silence({});
+    return "silence the open connections to the store";
+  }
+  Rules_.set("store path", Rule);
+  Judge_.disturbed(Time_.now() + For);
+  after(For, [this] {
+    Rules_.clear();
+    Judge_.disturbed(Time_.now());
+  });
+  return What + " edge " + std::to_string(Edge + 1) + " and the store for " +
+         std::to_string(For.count()) + " ms";
+}
+
+} // namespace medlarmoor::bench::soak
--- /dev/null
+++ b/bench/edge_soak/soak_world.hpp
@@ -0,0 +1,85 @@
+#ifndef MEDLARMOOR_BENCH_EDGE_SOAK_SOAK_WORLD_HPP
+#define MEDLARMOOR_BENCH_EDGE_SOAK_SOAK_WORLD_HPP
+
+#include <bench/edge_soak/clients.hpp>
+#include <bench/edge_soak/edge_fleet.hpp>
+#include <bench/edge_soak/judge.hpp>
+#include <bench/edge_soak/store_standin.hpp>
+#include <bench/edge_soak/upstream.hpp>
+
+#include <harness/subnet.hpp>
+#include <harness/tcp_relay.hpp>
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace medlarmoor::bench::soak {
+
+/// Edge processes, a store behind a relay that disturbs it, upstreams and
+/// clients, and what can happen to them.
+class SoakWorld {
+public:
+  SoakWorld(harness::Subnet Addresses, std::size_t Edges, std::uint64_t Seed);
+
+  /// Binds everything and starts the processes; false with lastReason().
+  [[nodiscard]] bool start();
+  /// Runs everything for a while.
+  void run(Millis For);
+  [[nodiscard]] const std::string &lastReason() const noexcept {
+    return Reason_;
+  }
+
+  /// Planned work; gives a line that tells what was done.
+  std::string planned();
+  /// Trouble; gives a line that tells what was done.
+  std::string trouble();
+
+  [[nodiscard]] EdgeFleet &edges() noexcept { return Edges_; }
+  [[nodiscard]] Clients &clients() noexcept { return Clients_; }
+  [[nodiscard]] Judge &judge() noexcept { return Judge_; }
+  [[nodiscard]] StoreStandin &store() noexcept { return Store_; }
+  [[nodiscard]] harness::TempFolder &folder() noexcept { return Folder_; }
+
+private:
+  [[nodiscard]] std::uint64_t draw(std::uint64_t Below);
+  [[nodiscard]] Endpoint virtualAddress(std::uint16_t Port) const;
+  void addUpstream(const std::string &Service, const std::string &Domain);
+  void startUpstream(const std::string &Service, const std::string &Domain,
+                     Endpoint Where);
+  Upstream *anyUpstream(const std::string &Service);
+  void publishRoutes();
+  void arrive();
+  void after(Millis Delay, std::function<void()> Then);
+  /// The store is in this mood for a while, and then well.
+  void storeMood(StoreMood Mood, Millis For);
+  std::string drainUpstream();
+  std::string crashUpstream();
+  std::string lapseAll();
+  std::string disturbStorePath();
+
+  boost::asio::io_context Io_;
+  harness::Subnet Addresses_;
+  harness::TempFolder Folder_;
+  Clock Time_;
+  Random Source_;
+  Judge Judge_;
+  StoreStandin Store_;
+  harness::FaultRules Rules_;
+  harness::PassedBytes Passed_;
+  harness::ShownAddresses Shown_;
+  harness::TcpRelay Relay_;
+  EdgeFleet Edges_;
+  Clients Clients_;
+  std::vector<std::unique_ptr<Upstream>> Upstreams_;
+  boost::asio::steady_timer Arrivals_;
+  std::uint64_t ConfigVersion_ = 1;
+  bool SecondRoute_ = false;
+  std::uint8_t NextUpstream_ = 1;
+  std::string Reason_;
+};
+
+} // namespace medlarmoor::bench::soak
+
+#endif // MEDLARMOOR_BENCH_EDGE_SOAK_SOAK_WORLD_HPP
--- a/bench/experiments.hpp
+++ b/bench/experiments.hpp
@@ -10,6 +10,7 @@
 int runChaos(const Options &Asked);
 int runConfig(const Options &Asked);
 int runDemo(const Options &Asked);
+int runEdgeSoak(const Options &Asked);
 int runFlows(const Options &Asked);
 int runMembership(const Options &Asked);
 int runRequests(const Options &Asked);
--- a/bench/main.cpp
+++ b/bench/main.cpp
@@ -7,7 +7,7 @@
 #include <string>
 
 DEFINE_string(experiment, "",
-              "chaos, config, demo, flows, membership or requests");
+              "chaos, config, demo, edge_soak, flows, membership or requests");
 DEFINE_uint64(seed, 1, "seed of all random choices");
 DEFINE_string(case, "", "run only the case of this name");
 DEFINE_uint32(seconds, 0, "length of timed experiments; 0 takes their own");
@@ -21,13 +21,11 @@
   int (*Run_)(const Options &);
 };
 
-constexpr std::array Experiments{Entry{"chaos", runChaos},
-                                 Entry{"config", runConfig},
-                                 Entry{"demo", runDemo},
-                                 Entry{"flows", runFlows},
-                                 Entry{"membership", runMembership},
-                                 Entry{"report", runReport},
-                                 Entry{"requests", runRequests}};
+constexpr std::array Experiments{
+    Entry{"chaos", runChaos},   Entry{"config", runConfig},
+    Entry{"demo", runDemo},     Entry{"edge_soak", runEdgeSoak},
+    Entry{"flows", runFlows},   Entry{"membership", runMembership},
+    Entry{"report", runReport}, Entry{"requests", runRequests}};
 
 } // namespace
 
--- a/src/medlarmoor/config/internal_toml.cpp
+++ b/src/medlarmoor/config/internal_toml.cpp
@@ -145,6 +145,14 @@
   Out = Value;
 }
 
+void TableReader::logLevel(std::string &Out) {
+  const std::vector<std::string> Levels{"ERROR", "WARN", "INFO", "DEBUG"};
+  text("log_level", Out, Presence::Optional);
+  if (std::find(Levels.begin(), Levels.end(), Out) == Levels.end())
+    report("log_level", "unknown level '" + Out + "'",
+           "one of ERROR, WARN, INFO and DEBUG");
+}
+
 void TableReader::flag(std::string_view Key, bool &Out) {
   const toml::node *Node = find(Key, Presence::Optional);
   if (!Node)
--- a/src/medlarmoor/config/internal_toml.hpp
+++ b/src/medlarmoor/config/internal_toml.hpp
@@ -21,6 +21,7 @@
 
 #include <medlarmoor/core/endpoint.hpp>
 #include <medlarmoor/core/findings.hpp>
+#include <medlarmoor/core/strong.hpp>
 #include <medlarmoor/core/time.hpp>
 
 #include <optional>
@@ -55,6 +56,15 @@
   void text(std::string_view Key, std::string &Out, Presence Need);
   /// A name: 1 to 63 of a-z, 0-9 and '-', the first one a letter.
   void name(std::string_view Key, std::string &Out);
+  /// A name of a certain kind.
+  template <typename Tag>
+  void name(std::string_view Key, Strong<std::string, Tag> &Out) {
+    std::string Value;
+    name(Key, Value);
+    Out = Strong<std::string, Tag>(Value);
+  }
+  /// The optional key "log_level": ERROR, WARN, INFO or DEBUG.
+  void logLevel(std::string &Out);
   void flag(std::string_view Key, bool &Out);
   void number(std::string_view Key, double &Out, double Least, double Greatest);
   void integer(std::string_view Key, std::int64_t &Out, std::int64_t Least,
--- a/src/medlarmoor/config/read_edge_settings.cpp
+++ b/src/medlarmoor/config/read_edge_settings.cpp
@@ -1,8 +1,6 @@
 #include <medlarmoor/config/internal_toml.hpp>
 #include <medlarmoor/config/read_edge_settings.hpp>
 
-#include <algorithm>
-
 namespace medlarmoor::config {
 
 using internal::Presence;
@@ -10,21 +8,6 @@
 
 namespace {
 
-template <typename Tag>
-void readName(TableReader &In, const char *Key, Strong<std::string, Tag> &Out) {
-  std::string Value;
-  In.name(Key, Value);
-  Out = Strong<std::string, Tag>(Value);
-}
-
-void readLogLevel(TableReader &In, std::string &Out) {
-  const std::vector<std::string> Levels{"ERROR", "WARN", "INFO", "DEBUG"};
-  In.text("log_level", Out, Presence::Optional);
-  if (std::find(Levels.begin(), Levels.end(), Out) == Levels.end())
-    In.report("log_level", "unknown level '" + Out + "'",
-              "one of ERROR, WARN, INFO and DEBUG");
-}
-
 void readListen(TableReader In, EdgeSettings &Out) {
   In.endpoint("packets", Out.Packets_);
   In.endpoint("readiness", Out.Readiness_);
@@ -67,12 +50,12 @@
     return std::nullopt;
   EdgeSettings Read;
   TableReader In(*Root, "settings", File, Out);
-  readName(In, "name", Read.Name_);
-  readName(In, "domain", Read.Domain_);
+  In.name("name", Read.Name_);
+  In.name("domain", Read.Domain_);
   In.address("address", Read.Address_);
   In.endpoint("store", Read.Store_);
   In.endpoints("seeds", Read.Seeds_, Presence::Optional);
-  readLogLevel(In, Read.LogLevel_);
+  In.logLevel(Read.LogLevel_);
   if (const toml::table *Table = In.table("listen"))
     readListen({*Table, "listen", File, Out}, Read);
   if (const toml::table *Table = In.table("bounds"))
--- a/src/medlarmoor/config/read_settings.cpp
+++ b/src/medlarmoor/config/read_settings.cpp
@@ -107,33 +107,18 @@
   In.finish();
 }
 
-template <typename Tag>
-void readName(TableReader &In, const char *Key, Strong<std::string, Tag> &Out) {
-  std::string Value;
-  In.name(Key, Value);
-  Out = Strong<std::string, Tag>(Value);
-}
-
 void readNeighbours(TableReader &In, const std::string &File, Settings &Out,
                     Findings &Found) {
   for (const toml::table *Each : In.tables("neighbours", Presence::Optional)) {
     TableReader Entry(*Each, "neighbour", File, Found);
     Neighbour Read;
-    readName(Entry, "name", Read.Name_);
+    Entry.name("name", Read.Name_);
     Entry.address("address", Read.Address_);
     Entry.finish();
     Out.Neighbours_.push_back(Read);
   }
 }
 
-void readLogLevel(TableReader &In, std::string &Out) {
-  const std::vector<std::string> Levels{"ERROR", "WARN", "INFO", "DEBUG"};
-  In.text("log_level", Out, Presence::Optional);
-  if (std::find(Levels.begin(), Levels.end(), Out) == Levels.end())
-    In.report("log_level", "unknown level '" + Out + "'",
-              "one of ERROR, WARN, INFO and DEBUG");
-}
-
 void readKeys(TableReader &In, const std::string &File, Settings &Out,
               Findings &Found) {
   std::set<std::uint8_t> Ids;
@@ -156,15 +141,15 @@
     return std::nullopt;
   Settings Read;
   TableReader In(*Root, "settings", File, Out);
-  readName(In, "name", Read.Name_);
-  readName(In, "domain", Read.Domain_);
+  In.name("name", Read.Name_);
+  In.name("domain", Read.Domain_);
   In.address("address", Read.Address_);
   Read.Advertise_ = Read.Address_;
   In.address("advertise", Read.Advertise_, Presence::Optional);
   In.endpoint("platform", Read.Platform_);
   In.name("environment", Read.Environment_);
   In.flag("doors", Read.Doors_);
-  readLogLevel(In, Read.LogLevel_);
+  In.logLevel(Read.LogLevel_);
   readKeys(In, File, Read, Out);
   readNeighbours(In, File, Read, Out);
   if (const toml::table *Table = In.table("ports"))
--- a/src/medlarmoor/edge/peer_sync.cpp
+++ b/src/medlarmoor/edge/peer_sync.cpp
@@ -22,6 +22,8 @@
 /// With more members than this, one reads for each failure domain, so that a
 /// reader's announcements stay bounded.
 constexpr std::size_t LargestScope = 64;
+/// An instance that starts asks peers when the store has not answered by then.
+constexpr Millis FirstListPatience{150};
 /// How long a pull from a peer may take.
 constexpr Millis PullTimeout{400};
 /// A return of the store is told of for this long.
@@ -101,6 +103,7 @@
     return false;
   }
   Readable_.assign(Socket_.descriptor());
+  StartedAt_ = Time_.now();
   wait();
   tick();
   return true;
@@ -271,6 +274,11 @@
   if (!Told)
     return;
   objects::Follower &Own = Each.Follower_;
+  // The first list comes from the store: when all start at once, whole
+  // collections from a few peers would choke these.
+  if (!Own.currentAsOf() &&
+      (Own.answered() || Now - StartedAt_ < FirstListPatience))
+    return;
   if (!Own.currentAsOf() || Told->Changed_ > Own.revision())
     return pull(Each, {From.From_.address(), Settings_.Peers_.port()});
   // A peer that is behind is not relied on.
--- a/src/medlarmoor/edge/peer_sync.hpp
+++ b/src/medlarmoor/edge/peer_sync.hpp
@@ -118,6 +118,7 @@
   std::function<void()> ReadNow_;
   std::function<void(TimePoint)> TellReturn_;
   std::optional<TimePoint> StoreReturnedAt_;
+  TimePoint StartedAt_{};
   TimePoint NextGossip_{};
   net::UdpSocket Socket_;
   boost::asio::posix::stream_descriptor Readable_;
--- a/src/medlarmoor/objects/follower.cpp
+++ b/src/medlarmoor/objects/follower.cpp
@@ -106,6 +106,7 @@
 }
 
 void Follower::succeeded() noexcept {
+  Answered_ = true;
   Failures_ = 0;
   FailingSince_.reset();
 }
--- a/src/medlarmoor/objects/follower.hpp
+++ b/src/medlarmoor/objects/follower.hpp
@@ -53,6 +53,11 @@
   }
   /// True when calls have failed for long enough to call it an outage.
   [[nodiscard]] bool storeAway(TimePoint Now) const noexcept;
+  /// True when the store answers: a list or watch succeeded and no call failed
+  /// since.
+  [[nodiscard]] bool answered() const noexcept {
+    return Answered_ && !FailingSince_;
+  }
   /// All changes up to this revision are known.
   [[nodiscard]] std::uint64_t revision() const noexcept { return Revision_; }
   /// The last revision that changed the collection, as far as is known.
@@ -76,6 +81,7 @@
   std::uint64_t Changed_ = 0;
   TimePoint NotBefore_{};
   TimePoint DeferUntil_{};
+  bool Answered_ = false;
   unsigned Failures_ = 0;
   std::optional<TimePoint> FailingSince_;
   std::optional<TimePoint> CurrentAsOf_;
--- a/test/edge/peer_sync_test.cpp
+++ b/test/edge/peer_sync_test.cpp
@@ -110,6 +110,19 @@
   CHECK(Started.Upstreams_.revision() == 10);
 }
 
+TEST_CASE("return of all: whole collections come from the store that answers") {
+  boost::asio::io_context Io;
+  Instance Old(Io, 1, {});
+  Old.read({upstream("i-1")}, 10);
+  Instance Started(Io, 2, {1});
+  // The first page of several.
+  const TimePoint Now = Started.Time_.now();
+  CHECK_FALSE(Started.Upstreams_.pageRead(true, "i-0", 10, Now, Now));
+  Io.run_for(Millis(900));
+  CHECK_FALSE(Started.Catalog_.ready());
+  CHECK(Started.Router_.ready());
+}
+
 TEST_CASE("one instance reads for the others") {
   boost::asio::io_context Io;
   const auto [First, Second] = inOrderOfPrecedence();
--- /dev/null
+++ b/test/process/edge_soak_test.cpp
@@ -0,0 +1,36 @@
+#include <harness/bench_run.hpp>
+
+#include <catch2/catch.hpp>
+
+using namespace medlarmoor;
+using namespace medlarmoor::harness;
+
+namespace {
+
+void keepsPromises(const std::string &Case, const std::string &Seed) {
+  const BenchRun Run = runBench({"--experiment=edge_soak", "--case=" + Case,
+                                 "--seed=" + Seed, "--seconds=8"},
+                                Seconds(60));
+  INFO(Run.Log_);
+  REQUIRE(Run.Code_ == 0);
+  REQUIRE(Run.Record_.is_object());
+  CHECK(Run.Record_["held"] == true);
+  const nlohmann::json &Figures = Run.Record_["figures"];
+  CHECK(Figures["asked"] > 1000);
+  CHECK(Figures["done"] > 500);
+  CHECK(Figures["broken"] == 0);
+  CHECK(Figures["unasked_ends"] == 0);
+  if (Case == "planned")
+    CHECK(Figures["failed"] == 0);
+}
+
+} // namespace
+
+TEST_CASE("planned work cuts no request at the edge", "[edge_soak_test]") {
+  keepsPromises("planned", "1");
+}
+
+TEST_CASE("trouble breaks no promise at the edge", "[edge_soak_test]") {
+  for (const char *Seed : {"1", "3"})
+    keepsPromises("faults", Seed);
+}
