--- a/src/medlarmoor/objects/follower.cpp
+++ b/src/medlarmoor/objects/follower.cpp
@@ -102,7 +102,11 @@
 }
 
 bool Follower::storeAway(TimePoint Now) const noexcept {
-  return FailingSince_ && Now - *FailingSince_ >= Timing_.Outage_;
+  // The store may have been away since long before the first call that failed:
+  // a peer may have read until then.
+  return FailingSince_ && Now - std::min(*FailingSince_, CurrentAsOf_.value_or(
+                                                             *FailingSince_)) >=
+                              Timing_.Outage_;
 }
 
 void Follower::succeeded() noexcept {
--- a/src/medlarmoor/objects/follower_timing.hpp
+++ b/src/medlarmoor/objects/follower_timing.hpp
@@ -19,7 +19,8 @@
   /// Pause after the first failed call; doubles up to the longest.
   Millis FirstBackoff_{150};
   Millis LongestBackoff_{1000};
-  /// Failures for longer than this count as an outage of the store.
+  /// When calls fail and nothing is known of the store for longer than this, it
+  /// is away. Entries lapse after more than three seconds of silence only.
   Millis Outage_{700};
 };
 
--- a/test/objects/follower_test.cpp
+++ b/test/objects/follower_test.cpp
@@ -84,6 +84,19 @@
   CHECK_FALSE(Each.storeAway(Now));
 }
 
+TEST_CASE("an outage began when the collection was last known to be current") {
+  // A peer read for this follower until the store went away.
+  Follower Each = listedUpTo10();
+  Each.defer(10, at(1000), at(3600));
+  Each.failed(at(4300));
+  CHECK(Each.storeAway(at(4400)));
+  // A single failed call is no outage.
+  Follower Brief = listedUpTo10();
+  Brief.defer(10, at(4000), at(4200));
+  Brief.failed(at(4300));
+  CHECK_FALSE(Brief.storeAway(at(4400)));
+}
+
 TEST_CASE("a list that breaks off begins again") {
   Follower Each = fresh();
   CHECK_FALSE(Each.pageRead(true, "i-50", 10, at(0), at(5)));
