--- a/test/peers/announcement_codec_test.cpp
+++ b/test/peers/announcement_codec_test.cpp
@@ -45,6 +45,7 @@
 TEST_CASE("an announcement with the most members fits a datagram") {
   Announcement Full = example();
   Full.Members_.clear();
+  Full.Members_.reserve(24);
   for (std::uint32_t I = 0; I < 24; ++I)
     Full.Members_.push_back({{Ipv4(0x0a000000 + I), 7720},
                              DomainName(std::string(20, 'z')),
