--- a/src/medlarmoor/objects/collection_reader.hpp
+++ b/src/medlarmoor/objects/collection_reader.hpp
@@ -6,6 +6,7 @@
 #include <medlarmoor/net/http_client.hpp>
 #include <medlarmoor/objects/collection_codec.hpp>
 #include <medlarmoor/objects/follower.hpp>
+#include <medlarmoor/objects/latest.hpp>
 #include <medlarmoor/telemetry/counter.hpp>
 #include <medlarmoor/telemetry/event_log.hpp>
 #include <medlarmoor/telemetry/registry.hpp>
@@ -136,7 +137,7 @@
     const bool News =
         Follower_.changesRead(!Read.Items_.empty(), Read.Revision_, Now);
     if (News && !Read.Items_.empty())
-      Receivers_.Changed_(std::move(Read.Items_));
+      Receivers_.Changed_(latest(std::move(Read.Items_)));
   }
 
   void fail(const std::string &Reason, TimePoint Now) {
--- a/test/process/edge_soak_regression_test.cpp
+++ b/test/process/edge_soak_regression_test.cpp
@@ -32,3 +32,10 @@
           "[edge_soak_regression_test]") {
   CHECK(figures("7")["refused"] == 0);
 }
+
+// An upstream that was removed and came back between two watches was taken as
+// gone: the removal was applied last, whatever came after it.
+TEST_CASE("seed 107: an upstream that came back is used",
+          "[edge_soak_regression_test]") {
+  CHECK(figures("107")["broken"] == 0);
+}
