--- a/src/medlarmoor/config/edge_settings.hpp
+++ b/src/medlarmoor/config/edge_settings.hpp
@@ -5,6 +5,7 @@
 #include <medlarmoor/core/ids.hpp>
 #include <medlarmoor/core/time.hpp>
 
+#include <algorithm>
 #include <string>
 #include <vector>
 
@@ -35,10 +36,16 @@
   Millis Grace_{6000};
   /// A change of the routes must be in force this soon.
   Millis ApplyLimit_{3000};
+  /// An upstream that drains must get no new flows this soon.
+  Millis DrainLimit_{3000};
   /// No flow is older than this.
   Millis FlowAge_{60'000};
   std::string LogLevel_ = "INFO";
 
+  /// The store must be known at least this recently.
+  [[nodiscard]] Millis freshness() const noexcept {
+    return std::min(ApplyLimit_, DrainLimit_);
+  }
   /// Where the seeds receive gossip.
   [[nodiscard]] std::vector<Endpoint> gossipSeeds() const {
     std::vector<Endpoint> Out;
--- a/src/medlarmoor/config/read_edge_settings.cpp
+++ b/src/medlarmoor/config/read_edge_settings.cpp
@@ -36,6 +36,7 @@
   readSeconds(In, "grace_s", Out.Grace_);
   readSeconds(In, "flow_age_limit_s", Out.FlowAge_);
   In.duration("apply_limit_ms", Out.ApplyLimit_);
+  In.duration("drain_limit_ms", Out.DrainLimit_);
   In.finish();
 }
 
--- a/src/medlarmoor/edge/edge_server.cpp
+++ b/src/medlarmoor/edge/edge_server.cpp
@@ -7,7 +7,7 @@
 #include <medlarmoor/edge/packet_loop.hpp>
 #include <medlarmoor/edge/peer_sync.hpp>
 #include <medlarmoor/edge/readiness.hpp>
-#include <medlarmoor/edge/snapshot_codec.hpp>
+#include <medlarmoor/edge/store_timing.hpp>
 #include <medlarmoor/net/http_server.hpp>
 #include <medlarmoor/objects/collection_reader.hpp>
 #include <medlarmoor/telemetry/event_log.hpp>
@@ -32,24 +32,6 @@
 /// How often the settings file is looked at for a change without a signal.
 constexpr Millis FileCheckInterval{2000};
 
-/// A watch waits for less than half of the time in which a change must be in
-/// force, so that a silent connection is noticed, and its reader replaced,
-/// within it.
-objects::FollowerTiming followerTiming(Millis ApplyLimit) {
-  objects::FollowerTiming Out;
-  Out.WatchWait_ = ApplyLimit * 45 / 100;
-  return Out;
-}
-
-/// Trust covers a watch and its answer; with the silence and the steps there is
-/// time left for reading.
-peers::ElectionTiming electionTiming(Millis ApplyLimit) {
-  peers::ElectionTiming Out;
-  Out.Trust_ = ApplyLimit * 6 / 10;
-  Out.Silence_ = ApplyLimit * 26 / 100;
-  return Out;
-}
-
 Random seeded() {
   std::random_device Device;
   return Random((std::uint64_t{Device()} << 32U) | Device());
@@ -129,7 +111,7 @@
       Readiness_(Settings_.Grace_),
       Upstreams_(
           "upstreams", Io_, Settings_.Store_, Settings_.Address_,
-          std::move(Store.Upstreams_), followerTiming(Settings_.ApplyLimit_),
+          std::move(Store.Upstreams_), followerTiming(Settings_.freshness()),
           seeded(), Time_,
           {[this](auto Items) { takeUpstreams(std::move(Items), true); },
            [this](auto Items) { takeUpstreams(std::move(Items), false); },
@@ -137,12 +119,12 @@
           Metrics_, Log_),
       RouteTables_("routes", Io_, Settings_.Store_, Settings_.Address_,
                    std::move(Store.Routes_),
-                   followerTiming(Settings_.ApplyLimit_), seeded(), Time_,
+                   followerTiming(Settings_.freshness()), seeded(), Time_,
                    {[this](auto Items) { takeRoutes(std::move(Items)); },
                     [this](auto Items) { takeRoutes(std::move(Items)); },
                     [this] { Peers_.storeReturned(Time_.now()); }},
                    Metrics_, Log_),
-      Peers_(Io_, Settings_, electionTiming(Settings_.ApplyLimit_),
+      Peers_(Io_, Settings_, electionTiming(Settings_.freshness()),
              {Upstreams_.follower(), RouteTables_.follower(),
               [this](std::uint64_t Revision) {
                 return Catalog_.changesSince(Revision);
@@ -285,7 +267,7 @@
   // Beyond that age a change that others have applied may be missing.
   const auto Recent = [&](const objects::Follower &Each) {
     return Each.currentAsOf() &&
-           Now - *Each.currentAsOf() < Settings_.ApplyLimit_;
+           Now - *Each.currentAsOf() < Settings_.freshness();
   };
   return {Recent(RouteTables_.follower()), Recent(Upstreams_.follower())};
 }
--- a/test/config/read_edge_settings_test.cpp
+++ b/test/config/read_edge_settings_test.cpp
@@ -21,6 +21,7 @@
   CHECK(Read->Grace_ == Millis(6000));
   CHECK(Read->FlowAge_ == Millis(60'000));
   CHECK(Read->ApplyLimit_ == Millis(3000));
+  CHECK(Read->DrainLimit_ == Millis(3000));
   CHECK(Read->gossipSeeds().at(0).text() == "127.0.0.2:7720");
 }
 
@@ -51,6 +52,15 @@
   CHECK(All.find("'store'") != std::string::npos);
 }
 
+TEST_CASE("the stricter of two limits decides how recent knowledge must be") {
+  EdgeSettings Each;
+  Each.ApplyLimit_ = Millis(5000);
+  Each.DrainLimit_ = Millis(2000);
+  CHECK(Each.freshness() == Millis(2000));
+  Each.DrainLimit_ = Millis(9000);
+  CHECK(Each.freshness() == Millis(5000));
+}
+
 TEST_CASE("an edge instance may start without seeds") {
   Findings Found;
   const std::string Text = "name = \"edge-1\"\n"
