--- a/test/peers/announcement_codec_test.cpp
+++ b/test/peers/announcement_codec_test.cpp
@@ -3,6 +3,8 @@
 #include <catch2/catch.hpp>
 #include <rapidcheck.h>
 
+#include <algorithm>
+
 using namespace medlarmoor;
 using namespace medlarmoor::peers;
 
@@ -34,9 +36,9 @@
   for (std::size_t Length = 0; Length < Bytes.size(); ++Length)
     CHECK_FALSE(decode(std::span(Bytes).first(Length)));
   CHECK(rc::check([](const std::vector<std::uint8_t> &Noise) {
-    std::vector<std::byte> Raw;
-    for (const std::uint8_t Each : Noise)
-      Raw.push_back(static_cast<std::byte>(Each));
+    std::vector<std::byte> Raw(Noise.size());
+    std::transform(Noise.begin(), Noise.end(), Raw.begin(),
+                   [](std::uint8_t Each) { return std::byte{Each}; });
     // Must not crash; nearly all noise is refused.
     (void)decode(Raw);
   }));
