--- a/src/medlarmoor/telemetry/bounded_appender.cpp
+++ b/src/medlarmoor/telemetry/bounded_appender.cpp
@@ -36,12 +36,13 @@
 }
 
 void BoundedAppender::flush() {
-  const log4cplus::thread::MutexGuard Guard(access_mutex);
+  const std::lock_guard Guard(Lock_);
   writeOut();
 }
 
 void BoundedAppender::append(
     const log4cplus::spi::InternalLoggingEvent &Event) {
+  const std::lock_guard Guard(Lock_);
   if (Pending_.size() >= MostPendingBytes) {
     ++Dropped_;
     writeOut();
--- a/src/medlarmoor/telemetry/bounded_appender.hpp
+++ b/src/medlarmoor/telemetry/bounded_appender.hpp
@@ -5,6 +5,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <mutex>
 #include <string>
 
 namespace medlarmoor::telemetry {
@@ -30,6 +31,7 @@
 private:
   void writeOut();
 
+  std::mutex Lock_;
   int Descriptor_;
   std::size_t BatchBytes_;
   std::string Pending_;
