Pack an endpoint into one number in one place

The same two lines stood in the hash of Endpoint, in both flow hashes and in the soak's routers; Endpoint::packed() serves all. A timer of the soak that nothing used goes. Values and behaviour are as before: test_core, test_affinity (its literal tag), test_flow and test_edge pass.

--- a/bench/edge_soak/edge_fleet.cpp
+++ b/bench/edge_soak/edge_fleet.cpp
@@ -21,10 +21,6 @@
 constexpr Millis RestartDelay{300};
 constexpr std::size_t Seeds = 3;
 
-std::uint64_t pack(Endpoint Each) {
-  return (std::uint64_t{Each.address().value()} << 16U) | Each.port();
-}
-
 } // namespace
 
 EdgeFleet::EdgeFleet(boost::asio::io_context &Io, std::vector<Ipv4> Addresses,
@@ -69,7 +65,7 @@
   std::uint64_t Highest = 0;
   for (const Edge &Each : Edges_) {
     const std::uint64_t Score =
-        mix(mix(pack(Client), pack(Virtual)), Each.Address_.value());
+        mix(mix(Client.packed(), Virtual.packed()), Each.Address_.value());
     if (Each.InRotation_ && (!Best || Score > Highest)) {
       Best = &Each;
       Highest = Score;
--- a/bench/edge_soak/soak_world.cpp
+++ b/bench/edge_soak/soak_world.cpp
@@ -58,8 +58,7 @@
           [this](Endpoint Client, Endpoint Virtual) {
             return Edges_.route(Client, Virtual);
           },
-          Judge_, Time_, Random(Seed + 1)),
-      Arrivals_(Io_) {}
+          Judge_, Time_, Random(Seed + 1)) {}
 
 bool SoakWorld::start() {
   if (!Store_.listen() || !Relay_.listen() || !Clients_.start()) {
--- a/bench/edge_soak/soak_world.hpp
+++ b/bench/edge_soak/soak_world.hpp
@@ -73,7 +73,6 @@
   EdgeFleet Edges_;
   Clients Clients_;
   std::vector<std::unique_ptr<Upstream>> Upstreams_;
-  boost::asio::steady_timer Arrivals_;
   std::uint64_t ConfigVersion_ = 1;
   bool SecondRoute_ = false;
   std::uint8_t NextUpstream_ = 1;
--- a/src/medlarmoor/affinity/flow_key.hpp
+++ b/src/medlarmoor/affinity/flow_key.hpp
@@ -19,10 +19,7 @@
 
   /// Equal on all instances.
   [[nodiscard]] std::uint64_t hash() const noexcept {
-    const auto Pack = [](Endpoint Each) {
-      return (std::uint64_t{Each.address().value()} << 16U) | Each.port();
-    };
-    return mix(Pack(Client_), Pack(Virtual_));
+    return mix(Client_.packed(), Virtual_.packed());
   }
 
   /// "client>virtual", the form in which logs name a flow.
--- a/src/medlarmoor/core/endpoint.hpp
+++ b/src/medlarmoor/core/endpoint.hpp
@@ -17,6 +17,10 @@
 
   [[nodiscard]] constexpr Ipv4 address() const noexcept { return Address_; }
   [[nodiscard]] constexpr std::uint16_t port() const noexcept { return Port_; }
+  /// Address and port in one number, 48 bits wide.
+  [[nodiscard]] constexpr std::uint64_t packed() const noexcept {
+    return (std::uint64_t{Address_.value()} << 16U) | Port_;
+  }
   /// The form that parse() reads.
   [[nodiscard]] std::string text() const;
 
@@ -31,8 +35,7 @@
 
 template <> struct std::hash<medlarmoor::Endpoint> {
   std::size_t operator()(const medlarmoor::Endpoint &Where) const noexcept {
-    return std::hash<std::uint64_t>{}(
-        (std::uint64_t{Where.address().value()} << 16U) | Where.port());
+    return std::hash<std::uint64_t>{}(Where.packed());
   }
 };
 
--- a/src/medlarmoor/flow/flow_id.hpp
+++ b/src/medlarmoor/flow/flow_id.hpp
@@ -39,10 +39,7 @@
 /// Hash of a flow's two ends, FlowHashBits wide.
 [[nodiscard]] inline std::uint64_t hashFlow(Endpoint Source,
                                             Endpoint Destination) noexcept {
-  const auto Pack = [](Endpoint Each) {
-    return (std::uint64_t{Each.address().value()} << 16U) | Each.port();
-  };
-  return mix(Pack(Source), Pack(Destination)) >> (64U - FlowHashBits);
+  return mix(Source.packed(), Destination.packed()) >> (64U - FlowHashBits);
 }
 
 } // namespace medlarmoor::flow
