Never refuse a repeated SYN that may have been answered

Cause: the forwarder looked up the route before the flow, and rejected any SYN that had nowhere to go. A copy that arrives late, after the client has acknowledged the first upstream, then drew a reset on a flow that was open or about to open.

Now the flow decides first: a copy for an open flow follows it, and a copy whose first upstream is still known is dropped when it can't be placed anew. A SYN is rejected only when nobody can have answered it.

Ruled out: delivering such a copy to the first upstream, which may have begun to drain and must get no new flow.

The second look at the earlier upstream in place() is gone with it.

--- a/src/medlarmoor/edge/decision.hpp
+++ b/src/medlarmoor/edge/decision.hpp
@@ -40,6 +40,9 @@
   NotReady,
   /// What is known may be too old to refuse the flow.
   Outdated,
+  /// The SYN can't be placed anew, but the upstream that got an earlier copy
+  /// may have answered: a reset could cut a flow that opens meanwhile.
+  HandshakePending,
   /// No upstream owns its tag.
   UnknownTag,
 };
--- a/src/medlarmoor/edge/decision_log.cpp
+++ b/src/medlarmoor/edge/decision_log.cpp
@@ -35,6 +35,8 @@
     return "not_ready";
   case DropReason::Outdated:
     return "outdated";
+  case DropReason::HandshakePending:
+    return "handshake_pending";
   case DropReason::UnknownTag:
     return "unknown_tag";
   }
--- a/src/medlarmoor/edge/forwarder.cpp
+++ b/src/medlarmoor/edge/forwarder.cpp
@@ -50,30 +50,27 @@
 }
 
 Decision Forwarder::open(affinity::Packet &In, Knowledge Known, TimePoint Now) {
-  const routing::Route *Route = Routes_.find(In.Flow_.Virtual_);
-  if (!Route) {
-    if (!Known.RoutesCurrent_)
-      return Drop{DropReason::Outdated};
-    return Reject{RejectReason::NoRoute};
-  }
   TrackedFlow *Flow = Flows_.find(In.Flow_);
   const CatalogEntry *Previous =
       Flow ? Catalog_.find(Flow->Upstream_) : nullptr;
-  const bool TimedOut =
-      Flow && !Flow->Open_ && Now - Flow->PlacedAt_ >= HandshakeTimeout;
   Deliver Out;
-  if (Previous && !TimedOut) {
+  if (Previous && (Flow->Open_ || Now - Flow->PlacedAt_ < HandshakeTimeout)) {
     In.Tag_ = Flow->Upstream_;
     Out.Upstream_ = Previous;
     Out.Reason_ = DeliverReason::Repeated;
     return Out;
   }
-  place(In, *Route, Flow, Now, Out);
-  if (Out.Upstream_)
-    return Out;
-  if (!Known.UpstreamsCurrent_)
+  const routing::Route *Route = Routes_.find(In.Flow_.Virtual_);
+  if (Route) {
+    place(In, *Route, Flow, Previous, Now, Out);
+    if (Out.Upstream_)
+      return Out;
+  }
+  if (Previous)
+    return Drop{DropReason::HandshakePending};
+  if (!(Route ? Known.UpstreamsCurrent_ : Known.RoutesCurrent_))
     return Drop{DropReason::Outdated};
-  return Reject{RejectReason::NoUpstream};
+  return Reject{Route ? RejectReason::NoUpstream : RejectReason::NoRoute};
 }
 
 std::optional<Deliver> Forwarder::retry(affinity::Packet &In,
@@ -83,7 +80,7 @@
   if (!Flow || Flow->Open_ || Flow->PlacedAt_ != PlacedAt || !Route)
     return std::nullopt;
   Deliver Out;
-  place(In, *Route, Flow, Now, Out);
+  place(In, *Route, Flow, Catalog_.find(Flow->Upstream_), Now, Out);
   if (!Out.Upstream_)
     return std::nullopt;
   return Out;
@@ -96,9 +93,8 @@
 }
 
 void Forwarder::place(affinity::Packet &In, const routing::Route &Route,
-                      TrackedFlow *Flow, TimePoint Now, Deliver &Out) {
-  const CatalogEntry *Previous =
-      Flow ? Catalog_.find(Flow->Upstream_) : nullptr;
+                      TrackedFlow *Flow, const CatalogEntry *Previous,
+                      TimePoint Now, Deliver &Out) {
   if (Flow) {
     Out.Previous_ = Flow->Upstream_;
     Out.Ejected_ = Outliers_.handshakeTimedOut(Flow->Upstream_, Now);
--- a/src/medlarmoor/edge/forwarder.hpp
+++ b/src/medlarmoor/edge/forwarder.hpp
@@ -51,10 +51,13 @@
 
 private:
   Decision open(affinity::Packet &In, Knowledge Known, TimePoint Now);
-  /// Chooses an upstream, another one than before when Flow is tracked; null
-  /// in Out when there is none.
+  /// Chooses an upstream, another one than Previous while there is a choice;
+  /// null in Out when there is none. Flow is null on the first SYN; Previous
+  /// is null then, too, and when the catalog forgot the upstream.
   void place(affinity::Packet &In, const routing::Route &Route,
-             placement::TrackedFlow *Flow, TimePoint Now, Deliver &Out);
+             placement::TrackedFlow *Flow,
+             const discovery::CatalogEntry *Previous, TimePoint Now,
+             Deliver &Out);
   Decision follow(affinity::Packet &In, TimePoint Now);
   /// The first packet behind a handshake came.
   void settle(placement::TrackedFlow &Flow, const affinity::Packet &In,
--- a/test/edge/forwarder_test.cpp
+++ b/test/edge/forwarder_test.cpp
@@ -230,6 +230,47 @@
   }
 }
 
+TEST_CASE("a repeated SYN of an open flow follows the flow, whatever became of "
+          "its route and upstream") {
+  Instance Each({upstream("i-1")});
+  Packet Opening = syn(1);
+  Each.deliver(Opening, at(0));
+  Packet Next = data(1, tag("i-1"));
+  Each.deliver(Next, at(5));
+
+  Each.Catalog_.apply(unlisted("i-1"), 2, at(10));
+  Packet Copy = syn(1, 1);
+  CHECK(Each.deliver(Copy, at(200)) == "i-1");
+
+  routing::RouteTable Empty;
+  Empty.Version_ = ConfigVersion(2);
+  Each.Router_.adopt(Empty, 2);
+  Packet Second = syn(1, 2);
+  CHECK(Each.deliver(Second, at(600)) == "i-1");
+}
+
+TEST_CASE("a repeated SYN is never refused while its first upstream may have "
+          "answered") {
+  Instance Each({upstream("i-1")});
+  Packet Opening = syn(1);
+  Each.deliver(Opening, at(0));
+  Each.Catalog_.apply(unlisted("i-1"), 2, at(10));
+  Packet Copy = syn(1, 1);
+  Decision Made = Each.Forwarder_.handle(Copy, Current, at(200));
+  REQUIRE(std::holds_alternative<Drop>(Made));
+  CHECK(std::get<Drop>(Made).Reason_ == DropReason::HandshakePending);
+
+  routing::RouteTable Empty;
+  Empty.Version_ = ConfigVersion(2);
+  Each.Router_.adopt(Empty, 2);
+  Packet Second = syn(1, 2);
+  Made = Each.Forwarder_.handle(Second, Current, at(600));
+  CHECK(std::holds_alternative<Drop>(Made));
+  // The answer was on its way all along.
+  Packet Next = data(1, tag("i-1"));
+  CHECK(Each.deliver(Next, at(610)) == "i-1");
+}
+
 TEST_CASE("nothing is decided before routes and upstreams are known") {
   discovery::Catalog Catalog{{}};
   routing::Router Router;
