Avoid upstreams whose requests fail, and tell peers of them

Cause: answers bypass the edge, so that an upstream that answers handshakes and fails requests kept its full share of new flows. What an edge does see is how much of an answer the client acknowledges: nothing when the request hangs, is muted or cut, and far less than usual when it is an error page. That is now followed request by request (also on flows that carry several), compared with the route's usual answer, and held against the upstream as extra cost in placement: it is passed over while others are idle, and still used under load. An instance to which everything fails accuses nobody.

--- a/src/medlarmoor/edge/decision.hpp
+++ b/src/medlarmoor/edge/decision.hpp
@@ -4,8 +4,10 @@
 #include <medlarmoor/affinity/tag.hpp>
 #include <medlarmoor/core/time.hpp>
 #include <medlarmoor/discovery/fwd.hpp>
+#include <medlarmoor/edge/failed_request.hpp>
 
 #include <cstdint>
+#include <optional>
 #include <variant>
 
 namespace medlarmoor::edge {
@@ -64,6 +66,8 @@
   Millis Ejected_{0};
   /// Opened: the upstream had been ejected.
   bool Restored_ = false;
+  /// The packet shows that a request of its flow failed.
+  std::optional<FailedRequest> Failed_;
 };
 
 /// Answer the packet with a reset.
--- a/src/medlarmoor/edge/decision_log.cpp
+++ b/src/medlarmoor/edge/decision_log.cpp
@@ -16,7 +16,12 @@
 constexpr std::uint32_t RejectedPerSecond = 200;
 constexpr std::uint32_t DroppedPerSecond = 50;
 constexpr std::uint32_t SilentPerSecond = 50;
+constexpr std::uint32_t FailedPerSecond = 100;
+constexpr std::uint32_t SuspectedPerSecond = 50;
 
+constexpr double PercentOfWhole = 100.0;
+
+constexpr const char *FailuresMetric = "medlarmoor_edge_failures_total";
 constexpr const char *PacketsMetric = "medlarmoor_edge_packets_total";
 
 const char *name(RejectReason Reason) {
@@ -43,6 +48,20 @@
   return "unknown";
 }
 
+const char *name(placement::Outcome Outcome) {
+  switch (Outcome) {
+  case placement::Outcome::Answered:
+    return "answered";
+  case placement::Outcome::ShortAnswer:
+    return "short_answer";
+  case placement::Outcome::Unanswered:
+    return "unanswered";
+  case placement::Outcome::Overdue:
+    return "overdue";
+  }
+  return "unknown";
+}
+
 } // namespace
 
 DecisionLog::DecisionLog(const discovery::Catalog &Upstreams,
@@ -62,11 +81,17 @@
                                         "state=\"handshake\"")),
       SilentFlows_(
           Metrics.counter("medlarmoor_edge_silent_total", "state=\"open\"")),
+      ShortAnswers_(
+          Metrics.counter(FailuresMetric, "outcome=\"short_answer\"")),
+      Unanswered_(Metrics.counter(FailuresMetric, "outcome=\"unanswered\"")),
+      Overdue_(Metrics.counter(FailuresMetric, "outcome=\"overdue\"")),
+      Suspected_(Metrics.counter("medlarmoor_edge_suspected_total")),
       Malformed_(Metrics.counter(PacketsMetric, "decision=\"malformed\"")),
       Unsent_(Metrics.counter("medlarmoor_edge_unsent_total")),
       PlacedLines_(PlacedPerSecond), MovedLines_(MovedPerSecond),
       RejectedLines_(RejectedPerSecond), DroppedLines_(DroppedPerSecond),
-      SilentLines_(SilentPerSecond) {}
+      SilentLines_(SilentPerSecond), FailedLines_(FailedPerSecond),
+      SuspectedLines_(SuspectedPerSecond) {}
 
 void DecisionLog::decided(const affinity::Packet &In, const Decision &Made,
                           TimePoint Now) {
@@ -82,10 +107,14 @@
   reportLeftOut("flow_rejected", RejectedLines_, Now);
   reportLeftOut("packet_dropped", DroppedLines_, Now);
   reportLeftOut("flow_silent", SilentLines_, Now);
+  reportLeftOut("request_failed", FailedLines_, Now);
+  reportLeftOut("upstream_suspected", SuspectedLines_, Now);
 }
 
 void DecisionLog::delivered(const affinity::Packet &In, const Deliver &To,
                             TimePoint Now) {
+  if (To.Failed_)
+    failed(*To.Failed_, Now);
   switch (To.Reason_) {
   case DeliverReason::Established:
     return Established_.add();
@@ -145,6 +174,40 @@
                                    {"for_ms", To.Ejected_.count()}});
 }
 
+void DecisionLog::failed(const FailedRequest &Each, TimePoint Now) {
+  switch (Each.Outcome_) {
+  case placement::Outcome::Answered:
+    return;
+  case placement::Outcome::ShortAnswer:
+    ShortAnswers_.add();
+    break;
+  case placement::Outcome::Unanswered:
+    Unanswered_.add();
+    break;
+  case placement::Outcome::Overdue:
+    Overdue_.add();
+    break;
+  }
+  if (FailedLines_.take(Now))
+    Log_.info(
+        "request_failed",
+        {{"flow", Each.Flow_.text()},
+         {"upstream", nameOf(Each.Upstream_)},
+         {"outcome", name(Each.Outcome_)},
+         {"received_bytes", Each.Received_},
+         {"elapsed_ms",
+          std::chrono::duration_cast<Millis>(Each.Elapsed_).count()},
+         {"excess_percent", static_cast<int>(Each.Excess_ * PercentOfWhole)}});
+}
+
+void DecisionLog::suspected(affinity::Tag Upstream, Endpoint Peer,
+                            TimePoint Now) {
+  Suspected_.add();
+  if (SuspectedLines_.take(Now))
+    Log_.info("upstream_suspected",
+              {{"upstream", nameOf(Upstream)}, {"peer", Peer.text()}});
+}
+
 void DecisionLog::silent(const affinity::FlowKey &Key,
                          const placement::TrackedFlow &Flow, TimePoint Now) {
   (Flow.Open_ ? SilentFlows_ : SilentHandshakes_).add();
--- a/src/medlarmoor/edge/decision_log.hpp
+++ b/src/medlarmoor/edge/decision_log.hpp
@@ -28,6 +28,10 @@
 
   /// The decision about a packet.
   void decided(const affinity::Packet &In, const Decision &Made, TimePoint Now);
+  /// A request failed at its upstream.
+  void failed(const FailedRequest &Each, TimePoint Now);
+  /// A peer's word made this instance avoid an upstream.
+  void suspected(affinity::Tag Upstream, Endpoint Peer, TimePoint Now);
   /// The client of a flow fell silent before it ended.
   void silent(const affinity::FlowKey &Key, const placement::TrackedFlow &Flow,
               TimePoint Now);
@@ -63,6 +67,10 @@
   telemetry::Counter &Dropped_;
   telemetry::Counter &SilentHandshakes_;
   telemetry::Counter &SilentFlows_;
+  telemetry::Counter &ShortAnswers_;
+  telemetry::Counter &Unanswered_;
+  telemetry::Counter &Overdue_;
+  telemetry::Counter &Suspected_;
   telemetry::Counter &Malformed_;
   telemetry::Counter &Unsent_;
   telemetry::LogBudget PlacedLines_;
@@ -70,6 +78,8 @@
   telemetry::LogBudget RejectedLines_;
   telemetry::LogBudget DroppedLines_;
   telemetry::LogBudget SilentLines_;
+  telemetry::LogBudget FailedLines_;
+  telemetry::LogBudget SuspectedLines_;
 };
 
 } // namespace medlarmoor::edge
--- a/src/medlarmoor/edge/edge_server.cpp
+++ b/src/medlarmoor/edge/edge_server.cpp
@@ -138,7 +138,13 @@
                 Upstreams_.wake();
                 RouteTables_.wake();
               },
-              [this](TimePoint When) { Catalog_.storeReturned(When); }},
+              [this](TimePoint When) { Catalog_.storeReturned(When); },
+              [this] { return Forwarder_.takeSuspects(); },
+              [this](affinity::Tag Upstream, Endpoint Peer) {
+                const TimePoint Now = Time_.now();
+                if (Forwarder_.suspect(Upstream, Now))
+                  Decisions_.suspected(Upstream, Peer, Now);
+              }},
              seeded(), Time_, Metrics_, Log_),
       Decisions_(
           Catalog_, Routes_,
@@ -274,8 +280,11 @@
 
 void EdgeServer::Impl::tick() {
   const TimePoint Now = Time_.now();
-  for (const auto &[Key, Flow] : Forwarder_.expire(Now))
+  const Forwarder::Expired Expired = Forwarder_.expire(Now);
+  for (const auto &[Key, Flow] : Expired.Silent_)
     Decisions_.silent(Key, Flow, Now);
+  for (const FailedRequest &Each : Expired.Overdue_)
+    Decisions_.failed(Each, Now);
   Decisions_.flush(Now);
   noteUsage();
   checkFile(Now);
--- a/src/medlarmoor/edge/forwarder.cpp
+++ b/src/medlarmoor/edge/forwarder.cpp
@@ -6,6 +6,7 @@
 namespace medlarmoor::edge {
 
 using discovery::CatalogEntry;
+using placement::Outcome;
 using placement::TrackedFlow;
 
 namespace {
@@ -31,7 +32,7 @@
                      placement::Selector Choice,
                      placement::EjectionLimits Ejections)
     : Catalog_(Catalog), Routes_(Routes), Choice_(std::move(Choice)),
-      Outliers_(Ejections), MeanHandshakeMs_(ExpectedHandshakeMs) {}
+      Seen_(Ejections), MeanHandshakeMs_(ExpectedHandshakeMs) {}
 
 Decision Forwarder::handle(affinity::Packet &In, Knowledge Known,
                            TimePoint Now) {
@@ -40,17 +41,24 @@
   return In.Syn_ ? open(In, Known, Now) : follow(In, Now);
 }
 
-std::vector<Forwarder::SilentFlow> Forwarder::expire(TimePoint Now) {
-  std::vector<SilentFlow> Silent = Flows_.expire(Now);
-  for (const auto &[Key, Flow] : Silent)
+Forwarder::Expired Forwarder::expire(TimePoint Now) {
+  placement::FlowTracker::Expired Flows = Seen_.Flows_.expire(Now);
+  Expired Out;
+  for (const auto &[Key, Flow] : Flows.Overdue_) {
+    Seen_.Failures_.overdue(Key.Virtual_, Flow.Upstream_, Now);
+    Out.Overdue_.push_back(failure(Key, Flow, Outcome::Overdue, Now));
+  }
+  for (const auto &[Key, Flow] : Flows.Silent_)
     if (Flow.Open_)
       end(Key, Flow, Now);
+  Out.Silent_ = std::move(Flows.Silent_);
+  Seen_.Failures_.expire(Now);
   Catalog_.expire(Now);
-  return Silent;
+  return Out;
 }
 
 Decision Forwarder::open(affinity::Packet &In, Knowledge Known, TimePoint Now) {
-  TrackedFlow *Flow = Flows_.find(In.Flow_);
+  TrackedFlow *Flow = Seen_.Flows_.find(In.Flow_);
   const CatalogEntry *Previous =
       Flow ? Catalog_.find(Flow->Upstream_) : nullptr;
   Deliver Out;
@@ -75,7 +83,7 @@
 
 std::optional<Deliver> Forwarder::retry(affinity::Packet &In,
                                         TimePoint PlacedAt, TimePoint Now) {
-  TrackedFlow *Flow = Flows_.find(In.Flow_);
+  TrackedFlow *Flow = Seen_.Flows_.find(In.Flow_);
   const routing::Route *Route = Routes_.find(In.Flow_.Virtual_);
   if (!Flow || Flow->Open_ || Flow->PlacedAt_ != PlacedAt || !Route)
     return std::nullopt;
@@ -86,6 +94,10 @@
   return Out;
 }
 
+bool Forwarder::suspect(affinity::Tag Upstream, TimePoint Now) {
+  return Catalog_.find(Upstream) && Seen_.Failures_.reported(Upstream, Now);
+}
+
 Millis Forwarder::handshakePatience() const noexcept {
   const Millis Usual(
       static_cast<std::int64_t>(MeanHandshakeMs_ * PatienceFactor));
@@ -97,28 +109,27 @@
                       TimePoint Now, Deliver &Out) {
   if (Flow) {
     Out.Previous_ = Flow->Upstream_;
-    Out.Ejected_ = Outliers_.handshakeTimedOut(Flow->Upstream_, Now);
+    Out.Ejected_ = Seen_.Outliers_.handshakeTimedOut(Flow->Upstream_, Now);
   }
   const auto &Candidates =
       Catalog_.candidates(Route.serviceFor(In.Flow_.hash()));
-  const CatalogEntry *Chosen =
-      Choice_.choose(Candidates, Flows_, Times_, Outliers_, Previous, Now);
+  const CatalogEntry *Chosen = Choice_.choose(Candidates, Seen_, Previous, Now);
   if (!Chosen)
     return;
   In.Tag_ = Chosen->Tag_;
   Out.Upstream_ = Chosen;
   Out.Reason_ = Flow ? DeliverReason::Moved : DeliverReason::Placed;
   Out.Candidates_ = static_cast<std::uint32_t>(Candidates.size());
-  Out.Active_ = Flows_.active(Chosen->Tag_);
+  Out.Active_ = Seen_.Flows_.active(Chosen->Tag_);
   if (Flow)
-    Flows_.move(*Flow, Chosen->Tag_, Now);
+    Seen_.Flows_.move(*Flow, Chosen->Tag_, Now);
   else
-    Flows_.add(In.Flow_, Chosen->Tag_, HandshakeLifetime, Now);
+    Seen_.Flows_.add(In.Flow_, Chosen->Tag_, HandshakeLifetime, Now);
 }
 
 Decision Forwarder::follow(affinity::Packet &In, TimePoint Now) {
   Deliver Out;
-  TrackedFlow *Flow = Flows_.find(In.Flow_);
+  TrackedFlow *Flow = Seen_.Flows_.find(In.Flow_);
   if (Flow && !Flow->Open_ && In.Tag_ != affinity::NoTag)
     settle(*Flow, In, Now, Out);
   // A flow that was offered to two upstreams stays with the first that the
@@ -136,7 +147,7 @@
 void Forwarder::settle(TrackedFlow &Flow, const affinity::Packet &In,
                        TimePoint Now, Deliver &Out) {
   if (Flow.Upstream_ != In.Tag_)
-    Flows_.move(Flow, In.Tag_, Now);
+    Seen_.Flows_.move(Flow, In.Tag_, Now);
   else
     MeanHandshakeMs_ +=
         HandshakeWeight *
@@ -146,35 +157,83 @@
   Flow.Open_ = true;
   Flow.OpenedAt_ = Now;
   Flow.Timeout_ = requestTimeout(In.Flow_.Virtual_);
+  Flow.RequestAck_ = Flow.LastAck_ = In.Acknowledged_;
   Out.Reason_ = DeliverReason::Opened;
   Out.Elapsed_ = Now - Flow.FirstSeen_;
-  Out.Restored_ = Outliers_.handshakeCompleted(In.Tag_);
+  Out.Restored_ = Seen_.Outliers_.handshakeCompleted(In.Tag_);
 }
 
 void Forwarder::count(TrackedFlow *Flow, const affinity::Packet &In,
                       TimePoint Now, Deliver &Out) {
   const bool Last = In.Fin_ || In.Rst_;
+  if (Flow && Flow->Open_)
+    observe(*Flow, In, Now, Out);
   if (Flow && Last) {
     if (Flow->Open_) {
       end(In.Flow_, *Flow, Now);
       Out.Reason_ = DeliverReason::Ended;
       Out.Elapsed_ = Now - Flow->OpenedAt_;
     }
-    Flows_.erase(In.Flow_);
+    Seen_.Flows_.erase(In.Flow_);
   } else if (Flow) {
-    Flows_.touch(*Flow, Now);
+    Seen_.Flows_.touch(*Flow, Now);
   } else if (In.Length_ > 0 && !Last) {
     // Another instance placed it, or it was silent for long.
-    TrackedFlow &Joined =
-        Flows_.add(In.Flow_, In.Tag_, requestTimeout(In.Flow_.Virtual_), Now);
+    TrackedFlow &Joined = Seen_.Flows_.add(
+        In.Flow_, In.Tag_, requestTimeout(In.Flow_.Virtual_), Now);
     Joined.Open_ = true;
     Joined.OpenedAt_ = Now;
+    Joined.RequestAck_ = Joined.LastAck_ = In.Acknowledged_;
+    observe(Joined, In, Now, Out);
   }
 }
 
+void Forwarder::observe(TrackedFlow &Flow, const affinity::Packet &In,
+                        TimePoint Now, Deliver &Out) {
+  // The acknowledgement of a reset may be any value.
+  if (!In.Rst_)
+    Flow.acknowledge(In.Acknowledged_);
+  if (In.Fin_ || In.Rst_)
+    return judge(Flow, In.Flow_, Now, Out);
+  // Data behind an answer begins the next request.
+  if (In.Length_ == 0 || (Flow.Requested_ && Flow.received() == 0))
+    return;
+  judge(Flow, In.Flow_, Now, Out);
+  Flow.Requested_ = true;
+  Flow.Overdue_ = false;
+  Flow.RequestedAt_ = Now;
+  Flow.DueAt_ = Now + latencyObjective(In.Flow_.Virtual_);
+  Flow.RequestAck_ = Flow.LastAck_;
+}
+
+void Forwarder::judge(TrackedFlow &Flow, const affinity::FlowKey &Key,
+                      TimePoint Now, Deliver &Out) {
+  if (!Flow.Requested_)
+    return;
+  // An overdue request has been counted as failed already.
+  const Outcome Result =
+      Flow.Overdue_ && Flow.received() == 0
+          ? Outcome::Unanswered
+          : Seen_.Failures_.ended(Key.Virtual_, Flow.Upstream_, Flow.received(),
+                                  Now);
+  if (Result != Outcome::Answered)
+    Out.Failed_ = failure(Key, Flow, Result, Now);
+}
+
+FailedRequest Forwarder::failure(const affinity::FlowKey &Key,
+                                 const TrackedFlow &Flow, Outcome Result,
+                                 TimePoint Now) const noexcept {
+  return {Key,
+          Flow.Upstream_,
+          Result,
+          Flow.received(),
+          Now - Flow.RequestedAt_,
+          Seen_.Failures_.excess(Flow.Upstream_, Now)};
+}
+
 void Forwarder::end(const affinity::FlowKey &Key, const TrackedFlow &Flow,
                     TimePoint Now) {
-  Times_.ended(Key.Virtual_, Flow.Upstream_, Now - Flow.OpenedAt_, Now);
+  Seen_.Times_.ended(Key.Virtual_, Flow.Upstream_, Now - Flow.OpenedAt_, Now);
 }
 
 Millis Forwarder::requestTimeout(Endpoint Virtual) const noexcept {
@@ -183,4 +242,11 @@
                                               : DefaultRequestTimeout;
 }
 
+Millis Forwarder::latencyObjective(Endpoint Virtual) const noexcept {
+  const routing::Route *Route = Routes_.find(Virtual);
+  return Route && Route->LatencyObjective_ > Millis(0)
+             ? Route->LatencyObjective_
+             : requestTimeout(Virtual);
+}
+
 } // namespace medlarmoor::edge
--- a/src/medlarmoor/edge/forwarder.hpp
+++ b/src/medlarmoor/edge/forwarder.hpp
@@ -5,14 +5,11 @@
 #include <medlarmoor/discovery/catalog.hpp>
 #include <medlarmoor/edge/decision.hpp>
 #include <medlarmoor/edge/knowledge.hpp>
-#include <medlarmoor/placement/ejector.hpp>
-#include <medlarmoor/placement/flow_tracker.hpp>
+#include <medlarmoor/placement/observations.hpp>
 #include <medlarmoor/placement/selector.hpp>
-#include <medlarmoor/placement/service_times.hpp>
 #include <medlarmoor/routing/router.hpp>
 
 #include <optional>
-#include <utility>
 #include <vector>
 
 namespace medlarmoor::edge {
@@ -36,17 +33,28 @@
                                              TimePoint PlacedAt, TimePoint Now);
   /// How long an upstream may take to answer a SYN.
   [[nodiscard]] Millis handshakePatience() const noexcept;
-  using SilentFlow = std::pair<affinity::FlowKey, placement::TrackedFlow>;
+  /// Upstreams that this instance has begun to avoid; see
+  /// FailureRates::takeSuspects().
+  std::vector<affinity::Tag> takeSuspects() {
+    return Seen_.Failures_.takeSuspects();
+  }
+  /// Another instance has begun to avoid the upstream. False when that changes
+  /// nothing.
+  bool suspect(affinity::Tag Upstream, TimePoint Now);
+
+  struct Expired {
+    /// Flows whose clients fell silent.
+    std::vector<placement::FlowTracker::Entry> Silent_;
+    /// Requests whose answers became overdue.
+    std::vector<FailedRequest> Overdue_;
+  };
 
-  /// Forgets what is over and gives the flows whose clients fell silent. Call
-  /// it a few times a second.
-  std::vector<SilentFlow> expire(TimePoint Now);
+  /// Forgets what is over and gives what time has shown. Call it a few times a
+  /// second.
+  Expired expire(TimePoint Now);
 
   [[nodiscard]] const placement::FlowTracker &flows() const noexcept {
-    return Flows_;
-  }
-  [[nodiscard]] const placement::Ejector &outliers() const noexcept {
-    return Outliers_;
+    return Seen_.Flows_;
   }
 
 private:
@@ -65,16 +73,25 @@
   /// Keeps the count of flows at work. Flow is null when it is not tracked.
   void count(placement::TrackedFlow *Flow, const affinity::Packet &In,
              TimePoint Now, Deliver &Out);
+  /// Follows the requests of an open flow.
+  void observe(placement::TrackedFlow &Flow, const affinity::Packet &In,
+               TimePoint Now, Deliver &Out);
+  /// Judges the request of a flow whose client wants no more of the answer.
+  void judge(placement::TrackedFlow &Flow, const affinity::FlowKey &Key,
+             TimePoint Now, Deliver &Out);
+  [[nodiscard]] FailedRequest failure(const affinity::FlowKey &Key,
+                                      const placement::TrackedFlow &Flow,
+                                      placement::Outcome Result,
+                                      TimePoint Now) const noexcept;
   void end(const affinity::FlowKey &Key, const placement::TrackedFlow &Flow,
            TimePoint Now);
   [[nodiscard]] Millis requestTimeout(Endpoint Virtual) const noexcept;
+  [[nodiscard]] Millis latencyObjective(Endpoint Virtual) const noexcept;
 
   discovery::Catalog &Catalog_;
   const routing::Router &Routes_;
   placement::Selector Choice_;
-  placement::Ejector Outliers_;
-  placement::FlowTracker Flows_;
-  placement::ServiceTimes Times_;
+  placement::Observations Seen_;
   /// Mean time from a SYN to the client's next packet, in milliseconds.
   double MeanHandshakeMs_;
 };
--- a/src/medlarmoor/edge/peer_sync.cpp
+++ b/src/medlarmoor/edge/peer_sync.cpp
@@ -72,7 +72,9 @@
                     return adopt(Channels_[1], readRouteChanges(Text), Take);
                   }}},
       ReadNow_(std::move(Data.ReadNow_)),
-      TellReturn_(std::move(Data.StoreReturned_)), Readable_(Io), Ticks_(Io),
+      TellReturn_(std::move(Data.StoreReturned_)),
+      NewSuspects_(std::move(Data.NewSuspects_)),
+      TakeSuspect_(std::move(Data.TakeSuspect_)), Readable_(Io), Ticks_(Io),
       Door_(Io, Settings.Peers_,
             [this](const net::HttpRequest &Request,
                    const net::HttpReply &Reply) { Reply(answer(Request)); }),
@@ -197,8 +199,10 @@
               {{"peer", Each.text()}, {"members", Members_.size()}});
   MemberCount_.set(static_cast<std::int64_t>(Members_.size()));
   noteReading(reading(Now), Now);
-  if (reading(Now))
-    announce(audience(), Now);
+  Announcement News = announcement(Now);
+  News.Suspects_ = NewSuspects_();
+  if (News.Reading_ || !News.Suspects_.empty())
+    send(audience(), News);
   if (Now >= NextGossip_) {
     // Until it knows something, an instance asks at each tick.
     const bool Informed = Channels_[0].Follower_.currentAsOf() &&
@@ -261,6 +265,8 @@
     // An instance that has just started learns the members and who has what.
     gossip({From.From_}, Now);
   }
+  for (const affinity::Tag Each : From.Suspects_)
+    TakeSuspect_(Each, From.From_);
   if (From.StoreReturned_)
     noteReturn(Now - *From.StoreReturned_);
   const bool Trusted = inScope(From) && Election_.trusts(From, reading(Now));
--- a/src/medlarmoor/edge/peer_sync.hpp
+++ b/src/medlarmoor/edge/peer_sync.hpp
@@ -45,6 +45,10 @@
     std::function<void()> ReadNow_;
     /// The store came back from an outage at that moment.
     std::function<void(TimePoint)> StoreReturned_;
+    /// Upstreams where this instance's requests have begun to fail.
+    std::function<std::vector<affinity::Tag>()> NewSuspects_;
+    /// A peer's requests have begun to fail at an upstream.
+    std::function<void(affinity::Tag, Endpoint)> TakeSuspect_;
   };
 
   PeerSync(boost::asio::io_context &Io, const config::EdgeSettings &Settings,
@@ -117,6 +121,8 @@
   std::array<Channel, 2> Channels_;
   std::function<void()> ReadNow_;
   std::function<void(TimePoint)> TellReturn_;
+  std::function<std::vector<affinity::Tag>()> NewSuspects_;
+  std::function<void(affinity::Tag, Endpoint)> TakeSuspect_;
   std::optional<TimePoint> StoreReturnedAt_;
   TimePoint StartedAt_{};
   TimePoint NextGossip_{};
--- a/src/medlarmoor/peers/announcement.hpp
+++ b/src/medlarmoor/peers/announcement.hpp
@@ -1,6 +1,7 @@
 #ifndef MEDLARMOOR_PEERS_ANNOUNCEMENT_HPP
 #define MEDLARMOOR_PEERS_ANNOUNCEMENT_HPP
 
+#include <medlarmoor/affinity/tag.hpp>
 #include <medlarmoor/peers/collection_state.hpp>
 #include <medlarmoor/peers/member.hpp>
 
@@ -21,6 +22,8 @@
   /// How long ago the store came back from its last outage, when that was
   /// recent.
   std::optional<Millis> StoreReturned_;
+  /// Upstreams where its requests have begun to fail.
+  std::vector<affinity::Tag> Suspects_;
   /// Some of the members that it knows.
   std::vector<Member> Members_;
 
--- a/src/medlarmoor/peers/announcement_codec.cpp
+++ b/src/medlarmoor/peers/announcement_codec.cpp
@@ -9,8 +9,9 @@
 using Json = nlohmann::json;
 
 /// First element of each announcement; another layout gets another number.
-constexpr unsigned Layout = 1;
-constexpr std::size_t Fields = 8;
+/// Fields behind those known here are ignored.
+constexpr unsigned Layout = 2;
+constexpr std::size_t Fields = 9;
 
 Json packEndpoint(Endpoint Each) {
   return Json::array({Each.address().value(), Each.port()});
@@ -55,6 +56,8 @@
     Out.StoreReturned_ = Millis(In.at(6).get<std::int64_t>());
   for (const Json &Each : In.at(7))
     Out.Members_.push_back(readMember(Each));
+  for (const Json &Each : In.at(8))
+    Out.Suspects_.emplace_back(Each.get<std::uint32_t>());
   return Out;
 }
 
@@ -64,11 +67,14 @@
   Json Members = Json::array();
   for (const Member &Other : Each.Members_)
     Members.push_back(packMember(Other));
+  Json Suspects = Json::array();
+  for (const affinity::Tag Suspect : Each.Suspects_)
+    Suspects.push_back(Suspect.value());
   const Json Out = Json::array(
       {Layout, packEndpoint(Each.From_), Each.Domain_.value(), Each.Reading_,
        packState(Each.Upstreams_), packState(Each.Routes_),
        Each.StoreReturned_ ? Json(Each.StoreReturned_->count()) : Json(),
-       Members});
+       Members, Suspects});
   std::vector<std::byte> Bytes;
   for (const std::uint8_t Byte : Json::to_cbor(Out))
     Bytes.push_back(static_cast<std::byte>(Byte));
@@ -78,7 +84,7 @@
 std::optional<Announcement> decode(std::span<const std::byte> Bytes) {
   const auto *First = reinterpret_cast<const std::uint8_t *>(Bytes.data());
   const Json In = Json::from_cbor(First, First + Bytes.size(), true, false);
-  if (!In.is_array() || In.size() != Fields || In[0] != Layout)
+  if (!In.is_array() || In.size() < Fields || In[0] != Layout)
     return std::nullopt;
   try {
     return read(In);
--- /dev/null
+++ b/src/medlarmoor/placement/failure_rates.hpp
@@ -0,0 +1,73 @@
+#ifndef MEDLARMOOR_PLACEMENT_FAILURE_RATES_HPP
+#define MEDLARMOOR_PLACEMENT_FAILURE_RATES_HPP
+
+#include <medlarmoor/affinity/tag.hpp>
+#include <medlarmoor/core/endpoint.hpp>
+#include <medlarmoor/core/time.hpp>
+#include <medlarmoor/placement/answer_size.hpp>
+#include <medlarmoor/placement/outcome.hpp>
+
+#include <cstddef>
+#include <cstdint>
+#include <unordered_map>
+#include <vector>
+
+namespace medlarmoor::placement {
+
+/// How often requests fail at each upstream, compared with other requests of
+/// the same route. Answers bypass this instance; what it sees is how much of
+/// them the client acknowledged.
+class FailureRates {
+public:
+  /// The client of a route's virtual address has received Received bytes in
+  /// answer to a request, and wants no more. Tells what that was.
+  Outcome ended(Endpoint Virtual, affinity::Tag Upstream,
+                std::uint32_t Received, TimePoint Now);
+  /// A request has got nothing within the route's latency objective.
+  void overdue(Endpoint Virtual, affinity::Tag Upstream, TimePoint Now);
+
+  /// Another instance has begun to avoid the upstream. That counts for less
+  /// than failures of one's own. False when this one avoids it already.
+  bool reported(affinity::Tag Upstream, TimePoint Now);
+  /// The upstreams that own failures made this instance avoid since the last
+  /// call, for others to know. Empty when they are many: the fault is then more
+  /// likely between them and this instance.
+  std::vector<affinity::Tag> takeSuspects();
+
+  /// By how much the share of failures at the upstream exceeds that of its
+  /// routes, 0 to 1; 0 unless the difference is clear. Without new failures it
+  /// fades, the slower the more often trying again has failed.
+  [[nodiscard]] double excess(affinity::Tag Upstream,
+                              TimePoint Now) const noexcept;
+  /// Forgets what has faded. Call it a few times a second.
+  void expire(TimePoint Now);
+  /// Upstreams with a record.
+  [[nodiscard]] std::size_t size() const noexcept { return Records_.size(); }
+
+private:
+  struct Route {
+    AnswerSize Sizes_;
+    /// Share of requests that failed, 0 to 1.
+    double Failures_ = 0;
+    TimePoint UpdatedAt_{};
+  };
+  struct Record {
+    double Excess_ = 0;
+    TimePoint UpdatedAt_{};
+    /// Failures that came after an earlier one had faded.
+    unsigned Repeats_ = 0;
+  };
+
+  void count(Route &Of, affinity::Tag Upstream, bool Failed, TimePoint Now);
+  /// Evidence comes again after an earlier excess has faded to Left.
+  static void repeat(Record &Each, double Left) noexcept;
+  [[nodiscard]] static double faded(const Record &Each, TimePoint Now) noexcept;
+
+  std::unordered_map<Endpoint, Route> Routes_;
+  std::unordered_map<affinity::Tag, Record> Records_;
+  std::vector<affinity::Tag> Suspects_;
+};
+
+} // namespace medlarmoor::placement
+
+#endif // MEDLARMOOR_PLACEMENT_FAILURE_RATES_HPP
--- a/src/medlarmoor/placement/flow_tracker.cpp
+++ b/src/medlarmoor/placement/flow_tracker.cpp
@@ -4,8 +4,8 @@
 
 namespace {
 
-/// How late a silent flow may be noticed.
-constexpr Millis CheckInterval{500};
+/// How late a silent flow or an overdue answer may be noticed.
+constexpr Millis CheckInterval{100};
 
 } // namespace
 
@@ -22,9 +22,15 @@
     release(At->second.Upstream_);
   else
     Checks_.emplace_back(Now + CheckInterval, Key);
-  At->second = {Upstream, Now, Now, {}, Now + Timeout, Timeout, false};
+  TrackedFlow &Flow = At->second;
+  Flow = {};
+  Flow.Upstream_ = Upstream;
+  Flow.FirstSeen_ = Now;
+  Flow.PlacedAt_ = Now;
+  Flow.ExpiresAt_ = Now + Timeout;
+  Flow.Timeout_ = Timeout;
   ++Active_[Upstream];
-  return At->second;
+  return Flow;
 }
 
 void FlowTracker::move(TrackedFlow &Flow, affinity::Tag Upstream,
@@ -47,23 +53,27 @@
   Flows_.erase(Found);
 }
 
-std::vector<std::pair<affinity::FlowKey, TrackedFlow>>
-FlowTracker::expire(TimePoint Now) {
-  std::vector<std::pair<affinity::FlowKey, TrackedFlow>> Silent;
+FlowTracker::Expired FlowTracker::expire(TimePoint Now) {
+  Expired Out;
   while (!Checks_.empty() && Checks_.front().first <= Now) {
     const affinity::FlowKey Key = Checks_.front().second;
     Checks_.pop_front();
-    const TrackedFlow *Flow = find(Key);
+    TrackedFlow *Flow = find(Key);
     if (!Flow)
       continue;
+    if (Flow->Open_ && Flow->Requested_ && !Flow->Overdue_ &&
+        Flow->received() == 0 && Now >= Flow->DueAt_) {
+      Flow->Overdue_ = true;
+      Out.Overdue_.emplace_back(Key, *Flow);
+    }
     if (Flow->ExpiresAt_ > Now) {
       Checks_.emplace_back(Now + CheckInterval, Key);
       continue;
     }
-    Silent.emplace_back(Key, *Flow);
+    Out.Silent_.emplace_back(Key, *Flow);
     erase(Key);
   }
-  return Silent;
+  return Out;
 }
 
 std::uint32_t FlowTracker::active(affinity::Tag Upstream) const noexcept {
--- a/src/medlarmoor/placement/flow_tracker.hpp
+++ b/src/medlarmoor/placement/flow_tracker.hpp
@@ -30,9 +30,17 @@
   void touch(TrackedFlow &Flow, TimePoint Now) noexcept;
   /// The flow has ended.
   void erase(const affinity::FlowKey &Key);
-  /// Forgets flows whose client has been silent for their timeout, and gives
-  /// them.
-  std::vector<std::pair<affinity::FlowKey, TrackedFlow>> expire(TimePoint Now);
+  using Entry = std::pair<affinity::FlowKey, TrackedFlow>;
+  struct Expired {
+    /// Flows whose client has been silent for their timeout. They are no
+    /// longer tracked.
+    std::vector<Entry> Silent_;
+    /// Flows whose request has become overdue.
+    std::vector<Entry> Overdue_;
+  };
+
+  /// Looks for what time has changed. Call it a few times a second.
+  Expired expire(TimePoint Now);
 
   /// Flows at work at an upstream.
   [[nodiscard]] std::uint32_t active(affinity::Tag Upstream) const noexcept;
--- a/src/medlarmoor/placement/fwd.hpp
+++ b/src/medlarmoor/placement/fwd.hpp
@@ -11,6 +11,10 @@
 class Ejector;
 class Selector;
 class ServiceTimes;
+class AnswerSize;
+class FailureRates;
+struct Observations;
+enum class Outcome : unsigned char;
 
 } // namespace medlarmoor::placement
 
--- /dev/null
+++ b/src/medlarmoor/placement/observations.hpp
@@ -0,0 +1,23 @@
+#ifndef MEDLARMOOR_PLACEMENT_OBSERVATIONS_HPP
+#define MEDLARMOOR_PLACEMENT_OBSERVATIONS_HPP
+
+#include <medlarmoor/placement/ejector.hpp>
+#include <medlarmoor/placement/failure_rates.hpp>
+#include <medlarmoor/placement/flow_tracker.hpp>
+#include <medlarmoor/placement/service_times.hpp>
+
+namespace medlarmoor::placement {
+
+/// What this instance has seen of the upstreams.
+struct Observations {
+  explicit Observations(EjectionLimits Limits) : Outliers_(Limits) {}
+
+  FlowTracker Flows_;
+  ServiceTimes Times_;
+  FailureRates Failures_;
+  Ejector Outliers_;
+};
+
+} // namespace medlarmoor::placement
+
+#endif // MEDLARMOOR_PLACEMENT_OBSERVATIONS_HPP
--- a/src/medlarmoor/placement/selector.cpp
+++ b/src/medlarmoor/placement/selector.cpp
@@ -1,9 +1,7 @@
 #include <medlarmoor/placement/selector.hpp>
 
 #include <medlarmoor/discovery/catalog_entry.hpp>
-#include <medlarmoor/placement/ejector.hpp>
-#include <medlarmoor/placement/flow_tracker.hpp>
-#include <medlarmoor/placement/service_times.hpp>
+#include <medlarmoor/placement/observations.hpp>
 
 #include <algorithm>
 
@@ -18,6 +16,9 @@
 constexpr double RemoteCost = 0.5;
 /// Extra cost of an upstream whose entry lapsed.
 constexpr double LapsedCost = 1.0;
+/// Extra cost of an upstream where every request fails. Half of that, a single
+/// failure, outweighs another failure domain.
+constexpr double FailureCost = 3.0;
 /// Speed of an upstream that has just started, of one that is warm.
 constexpr double ColdSpeed = 0.6;
 /// Flows a slot from which an upstream is overloaded: one at work, one waiting.
@@ -30,62 +31,61 @@
 
 const CatalogEntry *
 Selector::choose(const std::vector<const CatalogEntry *> &Candidates,
-                 const FlowTracker &Flows, const ServiceTimes &Times,
-                 const Ejector &Outliers, const CatalogEntry *Avoid,
+                 const Observations &Seen, const CatalogEntry *Avoid,
                  TimePoint Now) {
-  const View Seen{Flows, Times, Now};
+  const View By{Seen, Now};
   Pool_.clear();
   std::size_t Ejected = 0;
   for (const CatalogEntry *Each : Candidates)
-    if (Outliers.ejected(Each->Tag_, Now))
+    if (Seen.Outliers_.ejected(Each->Tag_, Now))
       ++Ejected;
     else if (Each != Avoid)
       Pool_.push_back(Each);
-  const CatalogEntry *Chosen = fromPool(Seen);
-  if (Chosen && (Ejected <= Outliers.most(Candidates.size()) ||
-                 !overloaded(*Chosen, Seen)))
+  const CatalogEntry *Chosen = fromPool(By);
+  if (Chosen && (Ejected <= Seen.Outliers_.most(Candidates.size()) ||
+                 !overloaded(*Chosen, By)))
     return Chosen;
   // What is left is too little: the fault may be on the way to the others.
   Pool_.clear();
   for (const CatalogEntry *Each : Candidates)
     if (Each != Avoid || Candidates.size() == 1)
       Pool_.push_back(Each);
-  return fromPool(Seen);
+  return fromPool(By);
 }
 
-const CatalogEntry *Selector::fromPool(const View &Seen) {
+const CatalogEntry *Selector::fromPool(const View &By) {
   if (Pool_.empty())
     return nullptr;
-  return std::visit(
-      [&](const auto &Policy) { return lowestCost(Seen, Policy); }, Policy_);
+  return std::visit([&](const auto &Policy) { return lowestCost(By, Policy); },
+                    Policy_);
 }
 
-double Selector::cost(const CatalogEntry &Each, const View &Seen) const {
-  const double Speed = Each.warmingUp(Seen.Now_) ? ColdSpeed : 1.0;
+double Selector::cost(const CatalogEntry &Each, const View &By) const {
+  const double Speed = Each.warmingUp(By.Now_) ? ColdSpeed : 1.0;
   const double Slots = static_cast<double>(Each.Upstream_.Slots_) * Speed;
-  const double Flows = static_cast<double>(Seen.Flows_.active(Each.Tag_));
+  const double Flows = static_cast<double>(By.Seen_.Flows_.active(Each.Tag_));
   // The new flow takes longer where all flows do.
-  const double Slowness = Seen.Times_.slowness(Each.Tag_, Seen.Now_);
+  const double Slowness = By.Seen_.Times_.slowness(Each.Tag_, By.Now_);
   double Cost = ((Flows + 1.0) * Slowness - 1.0) / Slots;
   if (Each.Upstream_.Domain_ != Home_)
     Cost += RemoteCost;
   if (Each.State_ == CatalogEntry::State::Lapsed)
     Cost += LapsedCost;
+  Cost += FailureCost * By.Seen_.Failures_.excess(Each.Tag_, By.Now_);
   return Cost;
 }
 
-bool Selector::overloaded(const CatalogEntry &Each, const View &Seen) const {
-  return static_cast<double>(Seen.Flows_.active(Each.Tag_)) >=
+bool Selector::overloaded(const CatalogEntry &Each, const View &By) const {
+  return static_cast<double>(By.Seen_.Flows_.active(Each.Tag_)) >=
          OverloadedFlows * static_cast<double>(Each.Upstream_.Slots_);
 }
 
-const CatalogEntry *Selector::lowestCost(const View &Seen,
-                                         const LeastLoaded &) {
+const CatalogEntry *Selector::lowestCost(const View &By, const LeastLoaded &) {
   const CatalogEntry *Best = nullptr;
   double Lowest = 0;
   std::uint64_t Ties = 0;
   for (const CatalogEntry *Each : Pool_) {
-    const double Cost = cost(*Each, Seen);
+    const double Cost = cost(*Each, By);
     if (!Best || Cost < Lowest) {
       Best = Each;
       Lowest = Cost;
@@ -97,11 +97,10 @@
   return Best;
 }
 
-const CatalogEntry *Selector::lowestCost(const View &Seen,
-                                         const RandomOfTwo &) {
+const CatalogEntry *Selector::lowestCost(const View &By, const RandomOfTwo &) {
   const CatalogEntry *A = Pool_[Source_() % Pool_.size()];
   const CatalogEntry *B = Pool_[Source_() % Pool_.size()];
-  return cost(*B, Seen) < cost(*A, Seen) ? B : A;
+  return cost(*B, By) < cost(*A, By) ? B : A;
 }
 
 } // namespace medlarmoor::placement
--- a/src/medlarmoor/placement/selector.hpp
+++ b/src/medlarmoor/placement/selector.hpp
@@ -22,8 +22,7 @@
   /// Avoid are passed over as long as others are left.
   [[nodiscard]] const discovery::CatalogEntry *
   choose(const std::vector<const discovery::CatalogEntry *> &Candidates,
-         const FlowTracker &Flows, const ServiceTimes &Times,
-         const Ejector &Outliers, const discovery::CatalogEntry *Avoid,
+         const Observations &Seen, const discovery::CatalogEntry *Avoid,
          TimePoint Now);
 
 private:
@@ -31,20 +30,19 @@
 
   /// What a choice looks at.
   struct View {
-    const FlowTracker &Flows_;
-    const ServiceTimes &Times_;
+    const Observations &Seen_;
     TimePoint Now_;
   };
 
   [[nodiscard]] double cost(const discovery::CatalogEntry &Each,
-                            const View &Seen) const;
+                            const View &By) const;
   [[nodiscard]] bool overloaded(const discovery::CatalogEntry &Each,
-                                const View &Seen) const;
-  const discovery::CatalogEntry *lowestCost(const View &Seen,
+                                const View &By) const;
+  const discovery::CatalogEntry *lowestCost(const View &By,
                                             const LeastLoaded &Policy);
-  const discovery::CatalogEntry *lowestCost(const View &Seen,
+  const discovery::CatalogEntry *lowestCost(const View &By,
                                             const RandomOfTwo &Policy);
-  const discovery::CatalogEntry *fromPool(const View &Seen);
+  const discovery::CatalogEntry *fromPool(const View &By);
 
   DomainName Home_;
   SelectionPolicy Policy_;
--- a/test/edge/forwarder_test.cpp
+++ b/test/edge/forwarder_test.cpp
@@ -33,6 +33,7 @@
     Route.Address_ = Virtual;
     Route.Services_ = {{ServiceName("web"), 1}};
     Route.Timeout_ = Millis(1000);
+    Route.LatencyObjective_ = Millis(500);
     Table.Routes_.emplace(Virtual, Route);
     Router_.adopt(Table, 1);
   }
@@ -204,6 +205,105 @@
   CHECK(Each.Forwarder_.flows().active(tag("i-1")) == 0);
 }
 
+namespace {
+
+/// Opens a flow, sends a request at Start and ends it after Received bytes.
+/// Gives the upstream and the failure that was noticed.
+std::pair<std::string, std::optional<FailedRequest>>
+request(Instance &Each, std::uint16_t Port, std::uint32_t Received,
+        TimePoint Start) {
+  Packet Opening = syn(Port);
+  const std::string Name = Each.deliver(Opening, Start);
+  Packet Ask = data(Port, Opening.Tag_);
+  Ask.Acknowledged_ = 0xfffffff0;
+  Each.deliver(Ask, Start + Millis(2));
+  Packet Part = packet(Port);
+  Part.Tag_ = Opening.Tag_;
+  Part.Acknowledged_ = Ask.Acknowledged_ + Received;
+  Each.deliver(Part, Start + Millis(20));
+  Packet End = Part;
+  End.Fin_ = true;
+  const Decision Made =
+      Each.Forwarder_.handle(End, Current, Start + Millis(21));
+  return {Name, std::get<Deliver>(Made).Failed_};
+}
+
+} // namespace
+
+TEST_CASE("grey upstream: one that answers with errors is avoided") {
+  Instance Each({upstream("i-1"), upstream("i-2")});
+  std::uint16_t Port = 1;
+  for (; Port <= 100; ++Port)
+    CHECK_FALSE(request(Each, Port, 2000, at(Port * 30)).second);
+  const auto [Grey, Failed] = request(Each, Port, 170, at(Port * 30));
+  REQUIRE(Failed);
+  CHECK(Failed->Outcome_ == placement::Outcome::ShortAnswer);
+  CHECK(Failed->Received_ == 170);
+  CHECK(Failed->Excess_ > 0);
+  for (int I = 0; I < 20; ++I) {
+    ++Port;
+    CHECK(request(Each, Port, 2000, at(Port * 30)).first != Grey);
+  }
+}
+
+TEST_CASE("grey upstream: one that never answers is avoided") {
+  Instance Each({upstream("i-1"), upstream("i-2")});
+  const auto [Grey, Failed] = request(Each, 1, 0, at(0));
+  REQUIRE(Failed);
+  CHECK(Failed->Outcome_ == placement::Outcome::Unanswered);
+  for (std::uint16_t Port = 2; Port < 20; ++Port)
+    CHECK(request(Each, Port, 2000, at(Port * 30)).first != Grey);
+}
+
+TEST_CASE("grey upstream: a request that hangs is noticed at the latency "
+          "objective and counts once") {
+  Instance Each({upstream("i-1"), upstream("i-2")});
+  Packet Opening = syn(1);
+  const std::string Grey = Each.deliver(Opening, at(0));
+  Packet Ask = data(1, Opening.Tag_);
+  Each.deliver(Ask, at(5));
+  CHECK(Each.Forwarder_.expire(at(100)).Overdue_.empty());
+  const auto Overdue = Each.Forwarder_.expire(at(700)).Overdue_;
+  REQUIRE(Overdue.size() == 1);
+  CHECK(Overdue[0].Outcome_ == placement::Outcome::Overdue);
+  CHECK(Each.Forwarder_.expire(at(900)).Overdue_.empty());
+  for (std::uint16_t Port = 2; Port < 10; ++Port)
+    CHECK(request(Each, Port, 2000, at(700 + Port * 30)).first != Grey);
+}
+
+TEST_CASE("requests that follow each other on one flow are judged one by one") {
+  Instance Each({upstream("i-1")});
+  Packet Opening = syn(1);
+  Each.deliver(Opening, at(0));
+  Packet Next = data(1, Opening.Tag_);
+  for (int I = 0; I < 100; ++I) {
+    Next.Acknowledged_ += 2000;
+    Decision Made = Each.Forwarder_.handle(Next, Current, at(5 + I * 20));
+    CHECK_FALSE(std::get<Deliver>(Made).Failed_);
+    // A copy of the request's packet begins nothing.
+    Made = Each.Forwarder_.handle(Next, Current, at(10 + I * 20));
+    CHECK_FALSE(std::get<Deliver>(Made).Failed_);
+  }
+  Next.Acknowledged_ += 170;
+  const Decision Made = Each.Forwarder_.handle(Next, Current, at(2100));
+  REQUIRE(std::get<Deliver>(Made).Failed_);
+  CHECK(std::get<Deliver>(Made).Failed_->Outcome_ ==
+        placement::Outcome::ShortAnswer);
+}
+
+TEST_CASE("a flow that is closed without a request is no failure") {
+  Instance Each({upstream("i-1")});
+  Packet Opening = syn(1);
+  Each.deliver(Opening, at(0));
+  Packet Answer = packet(1);
+  Answer.Tag_ = Opening.Tag_;
+  Each.deliver(Answer, at(5));
+  CHECK(Each.Forwarder_.expire(at(900)).Overdue_.empty());
+  Answer.Fin_ = true;
+  const Decision Made = Each.Forwarder_.handle(Answer, Current, at(950));
+  CHECK_FALSE(std::get<Deliver>(Made).Failed_);
+}
+
 TEST_CASE("a flow is reset only by what is known to be current") {
   Instance Each({});
   Packet Opening = syn(1);
--- a/test/edge/peer_sync_test.cpp
+++ b/test/edge/peer_sync_test.cpp
@@ -6,6 +6,7 @@
 #include <catch2/catch.hpp>
 
 #include <memory>
+#include <utility>
 
 using namespace medlarmoor;
 using namespace medlarmoor::edge;
@@ -43,6 +44,10 @@
                [this](TimePoint When) {
                  Returned_ = When;
                  Catalog_.storeReturned(When);
+               },
+               [this] { return std::exchange(Failing_, {}); },
+               [this](affinity::Tag Upstream, Endpoint Peer) {
+                 Suspects_.emplace_back(Upstream, Peer);
                }},
               Random(Host), Time_, Metrics_, Log_) {
     REQUIRE(Sync_.start());
@@ -85,6 +90,8 @@
   discovery::Catalog Catalog_{{}};
   routing::Router Router_;
   std::optional<TimePoint> Returned_;
+  std::vector<affinity::Tag> Failing_;
+  std::vector<std::pair<affinity::Tag, Endpoint>> Suspects_;
   PeerSync Sync_;
 };
 
@@ -98,6 +105,25 @@
 
 } // namespace
 
+TEST_CASE("grey upstream: what one instance finds all others learn at once") {
+  boost::asio::io_context Io;
+  Instance Finder(Io, 1, {});
+  Instance Second(Io, 2, {1});
+  Instance Third(Io, 3, {1, 2});
+  for (Instance *Each : {&Finder, &Second, &Third})
+    Each->read({upstream("i-1")}, 10);
+  Io.run_for(Millis(1500));
+  const affinity::Tag Grey = affinity::tagOf(UpstreamName("i-1"));
+  Finder.Failing_ = {Grey};
+  Io.restart();
+  Io.run_for(Millis(400));
+  const std::vector<std::pair<affinity::Tag, Endpoint>> Told{
+      {Grey, Finder.Settings_.Gossip_}};
+  CHECK(Second.Suspects_ == Told);
+  CHECK(Third.Suspects_ == Told);
+  CHECK(Finder.Suspects_.empty());
+}
+
 TEST_CASE("an instance that starts while the store is away learns from peers") {
   boost::asio::io_context Io;
   Instance Old(Io, 1, {});
--- a/test/placement/selector_test.cpp
+++ b/test/placement/selector_test.cpp
@@ -1,9 +1,7 @@
 #include <harness/catalog_builder.hpp>
 
-#include <medlarmoor/placement/ejector.hpp>
-#include <medlarmoor/placement/flow_tracker.hpp>
+#include <medlarmoor/placement/observations.hpp>
 #include <medlarmoor/placement/selector.hpp>
-#include <medlarmoor/placement/service_times.hpp>
 
 #include <catch2/catch.hpp>
 
@@ -25,20 +23,18 @@
 
   /// The name of the next choice, which is then at work there.
   std::string place(TimePoint Now = at(0)) {
-    const auto *Chosen = Selector_.choose(Catalog_.candidates(Web), Flows_,
-                                          Times_, Outliers_, Avoid_, Now);
+    const auto *Chosen =
+        Selector_.choose(Catalog_.candidates(Web), Seen_, Avoid_, Now);
     if (!Chosen)
       return "";
     const auto Port = static_cast<std::uint16_t>(++Ports_);
-    Flows_.add({{Ipv4(1), Port}, {Ipv4(2), 443}}, Chosen->Tag_, Seconds(10),
-               Now);
+    Seen_.Flows_.add({{Ipv4(1), Port}, {Ipv4(2), 443}}, Chosen->Tag_,
+                     Seconds(10), Now);
     return Chosen->Upstream_.Name_.value();
   }
 
   discovery::Catalog Catalog_{{}};
-  FlowTracker Flows_;
-  ServiceTimes Times_;
-  Ejector Outliers_{{.Failures_ = 1}};
+  Observations Seen_{{.Failures_ = 1}};
   const discovery::CatalogEntry *Avoid_ = nullptr;
   Selector Selector_{DomainName("seeb"), LeastLoaded{}, Random(1)};
   unsigned Ports_ = 0;
@@ -84,7 +80,8 @@
 TEST_CASE(
     "dark upstream: an ejected one is passed over while others are left") {
   Bench Each({upstream("i-1"), upstream("i-2"), upstream("i-3")});
-  Each.Outliers_.handshakeTimedOut(affinity::tagOf(UpstreamName("i-1")), at(0));
+  Each.Seen_.Outliers_.handshakeTimedOut(affinity::tagOf(UpstreamName("i-1")),
+                                         at(0));
   for (int I = 0; I < 10; ++I)
     CHECK(Each.place(at(10)) != "i-1");
 }
@@ -94,8 +91,8 @@
   Bench Each(
       {upstream("i-1"), upstream("i-2"), upstream("i-3"), upstream("i-4")});
   for (const char *Name : {"i-1", "i-2", "i-3", "i-4"})
-    Each.Outliers_.handshakeTimedOut(affinity::tagOf(UpstreamName(Name)),
-                                     at(0));
+    Each.Seen_.Outliers_.handshakeTimedOut(affinity::tagOf(UpstreamName(Name)),
+                                           at(0));
   std::map<std::string, int> Placed;
   for (int I = 0; I < 8; ++I)
     ++Placed[Each.place(at(10))];
@@ -105,8 +102,8 @@
 TEST_CASE("cut: upstreams of the own domain serve alone while they can") {
   Bench Each({upstream("i-1"), remote("i-2"), remote("i-3"), remote("i-4")});
   for (const char *Name : {"i-2", "i-3", "i-4"})
-    Each.Outliers_.handshakeTimedOut(affinity::tagOf(UpstreamName(Name)),
-                                     at(0));
+    Each.Seen_.Outliers_.handshakeTimedOut(affinity::tagOf(UpstreamName(Name)),
+                                           at(0));
   for (int I = 0; I < 4; ++I)
     CHECK(Each.place(at(10)) == "i-1");
   // Two flows at work and two waiting: another one tries its luck elsewhere.
@@ -116,10 +113,12 @@
 TEST_CASE("slow upstream: it gets as many flows as it can finish in time") {
   Bench Each({upstream("i-1"), upstream("i-2")});
   for (int I = 0; I < 20; ++I) {
-    Each.Times_.ended({Ipv4(2), 443}, affinity::tagOf(UpstreamName("i-1")),
-                      Millis(30), at(I));
-    Each.Times_.ended({Ipv4(2), 443}, affinity::tagOf(UpstreamName("i-2")),
-                      Millis(150), at(I));
+    Each.Seen_.Times_.ended({Ipv4(2), 443},
+                            affinity::tagOf(UpstreamName("i-1")), Millis(30),
+                            at(I));
+    Each.Seen_.Times_.ended({Ipv4(2), 443},
+                            affinity::tagOf(UpstreamName("i-2")), Millis(150),
+                            at(I));
   }
   std::map<std::string, int> Placed;
   for (int I = 0; I < 10; ++I)
@@ -128,6 +127,30 @@
   CHECK(Placed["i-1"] >= 7);
 }
 
+TEST_CASE(
+    "grey upstream: one that fails requests gets no new ones while others "
+    "are idle") {
+  Bench Each({upstream("i-1"), upstream("i-2"), remote("i-3")});
+  const affinity::Tag Grey = affinity::tagOf(UpstreamName("i-1"));
+  Each.Seen_.Failures_.ended({Ipv4(2), 443}, Grey, 0, at(0));
+  std::map<std::string, int> Placed;
+  for (int I = 0; I < 4; ++I)
+    ++Placed[Each.place(at(10))];
+  CHECK(Placed["i-1"] == 0);
+  CHECK(Placed["i-2"] >= 2);
+}
+
+TEST_CASE("grey upstream: it is better than a long queue elsewhere") {
+  Bench Each({upstream("i-1"), upstream("i-2")});
+  const affinity::Tag Grey = affinity::tagOf(UpstreamName("i-1"));
+  Each.Seen_.Failures_.ended({Ipv4(2), 443}, Grey, 0, at(0));
+  std::map<std::string, int> Placed;
+  for (int I = 0; I < 20; ++I)
+    ++Placed[Each.place(at(10))];
+  CHECK(Placed["i-1"] >= 5);
+  CHECK(Placed["i-1"] < Placed["i-2"]);
+}
+
 TEST_CASE("a retry avoids the upstream that did not answer") {
   Bench Each({upstream("i-1"), upstream("i-2")});
   Each.Avoid_ = Each.Catalog_.find(affinity::tagOf(UpstreamName("i-1")));
