Forget what was seen of upstreams that left

Ejector and ServiceTimes kept a record of every upstream ever seen; a fleet that replaces its upstreams would have grown them without bound. Both now expire with the forwarder's clock, as FailureRates does.

--- a/src/medlarmoor/edge/forwarder.cpp
+++ b/src/medlarmoor/edge/forwarder.cpp
@@ -53,6 +53,8 @@
       end(Key, Flow, Now);
   Out.Silent_ = std::move(Flows.Silent_);
   Seen_.Failures_.expire(Now);
+  Seen_.Outliers_.expire(Now);
+  Seen_.Times_.expire(Now);
   Catalog_.expire(Now);
   return Out;
 }
--- a/src/medlarmoor/placement/ejection_limits.hpp
+++ b/src/medlarmoor/placement/ejection_limits.hpp
@@ -15,6 +15,9 @@
   /// twice as long.
   Millis Base_{1500};
   Millis Longest_{12'000};
+  /// Timeouts are forgotten this long after the last one, or after the
+  /// ejection.
+  Millis Memory_{60'000};
   /// Share of a service's candidates that may be ejected at once, in percent.
   std::uint32_t MostPercent_ = 50;
 };
--- a/src/medlarmoor/placement/ejector.cpp
+++ b/src/medlarmoor/placement/ejector.cpp
@@ -16,6 +16,7 @@
 
 Millis Ejector::handshakeTimedOut(affinity::Tag Upstream, TimePoint Now) {
   Record &Each = Records_[Upstream];
+  Each.FailedAt_ = Now;
   if (++Each.Failures_ < Limits_.Failures_ || Now < Each.Until_)
     return Millis(0);
   const unsigned Doublings = std::min(Each.Repeats_, MostDoublings);
@@ -35,6 +36,13 @@
   return Ejected;
 }
 
+void Ejector::expire(TimePoint Now) {
+  std::erase_if(Records_, [&](const auto &Each) {
+    const Record &Old = Each.second;
+    return Now >= std::max(Old.Until_, Old.FailedAt_) + Limits_.Memory_;
+  });
+}
+
 bool Ejector::ejected(affinity::Tag Upstream, TimePoint Now) const noexcept {
   const auto Found = Records_.find(Upstream);
   return Found != Records_.end() && Now < Found->second.Until_;
--- a/src/medlarmoor/placement/ejector.hpp
+++ b/src/medlarmoor/placement/ejector.hpp
@@ -22,6 +22,11 @@
   /// A handshake with the upstream was completed. Tells whether it had been
   /// ejected.
   bool handshakeCompleted(affinity::Tag Upstream);
+  /// Forgets upstreams that had no timeout for long. Call it a few times a
+  /// second.
+  void expire(TimePoint Now);
+  /// Upstreams with a record.
+  [[nodiscard]] std::size_t size() const noexcept { return Records_.size(); }
   /// True while the upstream is ejected.
   [[nodiscard]] bool ejected(affinity::Tag Upstream,
                              TimePoint Now) const noexcept;
@@ -31,6 +36,7 @@
 private:
   struct Record {
     TimePoint Until_{};
+    TimePoint FailedAt_{};
     /// Timeouts since the last completed handshake.
     std::uint32_t Failures_ = 0;
     /// Ejections since the last completed handshake.
--- a/src/medlarmoor/placement/service_times.cpp
+++ b/src/medlarmoor/placement/service_times.cpp
@@ -18,6 +18,10 @@
 constexpr double ClearRatio = 1.8;
 /// Time in which an excess halves without new flows.
 constexpr double HalfLifeSeconds = 3.0;
+/// After this long nothing is left of an excess.
+constexpr Seconds UpstreamMemory{60};
+/// A route without flows for this long is forgotten.
+constexpr Seconds RouteMemory{600};
 
 double seconds(Nanos Each) {
   return std::chrono::duration<double>(Each).count();
@@ -28,10 +32,11 @@
 void ServiceTimes::ended(Endpoint Virtual, affinity::Tag Upstream,
                          Nanos Duration, TimePoint Now) {
   const double Taken = std::max(seconds(Duration), 1e-6);
-  const auto [Mean, First] = Means_.try_emplace(Virtual, Taken);
-  const double Ratio = std::min(Taken / Mean->second, LargestRatio);
+  Mean &Usual = Means_.try_emplace(Virtual, Mean{Taken, Now}).first->second;
+  const double Ratio = std::min(Taken / Usual.Seconds_, LargestRatio);
   // Outliers enter the mean as far as they enter a ratio.
-  Mean->second += MeanWeight * (Ratio - 1.0) * Mean->second;
+  Usual.Seconds_ += MeanWeight * (Ratio - 1.0) * Usual.Seconds_;
+  Usual.UpdatedAt_ = Now;
   Record &Each = Records_[Upstream];
   Each.Ratio_ += RatioWeight * (Ratio - Each.Ratio_);
   Each.UpdatedAt_ = Now;
@@ -48,4 +53,13 @@
   return Faded < ClearRatio ? 1.0 : Faded;
 }
 
+void ServiceTimes::expire(TimePoint Now) {
+  std::erase_if(Records_, [Now](const auto &Each) {
+    return Now - Each.second.UpdatedAt_ > UpstreamMemory;
+  });
+  std::erase_if(Means_, [Now](const auto &Each) {
+    return Now - Each.second.UpdatedAt_ > RouteMemory;
+  });
+}
+
 } // namespace medlarmoor::placement
--- a/src/medlarmoor/placement/service_times.hpp
+++ b/src/medlarmoor/placement/service_times.hpp
@@ -5,6 +5,7 @@
 #include <medlarmoor/core/endpoint.hpp>
 #include <medlarmoor/core/time.hpp>
 
+#include <cstddef>
 #include <unordered_map>
 
 namespace medlarmoor::placement {
@@ -23,14 +24,23 @@
   [[nodiscard]] double slowness(affinity::Tag Upstream,
                                 TimePoint Now) const noexcept;
 
+  /// Forgets upstreams and routes without flows. Call it a few times a second.
+  void expire(TimePoint Now);
+  /// Upstreams with a record.
+  [[nodiscard]] std::size_t size() const noexcept { return Records_.size(); }
+
 private:
+  struct Mean {
+    double Seconds_ = 0;
+    TimePoint UpdatedAt_{};
+  };
   struct Record {
     double Ratio_ = 1.0;
     TimePoint UpdatedAt_{};
   };
 
-  /// Mean duration of a route's flows in seconds.
-  std::unordered_map<Endpoint, double> Means_;
+  /// Mean duration of a route's flows.
+  std::unordered_map<Endpoint, Mean> Means_;
   std::unordered_map<affinity::Tag, Record> Records_;
 };
 
--- a/test/placement/ejector_test.cpp
+++ b/test/placement/ejector_test.cpp
@@ -53,3 +53,24 @@
   CHECK_FALSE(Each.ejected(Dark, at(1)));
   CHECK(Each.handshakeTimedOut(Dark, at(10)) == Millis(1500));
 }
+
+TEST_CASE("records of upstreams that were replaced do not pile up") {
+  Ejector Each({});
+  for (std::uint32_t Upstream = 1; Upstream <= 1000; ++Upstream) {
+    Each.handshakeTimedOut(affinity::Tag(Upstream), at(0));
+    Each.handshakeTimedOut(affinity::Tag(Upstream), at(10));
+  }
+  CHECK(Each.size() == 1000);
+  Each.expire(at(5000));
+  CHECK(Each.size() == 1000);
+  Each.expire(at(70'000));
+  CHECK(Each.size() == 0);
+}
+
+TEST_CASE("an ejection is not cut short by forgetting") {
+  Ejector Each(
+      {.Failures_ = 1, .Base_ = Seconds(120), .Longest_ = Seconds(120)});
+  Each.handshakeTimedOut(Dark, at(0));
+  Each.expire(at(100'000));
+  CHECK(Each.ejected(Dark, at(100'000)));
+}
--- a/test/placement/service_times_test.cpp
+++ b/test/placement/service_times_test.cpp
@@ -63,3 +63,12 @@
   }
   CHECK(Suspected < Flows / 100);
 }
+
+TEST_CASE("records of upstreams that left are forgotten, those in use stay") {
+  ServiceTimes Each;
+  for (std::uint32_t Upstream = 10; Upstream < 1010; ++Upstream)
+    Each.ended(Menu, affinity::Tag(Upstream), Millis(30), at(0));
+  Each.ended(Menu, Good, Millis(30), at(100'000));
+  Each.expire(at(100'001));
+  CHECK(Each.size() == 1);
+}
