Share pages and command line checks, drop what nothing calls

Read-through leftovers: the text and JSON pages of both daemons are one piece in net, the checks of words and findings one piece in core, the steady change loop of the configuration bench one function. Accessors and counters without a caller go (updatesSent, electorate, platformLost, everSucceeded, staleFacts). Behaviour as before, except that the edge's short text pages carry the version that its metrics page needs. Unit tests of request, daemon, membership, config, net, platform, edge and flow pass.

--- a/apps/medlarmoor-edge.cpp
+++ b/apps/medlarmoor-edge.cpp
@@ -1,6 +1,6 @@
 #include <medlarmoor/config/read_edge_settings.hpp>
 #include <medlarmoor/core/clock.hpp>
-#include <medlarmoor/core/findings.hpp>
+#include <medlarmoor/core/command_line.hpp>
 #include <medlarmoor/edge/edge_server.hpp>
 
 #include <packet.hpp>
@@ -18,14 +18,8 @@
 
 namespace {
 
-constexpr int ExitFindings = 2;
 constexpr const char *SettingsVariable = "MEDLARMOOR_NODE_FILE";
 
-int refuse(const medlarmoor::Findings &Found) {
-  std::fputs(Found.text().c_str(), stderr);
-  return ExitFindings;
-}
-
 std::string settingsFile() {
   if (!FLAGS_settings.empty())
     return FLAGS_settings;
@@ -43,9 +37,7 @@
   gflags::ParseCommandLineFlags(&Argc, &Argv, true);
 
   Findings Found;
-  if (Argc > 1)
-    Found.add({"command line", 0, 0},
-              std::string("unexpected word '") + Argv[1] + "'");
+  rejectWords(Argc, Argv, Found);
   const std::string File = settingsFile();
   if (File.empty()) {
     Found.add({"command line", 0, 0}, "no settings",
--- a/apps/medlarmoord.cpp
+++ b/apps/medlarmoord.cpp
@@ -1,27 +1,14 @@
 #include <medlarmoor/config/read_settings.hpp>
 #include <medlarmoor/core/clock.hpp>
-#include <medlarmoor/core/findings.hpp>
+#include <medlarmoor/core/command_line.hpp>
 #include <medlarmoor/core/stop_signal.hpp>
 #include <medlarmoor/daemon/daemon.hpp>
 
 #include <gflags/gflags.h>
 
-#include <cstdio>
-
 DEFINE_string(settings, "", "TOML file with the settings of this entry");
 DEFINE_string(spans, "", "file for trace spans; standard error when empty");
 
-namespace {
-
-constexpr int ExitFindings = 2;
-
-int refuse(const medlarmoor::Findings &Found) {
-  std::fputs(Found.text().c_str(), stderr);
-  return ExitFindings;
-}
-
-} // namespace
-
 int main(int Argc, char **Argv) {
   using namespace medlarmoor;
   gflags::SetUsageMessage("the entry daemon\n"
@@ -30,9 +17,7 @@
   gflags::ParseCommandLineFlags(&Argc, &Argv, true);
 
   Findings Found;
-  if (Argc > 1)
-    Found.add({"command line", 0, 0},
-              std::string("unexpected word '") + Argv[1] + "'");
+  rejectWords(Argc, Argv, Found);
   const auto Given = config::readSettingsFile(FLAGS_settings, Found);
   if (!Given || !Found.empty())
     return refuse(Found);
--- a/bench/config/config_load.cpp
+++ b/bench/config/config_load.cpp
@@ -91,6 +91,19 @@
   return Out;
 }
 
+/// Makes changes at the target's rate for ByteTime and notes when each was in
+/// force. Gives the seconds that took.
+double changeSteadily(ConfigWorld &World, Times &Seen) {
+  const TimePoint Start = Clock().now();
+  while (Clock().now() - Start < ByteTime) {
+    const TimePoint Next = Clock().now() + ChangePeriod;
+    const auto Change = World.change();
+    Seen.add(Change ? World.inForce(*Change, Limit) : std::nullopt);
+    std::this_thread::sleep_until(Next);
+  }
+  return std::chrono::duration<double>(Clock().now() - Start).count();
+}
+
 json toJson(const Calls &Each) {
   return {{"reads", Each.Reads_},
           {"writes", Each.Writes_},
@@ -148,16 +161,8 @@
   std::map<std::string, double> Before;
   for (const std::string &Name : World.entriesOf(0))
     Before[Name] = World.controlBytes(Name);
-  const TimePoint Start = Clock().now();
   Times Seen;
-  while (Clock().now() - Start < ByteTime) {
-    const TimePoint Next = Clock().now() + ChangePeriod;
-    const auto Change = World.change();
-    Seen.add(Change ? World.inForce(*Change, Limit) : std::nullopt);
-    std::this_thread::sleep_until(Next);
-  }
-  const double Elapsed =
-      std::chrono::duration<double>(Clock().now() - Start).count();
+  const double Elapsed = changeSteadily(World, Seen);
   double Most = 0;
   double Sum = 0;
   for (const auto &[Name, Bytes] : Before) {
@@ -194,16 +199,8 @@
     Bytes[Name] = World.controlBytes(Name);
     Processor[Name] = World.metric(Name, "medlarmoor_process_cpu_microseconds");
   }
-  const TimePoint Start = Clock().now();
   Times Seen;
-  while (Clock().now() - Start < ByteTime) {
-    const TimePoint Next = Clock().now() + ChangePeriod;
-    const auto Change = World.change();
-    Seen.add(Change ? World.inForce(*Change, Limit) : std::nullopt);
-    std::this_thread::sleep_until(Next);
-  }
-  const double Elapsed =
-      std::chrono::duration<double>(Clock().now() - Start).count();
+  const double Elapsed = changeSteadily(World, Seen);
   double MostBytes = 0;
   double MostProcessor = 0;
   double MostMemory = 0;
--- a/src/medlarmoor/config/follower.hpp
+++ b/src/medlarmoor/config/follower.hpp
@@ -65,8 +65,6 @@
   [[nodiscard]] bool leads() const;
   /// This entry watches the platform.
   [[nodiscard]] bool watches() const;
-  /// This entry should watch the platform but can't reach it.
-  [[nodiscard]] bool platformLost() const { return Duty_.lost(); }
 
 private:
   FollowerActions after(FollowerActions Out);
--- a/src/medlarmoor/daemon/daemon.cpp
+++ b/src/medlarmoor/daemon/daemon.cpp
@@ -9,6 +9,7 @@
 #include <medlarmoor/daemon/progress_watch.hpp>
 #include <medlarmoor/flow/flow_thread.hpp>
 #include <medlarmoor/membership/control_thread.hpp>
+#include <medlarmoor/net/http_pages.hpp>
 #include <medlarmoor/platform/config_thread.hpp>
 #include <medlarmoor/request/request_thread.hpp>
 #include <medlarmoor/telemetry/event_log.hpp>
@@ -183,7 +184,7 @@
     return internal::errorPage(405, "only GET");
   if (Path == "/metrics") {
     noteProcessUsage(Metrics_);
-    return internal::textPage(Metrics_.text());
+    return net::textPage(Metrics_.text());
   }
   if (Path == "/healthz")
     return internal::healthPage(Progress_.stuck());
@@ -201,10 +202,10 @@
 net::HttpResponse Daemon::Impl::explain(const net::HttpRequest &Request) {
   const auto Key = Request.query("key");
   if (Key && Settings_.Doors_)
-    return internal::jsonPage(Requests_.explain(*Key));
+    return net::jsonPage(Requests_.explain(*Key));
   const auto Flow = Request.query("flow");
   if (Flow && Settings_.Doors_)
-    return internal::jsonPage(Flows_.explain(*Flow));
+    return net::jsonPage(Flows_.explain(*Flow));
   return internal::errorPage(404, "no door of that kind");
 }
 
--- a/src/medlarmoor/daemon/internal_admin_pages.cpp
+++ b/src/medlarmoor/daemon/internal_admin_pages.cpp
@@ -2,6 +2,7 @@
 #include <medlarmoor/config/settings.hpp>
 #include <medlarmoor/daemon/internal_admin_pages.hpp>
 #include <medlarmoor/membership/view.hpp>
+#include <medlarmoor/net/http_pages.hpp>
 
 #include <nlohmann/json.hpp>
 
@@ -23,28 +24,12 @@
 }
 
 net::HttpResponse page(unsigned Status, const Json &Body) {
-  net::HttpResponse Out = jsonPage(
-      Body.dump(-1, ' ', false, Json::error_handler_t::replace) + "\n");
-  Out.Status_ = Status;
-  return Out;
+  return net::jsonPage(
+      Body.dump(-1, ' ', false, Json::error_handler_t::replace) + "\n", Status);
 }
 
 } // namespace
 
-net::HttpResponse textPage(std::string Text) {
-  net::HttpResponse Out;
-  Out.Headers_.add("Content-Type", "text/plain; version=0.0.4");
-  Out.Body_ = std::move(Text);
-  return Out;
-}
-
-net::HttpResponse jsonPage(std::string Body) {
-  net::HttpResponse Out;
-  Out.Headers_.add("Content-Type", "application/json");
-  Out.Body_ = std::move(Body);
-  return Out;
-}
-
 net::HttpResponse errorPage(unsigned Status, const std::string &Reason) {
   return page(Status, {{"reason", Reason}});
 }
--- a/src/medlarmoor/daemon/internal_admin_pages.hpp
+++ b/src/medlarmoor/daemon/internal_admin_pages.hpp
@@ -11,10 +11,6 @@
 
 namespace medlarmoor::daemon::internal {
 
-/// A page of plain text.
-[[nodiscard]] net::HttpResponse textPage(std::string Text);
-/// A page of JSON that is text already.
-[[nodiscard]] net::HttpResponse jsonPage(std::string Body);
 /// {"reason": Reason} with a status that is not 200.
 [[nodiscard]] net::HttpResponse errorPage(unsigned Status,
                                           const std::string &Reason);
--- a/src/medlarmoor/edge/edge_server.cpp
+++ b/src/medlarmoor/edge/edge_server.cpp
@@ -8,6 +8,7 @@
 #include <medlarmoor/edge/peer_sync.hpp>
 #include <medlarmoor/edge/readiness.hpp>
 #include <medlarmoor/edge/store_timing.hpp>
+#include <medlarmoor/net/http_pages.hpp>
 #include <medlarmoor/net/http_server.hpp>
 #include <medlarmoor/objects/collection_reader.hpp>
 #include <medlarmoor/telemetry/event_log.hpp>
@@ -37,14 +38,6 @@
   return Random((std::uint64_t{Device()} << 32U) | Device());
 }
 
-net::HttpResponse textPage(unsigned Status, std::string Body) {
-  net::HttpResponse Out;
-  Out.Status_ = Status;
-  Out.Headers_.add("Content-Type", "text/plain");
-  Out.Body_ = std::move(Body);
-  return Out;
-}
-
 } // namespace
 
 class EdgeServer::Impl {
@@ -368,18 +361,18 @@
   constexpr unsigned Unavailable = 503;
   constexpr unsigned NotFound = 404;
   if (Request.path() != Settings_.ReadinessPath_)
-    return textPage(NotFound, "no such page\n");
+    return net::textPage("no such page\n", NotFound);
   if (Readiness_.ready(Routes_.ready(), Catalog_.ready()))
-    return textPage(200, "ready\n");
-  return textPage(Unavailable, "not ready\n");
+    return net::textPage("ready\n");
+  return net::textPage("not ready\n", Unavailable);
 }
 
 net::HttpResponse
 EdgeServer::Impl::answerMetrics(const net::HttpRequest &Request) const {
   constexpr unsigned NotFound = 404;
   if (Request.path() != "/metrics")
-    return textPage(NotFound, "no such page\n");
-  return textPage(200, Metrics_.text());
+    return net::textPage("no such page\n", NotFound);
+  return net::textPage(Metrics_.text());
 }
 
 EdgeServer::EdgeServer(config::EdgeSettings Settings, std::string File,
--- a/src/medlarmoor/edge/peer_sync.cpp
+++ b/src/medlarmoor/edge/peer_sync.cpp
@@ -1,6 +1,7 @@
 #include <medlarmoor/edge/peer_sync.hpp>
 
 #include <medlarmoor/edge/snapshot_codec.hpp>
+#include <medlarmoor/net/http_pages.hpp>
 #include <medlarmoor/peers/announcement_codec.hpp>
 
 #include <algorithm>
@@ -324,8 +325,7 @@
   constexpr unsigned BadRequest = 400;
   constexpr unsigned NotFound = 404;
   constexpr unsigned Unavailable = 503;
-  net::HttpResponse Out;
-  Out.Headers_.add("Content-Type", "application/json");
+  net::HttpResponse Out = net::jsonPage("");
   for (const Channel &Each : Channels_) {
     if (Request.path() != Each.Path_)
       continue;
--- a/src/medlarmoor/flow/replicator.cpp
+++ b/src/medlarmoor/flow/replicator.cpp
@@ -487,7 +487,6 @@
 void Replicator::send(const EntryName &To, Update Out) {
   wire::FlowUpdate Packed{Out.encode()};
   BytesSent_ += Packed.Bytes_.size();
-  ++UpdatesSent_;
   Outgoing_.push_back({To, std::move(Packed)});
 }
 
--- a/src/medlarmoor/flow/replicator.hpp
+++ b/src/medlarmoor/flow/replicator.hpp
@@ -49,9 +49,6 @@
 
   /// Bytes of updates sent so far, without their signed envelopes.
   [[nodiscard]] std::uint64_t bytesSent() const noexcept { return BytesSent_; }
-  [[nodiscard]] std::uint64_t updatesSent() const noexcept {
-    return UpdatesSent_;
-  }
   /// Exceptions that wait for the budget.
   [[nodiscard]] std::size_t backlog() const noexcept { return Queue_.size(); }
 
@@ -118,7 +115,6 @@
   /// Members that were told, and whether they were handed something.
   std::map<EntryName, bool> LeftTo_;
   std::uint64_t BytesSent_ = 0;
-  std::uint64_t UpdatesSent_ = 0;
 };
 
 } // namespace medlarmoor::flow
--- a/src/medlarmoor/membership/list_schedule.hpp
+++ b/src/medlarmoor/membership/list_schedule.hpp
@@ -23,8 +23,6 @@
   /// The read that due() began has ended with that many instances, or failed.
   void finished(TimePoint Now, std::optional<std::size_t> Instances,
                 Random &Source);
-  /// Whether a read ever succeeded.
-  [[nodiscard]] bool everSucceeded() const noexcept { return Succeeded_; }
 
 private:
   [[nodiscard]] Millis period(bool Watcher) const noexcept;
--- a/src/medlarmoor/membership/mesh.hpp
+++ b/src/medlarmoor/membership/mesh.hpp
@@ -71,8 +71,6 @@
   /// Members that the list does not name, and listed live instances that are
   /// no members.
   [[nodiscard]] std::size_t listDisagreements() const;
-  /// Facts of earlier runs that were refused.
-  [[nodiscard]] std::uint64_t staleFacts() const noexcept { return Stale_; }
 
 private:
   void checkLease(Actions &Out);
@@ -138,7 +136,6 @@
   bool Urgent_ = false;
   bool Changed_ = true;
   bool WatchesList_ = true;
-  std::uint64_t Stale_ = 0;
 };
 
 } // namespace medlarmoor::membership
--- a/src/medlarmoor/membership/mesh_receive.cpp
+++ b/src/medlarmoor/membership/mesh_receive.cpp
@@ -84,8 +84,6 @@
   case Verdict::New:
     break;
   case Verdict::Stale:
-    ++Stale_;
-    return;
   case Verdict::Known:
   case Verdict::Full:
     return;
--- a/src/medlarmoor/request/internal/responses.cpp
+++ b/src/medlarmoor/request/internal/responses.cpp
@@ -1,6 +1,8 @@
 #include <medlarmoor/core/findings.hpp>
 #include <medlarmoor/request/internal/responses.hpp>
 
+#include <medlarmoor/net/http_pages.hpp>
+
 #include <nlohmann/json.hpp>
 
 namespace medlarmoor::request::internal {
@@ -33,9 +35,7 @@
 } // namespace
 
 net::HttpResponse jsonResponse(unsigned Status, std::string Body) {
-  net::HttpResponse Out{Status, {}, std::move(Body) + "\n"};
-  Out.Headers_.add("Content-Type", "application/json");
-  return Out;
+  return net::jsonPage(std::move(Body) + "\n", Status);
 }
 
 net::HttpResponse responseTo(const Verdict &Of) {
--- a/src/medlarmoor/request/quorum.hpp
+++ b/src/medlarmoor/request/quorum.hpp
@@ -46,9 +46,6 @@
   holders(std::uint64_t Key) const;
   /// Whether Name is a member of the view, leaving or not.
   [[nodiscard]] bool isMember(const EntryName &Name) const;
-  [[nodiscard]] std::size_t electorate() const noexcept {
-    return Electorate_.size();
-  }
 
 private:
   void noteHeld(bool Before);
