Take an overdue answer for weak evidence

Cause: when routers turn flows over to another instance, the old one sees nothing more of them, which looks like requests that hang.

An overdue answer now counts half of what it takes to avoid an upstream, on this instance and at its peers, so that two of them from anywhere are needed; what was seen adds up. The client's end of the flow still counts in full.

--- a/src/medlarmoor/edge/edge_server.cpp
+++ b/src/medlarmoor/edge/edge_server.cpp
@@ -133,10 +133,10 @@
               },
               [this](TimePoint When) { Catalog_.storeReturned(When); },
               [this] { return Forwarder_.takeSuspects(); },
-              [this](affinity::Tag Upstream, Endpoint Peer) {
+              [this](const placement::Suspect &Each, Endpoint Peer) {
                 const TimePoint Now = Time_.now();
-                if (Forwarder_.suspect(Upstream, Now))
-                  Decisions_.suspected(Upstream, Peer, Now);
+                if (Forwarder_.suspect(Each, Now))
+                  Decisions_.suspected(Each.Upstream_, Peer, Now);
               }},
              seeded(), Time_, Metrics_, Log_),
       Decisions_(
--- a/src/medlarmoor/edge/forwarder.cpp
+++ b/src/medlarmoor/edge/forwarder.cpp
@@ -45,7 +45,7 @@
   placement::FlowTracker::Expired Flows = Seen_.Flows_.expire(Now);
   Expired Out;
   for (const auto &[Key, Flow] : Flows.Overdue_) {
-    Seen_.Failures_.overdue(Key.Virtual_, Flow.Upstream_, Now);
+    Seen_.Failures_.overdue(Flow.Upstream_, Now);
     Out.Overdue_.push_back(failure(Key, Flow, Outcome::Overdue, Now));
   }
   for (const auto &[Key, Flow] : Flows.Silent_)
@@ -96,8 +96,8 @@
   return Out;
 }
 
-bool Forwarder::suspect(affinity::Tag Upstream, TimePoint Now) {
-  return Catalog_.find(Upstream) && Seen_.Failures_.reported(Upstream, Now);
+bool Forwarder::suspect(const placement::Suspect &Each, TimePoint Now) {
+  return Catalog_.find(Each.Upstream_) && Seen_.Failures_.reported(Each, Now);
 }
 
 Millis Forwarder::handshakePatience() const noexcept {
@@ -212,12 +212,8 @@
                       TimePoint Now, Deliver &Out) {
   if (!Flow.Requested_)
     return;
-  // An overdue request has been counted as failed already.
   const Outcome Result =
-      Flow.Overdue_ && Flow.received() == 0
-          ? Outcome::Unanswered
-          : Seen_.Failures_.ended(Key.Virtual_, Flow.Upstream_, Flow.received(),
-                                  Now);
+      Seen_.Failures_.ended(Key.Virtual_, Flow.Upstream_, Flow.received(), Now);
   if (Result != Outcome::Answered)
     Out.Failed_ = failure(Key, Flow, Result, Now);
 }
--- a/src/medlarmoor/edge/forwarder.hpp
+++ b/src/medlarmoor/edge/forwarder.hpp
@@ -33,14 +33,13 @@
                                              TimePoint PlacedAt, TimePoint Now);
   /// How long an upstream may take to answer a SYN.
   [[nodiscard]] Millis handshakePatience() const noexcept;
-  /// Upstreams that this instance has begun to avoid; see
-  /// FailureRates::takeSuspects().
-  std::vector<affinity::Tag> takeSuspects() {
+  /// What peers should know; see FailureRates::takeSuspects().
+  std::vector<placement::Suspect> takeSuspects() {
     return Seen_.Failures_.takeSuspects();
   }
-  /// Another instance has begun to avoid the upstream. False when that changes
-  /// nothing.
-  bool suspect(affinity::Tag Upstream, TimePoint Now);
+  /// A peer saw a request fail. Tells whether this instance avoids the upstream
+  /// from now on.
+  bool suspect(const placement::Suspect &Each, TimePoint Now);
 
   struct Expired {
     /// Flows whose clients fell silent.
--- a/src/medlarmoor/edge/peer_sync.cpp
+++ b/src/medlarmoor/edge/peer_sync.cpp
@@ -266,7 +266,7 @@
     // An instance that has just started learns the members and who has what.
     gossip({From.From_}, Now);
   }
-  for (const affinity::Tag Each : From.Suspects_)
+  for (const placement::Suspect &Each : From.Suspects_)
     TakeSuspect_(Each, From.From_);
   if (From.StoreReturned_)
     noteReturn(Now - *From.StoreReturned_);
--- a/src/medlarmoor/edge/peer_sync.hpp
+++ b/src/medlarmoor/edge/peer_sync.hpp
@@ -46,9 +46,9 @@
     /// The store came back from an outage at that moment.
     std::function<void(TimePoint)> StoreReturned_;
     /// Upstreams where this instance's requests have begun to fail.
-    std::function<std::vector<affinity::Tag>()> NewSuspects_;
+    std::function<std::vector<placement::Suspect>()> NewSuspects_;
     /// A peer's requests have begun to fail at an upstream.
-    std::function<void(affinity::Tag, Endpoint)> TakeSuspect_;
+    std::function<void(const placement::Suspect &, Endpoint)> TakeSuspect_;
   };
 
   PeerSync(boost::asio::io_context &Io, const config::EdgeSettings &Settings,
@@ -121,8 +121,8 @@
   std::array<Channel, 2> Channels_;
   std::function<void()> ReadNow_;
   std::function<void(TimePoint)> TellReturn_;
-  std::function<std::vector<affinity::Tag>()> NewSuspects_;
-  std::function<void(affinity::Tag, Endpoint)> TakeSuspect_;
+  std::function<std::vector<placement::Suspect>()> NewSuspects_;
+  std::function<void(const placement::Suspect &, Endpoint)> TakeSuspect_;
   std::optional<TimePoint> StoreReturnedAt_;
   TimePoint StartedAt_{};
   TimePoint NextGossip_{};
--- a/src/medlarmoor/peers/announcement.hpp
+++ b/src/medlarmoor/peers/announcement.hpp
@@ -1,9 +1,9 @@
 #ifndef MEDLARMOOR_PEERS_ANNOUNCEMENT_HPP
 #define MEDLARMOOR_PEERS_ANNOUNCEMENT_HPP
 
-#include <medlarmoor/affinity/tag.hpp>
 #include <medlarmoor/peers/collection_state.hpp>
 #include <medlarmoor/peers/member.hpp>
+#include <medlarmoor/placement/suspect.hpp>
 
 #include <optional>
 #include <vector>
@@ -23,7 +23,7 @@
   /// recent.
   std::optional<Millis> StoreReturned_;
   /// Upstreams where its requests have begun to fail.
-  std::vector<affinity::Tag> Suspects_;
+  std::vector<placement::Suspect> Suspects_;
   /// Some of the members that it knows.
   std::vector<Member> Members_;
 
--- a/src/medlarmoor/peers/announcement_codec.cpp
+++ b/src/medlarmoor/peers/announcement_codec.cpp
@@ -57,7 +57,8 @@
   for (const Json &Each : In.at(7))
     Out.Members_.push_back(readMember(Each));
   for (const Json &Each : In.at(8))
-    Out.Suspects_.emplace_back(Each.get<std::uint32_t>());
+    Out.Suspects_.push_back({affinity::Tag(Each.at(0).get<std::uint32_t>()),
+                             Each.at(1).get<unsigned>()});
   return Out;
 }
 
@@ -68,8 +69,8 @@
   for (const Member &Other : Each.Members_)
     Members.push_back(packMember(Other));
   Json Suspects = Json::array();
-  for (const affinity::Tag Suspect : Each.Suspects_)
-    Suspects.push_back(Suspect.value());
+  for (const placement::Suspect &Other : Each.Suspects_)
+    Suspects.push_back(Json::array({Other.Upstream_.value(), Other.Percent_}));
   const Json Out = Json::array(
       {Layout, packEndpoint(Each.From_), Each.Domain_.value(), Each.Reading_,
        packState(Each.Upstreams_), packState(Each.Routes_),
--- a/src/medlarmoor/placement/failure_rates.cpp
+++ b/src/medlarmoor/placement/failure_rates.cpp
@@ -15,10 +15,15 @@
 constexpr double UpstreamWeight = 0.5;
 /// An excess below this may be chance.
 constexpr double ClearExcess = 0.2;
-/// What another instance's word is worth: it fades in half the time that an own
-/// failure takes, and one success refutes it.
-constexpr double ReportedExcess = 0.3;
-/// More new suspects than this between two reports point to this instance's
+/// What another instance's word is worth. A failure it saw is enough to try
+/// other upstreams first; overdue answers take two, as flows move between
+/// instances. One success refutes either.
+constexpr unsigned FailurePercent = 30;
+constexpr unsigned OverduePercent = 15;
+constexpr double Percent = 0.01;
+/// Overdue answers alone raise an excess no further.
+constexpr double MostTold = 0.5;
+/// More suspects than this between two reports point to this instance's
 /// own network.
 constexpr std::size_t MostSuspects = 4;
 /// Time in which an excess halves without new failures.
@@ -47,9 +52,31 @@
   return Result;
 }
 
-void FailureRates::overdue(Endpoint Virtual, affinity::Tag Upstream,
-                           TimePoint Now) {
-  count(Routes_[Virtual], Upstream, true, Now);
+void FailureRates::overdue(affinity::Tag Upstream, TimePoint Now) {
+  Record &Each = Records_[Upstream];
+  const double Left = faded(Each, Now);
+  if (Left < ClearExcess)
+    Suspects_.push_back({Upstream, OverduePercent});
+  raise(Each,
+        std::max(Left, std::min(Left + OverduePercent * Percent, MostTold)),
+        Left, Now);
+}
+
+bool FailureRates::reported(const Suspect &Told, TimePoint Now) {
+  Record &Each = Records_[Told.Upstream_];
+  const double Left = faded(Each, Now);
+  if (Left >= ClearExcess)
+    return false;
+  raise(Each, Left + std::min(Told.Percent_, FailurePercent) * Percent, Left,
+        Now);
+  return Each.Excess_ >= ClearExcess;
+}
+
+std::vector<Suspect> FailureRates::takeSuspects() {
+  std::vector<Suspect> Out = std::exchange(Suspects_, {});
+  if (Out.size() > MostSuspects)
+    Out.clear();
+  return Out;
 }
 
 void FailureRates::count(Route &Of, affinity::Tag Upstream, bool Failed,
@@ -60,39 +87,25 @@
   if (!Failed && !Records_.contains(Upstream))
     return;
   Record &Each = Records_[Upstream];
-  const double Before = faded(Each, Now);
-  if (Failed)
-    repeat(Each, Before);
-  else
+  const double Left = faded(Each, Now);
+  const double Excess =
+      std::max(0.0, Left + UpstreamWeight * (Sample - Of.Failures_ - Left));
+  if (Failed && Left < ClearExcess && Excess >= ClearExcess)
+    Suspects_.push_back({Upstream, FailurePercent});
+  if (!Failed) {
     Each.Repeats_ = 0;
-  Each.Excess_ =
-      std::max(0.0, Before + UpstreamWeight * (Sample - Of.Failures_ - Before));
-  Each.UpdatedAt_ = Now;
-  if (Before < ClearExcess && Each.Excess_ >= ClearExcess)
-    Suspects_.push_back(Upstream);
-}
-
-bool FailureRates::reported(affinity::Tag Upstream, TimePoint Now) {
-  Record &Each = Records_[Upstream];
-  const double Before = faded(Each, Now);
-  if (Before >= ClearExcess)
-    return false;
-  repeat(Each, Before);
-  Each.Excess_ = ReportedExcess;
-  Each.UpdatedAt_ = Now;
-  return true;
-}
-
-std::vector<affinity::Tag> FailureRates::takeSuspects() {
-  std::vector<affinity::Tag> Out = std::exchange(Suspects_, {});
-  if (Out.size() > MostSuspects)
-    Out.clear();
-  return Out;
+    Each.Avoided_ = false;
+  }
+  raise(Each, Excess, Left, Now);
 }
 
-void FailureRates::repeat(Record &Each, double Left) noexcept {
-  if (Each.UpdatedAt_ != TimePoint() && Left < ClearExcess)
+void FailureRates::raise(Record &Each, double Excess, double Left,
+                         TimePoint Now) {
+  if (Each.Avoided_ && Left < ClearExcess && Excess >= ClearExcess)
     Each.Repeats_ = std::min(Each.Repeats_ + 1, MostDoublings);
+  Each.Excess_ = Excess;
+  Each.UpdatedAt_ = Now;
+  Each.Avoided_ = Each.Avoided_ || Excess >= ClearExcess;
 }
 
 double FailureRates::faded(const Record &Each, TimePoint Now) noexcept {
--- a/src/medlarmoor/placement/failure_rates.hpp
+++ b/src/medlarmoor/placement/failure_rates.hpp
@@ -6,6 +6,7 @@
 #include <medlarmoor/core/time.hpp>
 #include <medlarmoor/placement/answer_size.hpp>
 #include <medlarmoor/placement/outcome.hpp>
+#include <medlarmoor/placement/suspect.hpp>
 
 #include <cstddef>
 #include <cstdint>
@@ -23,16 +24,16 @@
   /// answer to a request, and wants no more. Tells what that was.
   Outcome ended(Endpoint Virtual, affinity::Tag Upstream,
                 std::uint32_t Received, TimePoint Now);
-  /// A request has got nothing within the route's latency objective.
-  void overdue(Endpoint Virtual, affinity::Tag Upstream, TimePoint Now);
-
-  /// Another instance has begun to avoid the upstream. That counts for less
-  /// than failures of one's own. False when this one avoids it already.
-  bool reported(affinity::Tag Upstream, TimePoint Now);
-  /// The upstreams that own failures made this instance avoid since the last
-  /// call, for others to know. Empty when they are many: the fault is then more
-  /// likely between them and this instance.
-  std::vector<affinity::Tag> takeSuspects();
+  /// A request has got nothing within the route's latency objective. Weak
+  /// evidence: its flow may have moved to another instance.
+  void overdue(affinity::Tag Upstream, TimePoint Now);
+  /// Another instance saw a request fail. Tells whether this instance avoids
+  /// the upstream from now on.
+  bool reported(const Suspect &Each, TimePoint Now);
+  /// What others should know of since the last call: failures at upstreams that
+  /// were not avoided. Empty when they are many: the fault is then more likely
+  /// between them and this instance.
+  std::vector<Suspect> takeSuspects();
 
   /// By how much the share of failures at the upstream exceeds that of its
   /// routes, 0 to 1; 0 unless the difference is clear. Without new failures it
@@ -54,18 +55,20 @@
   struct Record {
     double Excess_ = 0;
     TimePoint UpdatedAt_{};
-    /// Failures that came after an earlier one had faded.
+    /// The upstream has been avoided since the last success.
+    bool Avoided_ = false;
+    /// Failures that came after an earlier excess had faded.
     unsigned Repeats_ = 0;
   };
 
   void count(Route &Of, affinity::Tag Upstream, bool Failed, TimePoint Now);
-  /// Evidence comes again after an earlier excess has faded to Left.
-  static void repeat(Record &Each, double Left) noexcept;
+  /// Raises the excess of an upstream to Excess; Left is what remained.
+  static void raise(Record &Each, double Excess, double Left, TimePoint Now);
   [[nodiscard]] static double faded(const Record &Each, TimePoint Now) noexcept;
 
   std::unordered_map<Endpoint, Route> Routes_;
   std::unordered_map<affinity::Tag, Record> Records_;
-  std::vector<affinity::Tag> Suspects_;
+  std::vector<Suspect> Suspects_;
 };
 
 } // namespace medlarmoor::placement
--- a/src/medlarmoor/placement/fwd.hpp
+++ b/src/medlarmoor/placement/fwd.hpp
@@ -14,6 +14,7 @@
 class AnswerSize;
 class FailureRates;
 struct Observations;
+struct Suspect;
 enum class Outcome : unsigned char;
 
 } // namespace medlarmoor::placement
