--- a/bench/chaos/chaos_plan.cpp
+++ b/bench/chaos/chaos_plan.cpp
@@ -45,9 +45,9 @@
     Switch{R"({"restart":true,"coldStartMs":2000})", R"({"coldStartMs":0})"}};
 
 /// Draws one event after another.
-class Draw {
+class PlanRandom {
 public:
-  explicit Draw(std::uint64_t Seed) : Random_(Seed) {}
+  explicit PlanRandom(std::uint64_t Seed) : Random_(Seed) {}
 
   int between(int Least, int Most) {
     return std::uniform_int_distribution<int>(Least, Most)(Random_);
@@ -118,7 +118,7 @@
 } // namespace
 
 Plan makePlan(Mix Kinds, std::uint64_t Seed, Nanos Length) {
-  Draw Next(Seed);
+  PlanRandom Next(Seed);
   Plan Out;
   const auto Add = [&](Nanos At) {
     const std::size_t Index = Out.Events_.size();
--- a/bench/flows/baseline.cpp
+++ b/bench/flows/baseline.cpp
@@ -25,7 +25,7 @@
                         harness::Flags Set) {
   if (!Fleet_.serves(Entry))
     return {};
-  const auto Service = Fleet_.director(Entry).book().services().find(To);
+  const auto Service = Fleet_.director(Entry).tracker().services().find(To);
   if (!Service)
     return dropped(flow::DropReason::UnknownAddress);
   const flow::FlowId Id{*Service, flow::hashFlow(From, To)};
@@ -40,14 +40,14 @@
     break;
   }
   if (!Set.Syn_ && settled(Entry, Id)) {
-    flow::ServiceState &Of = Fleet_.director(Entry).book().serviceOf(Id);
+    flow::ServiceState &Of = Fleet_.director(Entry).tracker().serviceOf(Id);
     return toUpstream(Of.upstreams()[*Of.defaultOf(Id.Hash_)], 1);
   }
   return Fleet_.send(Entry, From, To, Set);
 }
 
 Delivery Baseline::modulo(std::size_t Entry, flow::FlowId Id) {
-  const flow::ServiceState &Of = Fleet_.director(Entry).book().serviceOf(Id);
+  const flow::ServiceState &Of = Fleet_.director(Entry).tracker().serviceOf(Id);
   std::vector<const flow::UpstreamState *> Ready;
   for (const flow::UpstreamState &Each : Of.upstreams())
     if (Each.Shares_)
@@ -56,14 +56,15 @@
 }
 
 Delivery Baseline::local(std::size_t Entry, flow::FlowId Id) {
-  flow::ServiceState &Of = Fleet_.director(Entry).book().serviceOf(Id);
+  flow::ServiceState &Of = Fleet_.director(Entry).tracker().serviceOf(Id);
   const auto [At, Fresh] =
       Records_[Entry].try_emplace(Id.key(), *Of.defaultOf(Id.Hash_));
   return toUpstream(Of.upstreams()[At->second], 1);
 }
 
 Delivery Baseline::home(std::size_t Entry, flow::FlowId Id) {
-  const std::uint64_t Seed = Fleet_.director(Entry).book().serviceOf(Id).seed();
+  const std::uint64_t Seed =
+      Fleet_.director(Entry).tracker().serviceOf(Id).seed();
   const membership::View &View = Fleet_.director(Entry).homes().view();
   flow::HomeMap Map(View);
   const membership::Member *Home = Map.home(Id, Seed);
@@ -82,13 +83,17 @@
 }
 
 std::size_t Baseline::slotOf(std::size_t Entry, flow::FlowId Id) {
-  const auto &Table =
-      Fleet_.director(Entry).book().serviceOf(Id).generations().back().Table_;
+  const auto &Table = Fleet_.director(Entry)
+                          .tracker()
+                          .serviceOf(Id)
+                          .generations()
+                          .back()
+                          .Table_;
   return (Id.Hash_ * Table.slots().size()) >> flow::FlowHashBits;
 }
 
 bool Baseline::settled(std::size_t Entry, flow::FlowId Id) {
-  if (Fleet_.director(Entry).book().serviceOf(Id).generations().size() > 1)
+  if (Fleet_.director(Entry).tracker().serviceOf(Id).generations().size() > 1)
     return false;
   return !Unsettled_.contains({Id.Service_, slotOf(Entry, Id)});
 }
@@ -98,9 +103,9 @@
   if (Policy_ != FlowPolicy::SettledFastPath)
     return;
   for (std::size_t I = 0; I < Fleet_.size(); ++I) {
-    flow::FlowBook &Book = Fleet_.director(I).book();
-    Book.table().forEach([&](flow::FlowRecord &Each) {
-      if (Book.exceptional(Each))
+    flow::ConnectionTracker &Tracker = Fleet_.director(I).tracker();
+    Tracker.table().forEach([&](flow::FlowRecord &Each) {
+      if (Tracker.exceptional(Each))
         Unsettled_.insert({Each.id().Service_, slotOf(I, Each.id())});
     });
   }
--- a/bench/flows/control_cost.cpp
+++ b/bench/flows/control_cost.cpp
@@ -95,7 +95,7 @@
   std::size_t Held = 0;
   for (std::size_t I = 0; I < Entries; ++I) {
     Backlog = std::max(Backlog, Fleet.director(I).replicator().backlog());
-    Held = std::max(Held, Fleet.director(I).book().openFlows());
+    Held = std::max(Held, Fleet.director(I).tracker().openFlows());
   }
   Record Out{"flows", "control_at_300000_flows", "medlarmoor", Seed};
   Out.Figures_ = {{"bytesPerSecondPerEntry", Steady},
--- a/bench/flows/decision_cost.cpp
+++ b/bench/flows/decision_cost.cpp
@@ -71,7 +71,7 @@
 }
 
 /// Looks up random flows in a container of the library's, for comparison.
-double flatMapNanos(Random Draw) {
+double flatMapNanos(Random Generator) {
   boost::unordered_flat_map<std::uint64_t,
                             std::pair<std::uint64_t, std::uint64_t>>
       Map;
@@ -81,12 +81,13 @@
   std::uint64_t Sum = 0;
   const auto Start = WallClock::now();
   for (std::size_t I = 0; I < Decisions; ++I)
-    Sum += Map.find(mix(Draw() % Flows, 1) & flow::FlowHashMask)->second.first;
+    Sum += Map.find(mix(Generator() % Flows, 1) & flow::FlowHashMask)
+               ->second.first;
   const double Out = nanosSince(Start, Decisions);
   return Sum == 0 ? 0 : Out;
 }
 
-double ownTableNanos(Random Draw) {
+double ownTableNanos(Random Generator) {
   flow::FlowTable Table(Flows);
   for (std::size_t I = 0; I < Flows; ++I)
     if (flow::FlowRecord *Each =
@@ -96,7 +97,7 @@
   const auto Start = WallClock::now();
   for (std::size_t I = 0; I < Decisions; ++I)
     if (const auto *Each =
-            Table.find({0, mix(Draw() % Flows, 1) & flow::FlowHashMask}))
+            Table.find({0, mix(Generator() % Flows, 1) & flow::FlowHashMask}))
       Sum += Each->Version_;
   const double Out = nanosSince(Start, Decisions);
   return Sum == 0 ? 0 : Out;
@@ -142,14 +143,14 @@
     }
   }
   const std::size_t After = residentBytes();
-  Random Draw(Seed);
+  Random Generator(Seed);
   std::size_t Forwarded = 0;
   std::vector<double> Nanos;
   for (int Round = 0; Round < Rounds; ++Round) {
     std::chrono::duration<double, std::nano> Spent(0);
     for (std::size_t I = 0; I < Decisions; I += net::BatchPackets) {
       for (std::size_t At = 0; At < net::BatchPackets; ++At)
-        Made.write(At, Draw() % Flows, harness::Ack);
+        Made.write(At, Generator() % Flows, harness::Ack);
       const auto Start = WallClock::now();
       Forwarded += decideBatch(Decide, Made);
       Spent += WallClock::now() - Start;
@@ -162,21 +163,21 @@
   Record Out{"flows", "decision_at_500000_flows", "medlarmoor", Seed};
   Out.Figures_ = {
       {"nanosPerDecision", median(Nanos)},
-      {"flows", Decide.book().openFlows()},
+      {"flows", Decide.tracker().openFlows()},
       {"residentMegabytes", Megabytes},
-      {"tableMegabytes",
-       static_cast<double>(Decide.book().table().bytes()) / (1024.0 * 1024.0)},
+      {"tableMegabytes", static_cast<double>(Decide.tracker().table().bytes()) /
+                             (1024.0 * 1024.0)},
       {"recordBytes", sizeof(flow::FlowRecord)},
       {"allForwarded", All},
-      {"ownTableLookupNanos", ownTableNanos(Draw)},
-      {"unorderedFlatMapLookupNanos", flatMapNanos(Draw)}};
+      {"ownTableLookupNanos", ownTableNanos(Generator)},
+      {"unorderedFlatMapLookupNanos", flatMapNanos(Generator)}};
   Out.Bound_ = {{"nanosPerDecision", MostNanos},
                 {"residentMegabytes", MostMegabytes},
                 {"recordBytes", MostRecordBytes},
                 {"flows", Flows}};
   Out.Held_ = median(Nanos) < MostNanos && Megabytes <= MostMegabytes &&
               sizeof(flow::FlowRecord) <= MostRecordBytes && All &&
-              Decide.book().openFlows() >= Flows;
+              Decide.tracker().openFlows() >= Flows;
   print(Out);
   return Out.Held_;
 }
--- a/bench/flows/flow_stage.cpp
+++ b/bench/flows/flow_stage.cpp
@@ -21,8 +21,8 @@
 } // namespace
 
 FlowStage::FlowStage(FlowPolicy Policy, std::uint64_t Seed, double Epsilon)
-    : Policy_(Policy), Draw_(mix(Seed, 77)), Fleet_({}, Seed), Members_(Fleet_),
-      Baseline_(std::make_unique<Baseline>(Policy, Fleet_)),
+    : Policy_(Policy), Random_(mix(Seed, 77)), Fleet_({}, Seed),
+      Members_(Fleet_), Baseline_(std::make_unique<Baseline>(Policy, Fleet_)),
       Load_(
           shape(), Seed,
           [this](std::size_t Entry, Endpoint From, Endpoint To,
@@ -52,7 +52,7 @@
   const config::InForcePtr Next = Doc_.build();
   Load_.document(Next->Environment_);
   for (std::size_t I = 0; I < Fleet_.size() && Apart > Nanos(0); ++I)
-    Fleet_.schedule(Nanos(static_cast<std::int64_t>(Draw_() % Apart.count())),
+    Fleet_.schedule(Nanos(static_cast<std::int64_t>(Random_() % Apart.count())),
                     [this, I, Next] { Fleet_.document(I, Next); });
   if (Apart == Nanos(0))
     Fleet_.document(Next);
--- a/bench/flows/flow_stage.hpp
+++ b/bench/flows/flow_stage.hpp
@@ -24,7 +24,7 @@
   }
   [[nodiscard]] harness::SprayedLoad &load() noexcept { return Load_; }
   [[nodiscard]] harness::DocumentBuilder &document() noexcept { return Doc_; }
-  [[nodiscard]] Random &random() noexcept { return Draw_; }
+  [[nodiscard]] Random &random() noexcept { return Random_; }
 
   /// Gives the document to all entries; to each at its own moment within
   /// Apart.
@@ -41,7 +41,7 @@
 
 private:
   FlowPolicy Policy_;
-  Random Draw_;
+  Random Random_;
   harness::FlowFleet Fleet_;
   harness::FleetMembership Members_;
   std::unique_ptr<Baseline> Baseline_;
--- a/bench/requests/process_world.cpp
+++ b/bench/requests/process_world.cpp
@@ -3,7 +3,7 @@
 #include <bench/world/load.hpp>
 #include <harness/json_http.hpp>
 #include <medlarmoor/membership/view.hpp>
-#include <medlarmoor/request/tenure.hpp>
+#include <medlarmoor/request/dispatcher_role.hpp>
 
 #include <cstdio>
 #include <thread>
--- a/bench/requests/queue_world.cpp
+++ b/bench/requests/queue_world.cpp
@@ -64,7 +64,7 @@
 
   EntryName Self_{"entry"};
   Ledger Known_;
-  Tenure Office_;
+  DispatcherRole Office_;
   Quorum Members_;
   Dispatcher Decides_;
   std::unordered_map<Ticket, CallPtr> Calls_;
--- a/src/medlarmoor/edge/forwarder.cpp
+++ b/src/medlarmoor/edge/forwarder.cpp
@@ -32,7 +32,7 @@
                      placement::Selector Choice,
                      placement::EjectionLimits Ejections)
     : Catalog_(Catalog), Routes_(Routes), Choice_(std::move(Choice)),
-      Seen_(Ejections), MeanHandshakeMs_(ExpectedHandshakeMs) {}
+      Stats_(Ejections), MeanHandshakeMs_(ExpectedHandshakeMs) {}
 
 Decision Forwarder::handle(affinity::Packet &In, Knowledge Known,
                            TimePoint Now) {
@@ -42,25 +42,25 @@
 }
 
 Forwarder::Expired Forwarder::expire(TimePoint Now) {
-  placement::FlowTracker::Expired Flows = Seen_.Flows_.expire(Now);
+  placement::FlowTracker::Expired Flows = Stats_.Flows_.expire(Now);
   Expired Out;
   for (const auto &[Key, Flow] : Flows.Overdue_) {
-    Seen_.Failures_.overdue(Flow.Upstream_, Now);
+    Stats_.Failures_.overdue(Flow.Upstream_, Now);
     Out.Overdue_.push_back(failure(Key, Flow, Outcome::Overdue, Now));
   }
   for (const auto &[Key, Flow] : Flows.Silent_)
     if (Flow.Open_)
       end(Key, Flow, Now);
   Out.Silent_ = std::move(Flows.Silent_);
-  Seen_.Failures_.expire(Now);
-  Seen_.Outliers_.expire(Now);
-  Seen_.Times_.expire(Now);
+  Stats_.Failures_.expire(Now);
+  Stats_.Outliers_.expire(Now);
+  Stats_.Times_.expire(Now);
   Catalog_.expire(Now);
   return Out;
 }
 
 Decision Forwarder::open(affinity::Packet &In, Knowledge Known, TimePoint Now) {
-  TrackedFlow *Flow = Seen_.Flows_.find(In.Flow_);
+  TrackedFlow *Flow = Stats_.Flows_.find(In.Flow_);
   const CatalogEntry *Previous =
       Flow ? Catalog_.find(Flow->Upstream_) : nullptr;
   Deliver Out;
@@ -85,7 +85,7 @@
 
 std::optional<Deliver> Forwarder::retry(affinity::Packet &In,
                                         TimePoint PlacedAt, TimePoint Now) {
-  TrackedFlow *Flow = Seen_.Flows_.find(In.Flow_);
+  TrackedFlow *Flow = Stats_.Flows_.find(In.Flow_);
   const routing::Route *Route = Routes_.find(In.Flow_.Virtual_);
   if (!Flow || Flow->Open_ || Flow->PlacedAt_ != PlacedAt || !Route)
     return std::nullopt;
@@ -97,7 +97,7 @@
 }
 
 bool Forwarder::suspect(const placement::Suspect &Each, TimePoint Now) {
-  return Catalog_.find(Each.Upstream_) && Seen_.Failures_.reported(Each, Now);
+  return Catalog_.find(Each.Upstream_) && Stats_.Failures_.reported(Each, Now);
 }
 
 Millis Forwarder::handshakePatience() const noexcept {
@@ -111,27 +111,28 @@
                       TimePoint Now, Deliver &Out) {
   if (Flow) {
     Out.Previous_ = Flow->Upstream_;
-    Out.Ejected_ = Seen_.Outliers_.handshakeTimedOut(Flow->Upstream_, Now);
+    Out.Ejected_ = Stats_.Outliers_.handshakeTimedOut(Flow->Upstream_, Now);
   }
   const auto &Candidates =
       Catalog_.candidates(Route.serviceFor(In.Flow_.hash()));
-  const CatalogEntry *Chosen = Choice_.choose(Candidates, Seen_, Previous, Now);
+  const CatalogEntry *Chosen =
+      Choice_.choose(Candidates, Stats_, Previous, Now);
   if (!Chosen)
     return;
   In.Tag_ = Chosen->Tag_;
   Out.Upstream_ = Chosen;
   Out.Reason_ = Flow ? DeliverReason::Moved : DeliverReason::Placed;
   Out.Candidates_ = static_cast<std::uint32_t>(Candidates.size());
-  Out.Active_ = Seen_.Flows_.active(Chosen->Tag_);
+  Out.Active_ = Stats_.Flows_.active(Chosen->Tag_);
   if (Flow)
-    Seen_.Flows_.move(*Flow, Chosen->Tag_, Now);
+    Stats_.Flows_.move(*Flow, Chosen->Tag_, Now);
   else
-    Seen_.Flows_.add(In.Flow_, Chosen->Tag_, HandshakeLifetime, Now);
+    Stats_.Flows_.add(In.Flow_, Chosen->Tag_, HandshakeLifetime, Now);
 }
 
 Decision Forwarder::follow(affinity::Packet &In, TimePoint Now) {
   Deliver Out;
-  TrackedFlow *Flow = Seen_.Flows_.find(In.Flow_);
+  TrackedFlow *Flow = Stats_.Flows_.find(In.Flow_);
   if (Flow && !Flow->Open_ && In.Tag_ != affinity::NoTag)
     settle(*Flow, In, Now, Out);
   // A flow that was offered to two upstreams stays with the first that the
@@ -149,7 +150,7 @@
 void Forwarder::settle(TrackedFlow &Flow, const affinity::Packet &In,
                        TimePoint Now, Deliver &Out) {
   if (Flow.Upstream_ != In.Tag_)
-    Seen_.Flows_.move(Flow, In.Tag_, Now);
+    Stats_.Flows_.move(Flow, In.Tag_, Now);
   else
     MeanHandshakeMs_ +=
         HandshakeWeight *
@@ -162,7 +163,7 @@
   Flow.RequestAck_ = Flow.LastAck_ = In.Acknowledged_;
   Out.Reason_ = DeliverReason::Opened;
   Out.Elapsed_ = Now - Flow.FirstSeen_;
-  Out.Restored_ = Seen_.Outliers_.handshakeCompleted(In.Tag_);
+  Out.Restored_ = Stats_.Outliers_.handshakeCompleted(In.Tag_);
 }
 
 void Forwarder::count(TrackedFlow *Flow, const affinity::Packet &In,
@@ -176,12 +177,12 @@
       Out.Reason_ = DeliverReason::Ended;
       Out.Elapsed_ = Now - Flow->OpenedAt_;
     }
-    Seen_.Flows_.erase(In.Flow_);
+    Stats_.Flows_.erase(In.Flow_);
   } else if (Flow) {
-    Seen_.Flows_.touch(*Flow, Now);
+    Stats_.Flows_.touch(*Flow, Now);
   } else if (In.Length_ > 0 && !Last) {
     // Another instance placed it, or it was silent for long.
-    TrackedFlow &Joined = Seen_.Flows_.add(
+    TrackedFlow &Joined = Stats_.Flows_.add(
         In.Flow_, In.Tag_, requestTimeout(In.Flow_.Virtual_), Now);
     Joined.Open_ = true;
     Joined.OpenedAt_ = Now;
@@ -212,8 +213,8 @@
                       TimePoint Now, Deliver &Out) {
   if (!Flow.Requested_)
     return;
-  const Outcome Result =
-      Seen_.Failures_.ended(Key.Virtual_, Flow.Upstream_, Flow.received(), Now);
+  const Outcome Result = Stats_.Failures_.ended(Key.Virtual_, Flow.Upstream_,
+                                                Flow.received(), Now);
   if (Result != Outcome::Answered)
     Out.Failed_ = failure(Key, Flow, Result, Now);
 }
@@ -226,12 +227,12 @@
           Result,
           Flow.received(),
           Now - Flow.RequestedAt_,
-          Seen_.Failures_.excess(Flow.Upstream_, Now)};
+          Stats_.Failures_.excess(Flow.Upstream_, Now)};
 }
 
 void Forwarder::end(const affinity::FlowKey &Key, const TrackedFlow &Flow,
                     TimePoint Now) {
-  Seen_.Times_.ended(Key.Virtual_, Flow.Upstream_, Now - Flow.OpenedAt_, Now);
+  Stats_.Times_.ended(Key.Virtual_, Flow.Upstream_, Now - Flow.OpenedAt_, Now);
 }
 
 Millis Forwarder::requestTimeout(Endpoint Virtual) const noexcept {
--- a/src/medlarmoor/edge/forwarder.hpp
+++ b/src/medlarmoor/edge/forwarder.hpp
@@ -5,8 +5,8 @@
 #include <medlarmoor/discovery/catalog.hpp>
 #include <medlarmoor/edge/decision.hpp>
 #include <medlarmoor/edge/knowledge.hpp>
-#include <medlarmoor/placement/observations.hpp>
 #include <medlarmoor/placement/selector.hpp>
+#include <medlarmoor/placement/upstream_stats.hpp>
 #include <medlarmoor/routing/router.hpp>
 
 #include <optional>
@@ -35,7 +35,7 @@
   [[nodiscard]] Millis handshakePatience() const noexcept;
   /// What peers should know; see FailureRates::takeSuspects().
   std::vector<placement::Suspect> takeSuspects() {
-    return Seen_.Failures_.takeSuspects();
+    return Stats_.Failures_.takeSuspects();
   }
   /// A peer saw a request fail. Tells whether this instance avoids the upstream
   /// from now on.
@@ -53,7 +53,7 @@
   Expired expire(TimePoint Now);
 
   [[nodiscard]] const placement::FlowTracker &flows() const noexcept {
-    return Seen_.Flows_;
+    return Stats_.Flows_;
   }
 
 private:
@@ -90,7 +90,7 @@
   discovery::Catalog &Catalog_;
   const routing::Router &Routes_;
   placement::Selector Choice_;
-  placement::Observations Seen_;
+  placement::UpstreamStats Stats_;
   /// Mean time from a SYN to the client's next packet, in milliseconds.
   double MeanHandshakeMs_;
 };
--- a/src/medlarmoor/edge/packet_loop.cpp
+++ b/src/medlarmoor/edge/packet_loop.cpp
@@ -71,11 +71,11 @@
   const affinity::Tag Carried = In->Tag_;
   const Decision Made = Decisions_.handle(*In, Known, Now);
   std::visit(Overloaded{[&](const Deliver &To) {
-                          const std::span<std::byte> Whole =
+                          const std::span<std::byte> Datagram =
                               Received_.withHeadroom(Index);
-                          deliver(Whole, *In, Carried, To);
+                          deliver(Datagram, *In, Carried, To);
                           if (To.Reason_ == DeliverReason::Placed)
-                            watchSyn(*In, Whole, Now);
+                            watchSyn(*In, Datagram, Now);
                         },
                         [&](const Reject &) {
                           Resets_[Index] = Codec_.MakeReset_(*In);
@@ -89,21 +89,23 @@
   Log_.decided(*In, Made, Now);
 }
 
-void PacketLoop::deliver(std::span<std::byte> Whole, const affinity::Packet &In,
-                         affinity::Tag Carried, const Deliver &To) {
+void PacketLoop::deliver(std::span<std::byte> Datagram,
+                         const affinity::Packet &In, affinity::Tag Carried,
+                         const Deliver &To) {
   if (In.Tag_ != Carried)
-    Codec_.WriteTag_(Whole.subspan(net::HeadroomBytes), In.Tag_);
-  Codec_.WriteEncapsulation_(Whole, To.Upstream_->Upstream_.Identity_);
-  Sent_.add(To.Upstream_->Upstream_.Address_, Whole);
+    Codec_.WriteTag_(Datagram.subspan(net::HeadroomBytes), In.Tag_);
+  Codec_.WriteEncapsulation_(Datagram, To.Upstream_->Upstream_.Identity_);
+  Sent_.add(To.Upstream_->Upstream_.Address_, Datagram);
 }
 
 void PacketLoop::watchSyn(const affinity::Packet &In,
-                          std::span<const std::byte> Whole, TimePoint Now) {
+                          std::span<const std::byte> Datagram, TimePoint Now) {
   const TimePoint Due = Now + Decisions_.handshakePatience();
   // The patience may have become shorter since the last SYN.
   const TimePoint Last = Pending_.empty() ? Due : Pending_.back().DueAt_;
-  Pending_.push_back({Now, std::max(Due, Last), In,
-                      std::vector<std::byte>(Whole.begin(), Whole.end())});
+  Pending_.push_back(
+      {Now, std::max(Due, Last), In,
+       std::vector<std::byte>(Datagram.begin(), Datagram.end())});
 }
 
 void PacketLoop::armRetries(TimePoint Now) {
--- a/src/medlarmoor/edge/packet_loop.hpp
+++ b/src/medlarmoor/edge/packet_loop.hpp
@@ -53,9 +53,9 @@
   /// Handles what waits; tells whether there was anything.
   bool receiveBatch();
   void handle(std::size_t Index, Knowledge Known, TimePoint Now);
-  void deliver(std::span<std::byte> Whole, const affinity::Packet &In,
+  void deliver(std::span<std::byte> Datagram, const affinity::Packet &In,
                affinity::Tag Carried, const Deliver &To);
-  void watchSyn(const affinity::Packet &In, std::span<const std::byte> Whole,
+  void watchSyn(const affinity::Packet &In, std::span<const std::byte> Datagram,
                 TimePoint Now);
   void armRetries(TimePoint Now);
   void retryDue();
--- a/src/medlarmoor/edge/peer_sync.cpp
+++ b/src/medlarmoor/edge/peer_sync.cpp
@@ -47,11 +47,11 @@
 
 PeerSync::PeerSync(boost::asio::io_context &Io,
                    const config::EdgeSettings &Settings,
-                   peers::ElectionTiming Timing, Source Data, Random Draw,
+                   peers::ElectionTiming Timing, Source Data, Random Generator,
                    Clock Time, telemetry::Registry &Metrics,
                    telemetry::EventLog &Log)
     : Settings_(Settings), Time_(std::move(Time)), Log_(Log),
-      Members_(Settings.Gossip_, Settings.gossipSeeds(), Draw),
+      Members_(Settings.Gossip_, Settings.gossipSeeds(), Generator),
       Election_(Settings.Gossip_, Timing),
       Channels_{
           Channel{"/snapshot/upstreams", Data.Upstreams_,
@@ -276,9 +276,9 @@
 }
 
 void PeerSync::compare(Channel &Each,
-                       const std::optional<CollectionState> &Told,
+                       const std::optional<CollectionState> &Announced,
                        const Announcement &From, bool Trusted, TimePoint Now) {
-  if (!Told)
+  if (!Announced)
     return;
   objects::Follower &Own = Each.Follower_;
   // The first list comes from the store: when all start at once, whole
@@ -286,11 +286,11 @@
   if (!Own.currentAsOf() &&
       (Own.answered() || Now - StartedAt_ < FirstListPatience))
     return;
-  if (!Own.currentAsOf() || Told->Changed_ > Own.revision())
+  if (!Own.currentAsOf() || Announced->Changed_ > Own.revision())
     return pull(Each, {From.From_.address(), Settings_.Peers_.port()});
   // A peer that is behind is not relied on.
-  if (Trusted && Told->Upto_ >= Own.changed())
-    Own.defer(Told->Upto_, Now - Told->Age_,
+  if (Trusted && Announced->Upto_ >= Own.changed())
+    Own.defer(Announced->Upto_, Now - Announced->Age_,
               Election_.deferUntil(Now, Members_.rank()));
 }
 
--- a/src/medlarmoor/edge/peer_sync.hpp
+++ b/src/medlarmoor/edge/peer_sync.hpp
@@ -52,8 +52,8 @@
   };
 
   PeerSync(boost::asio::io_context &Io, const config::EdgeSettings &Settings,
-           peers::ElectionTiming Timing, Source Data, Random Draw, Clock Time,
-           telemetry::Registry &Metrics, telemetry::EventLog &Log);
+           peers::ElectionTiming Timing, Source Data, Random Generator,
+           Clock Time, telemetry::Registry &Metrics, telemetry::EventLog &Log);
   ~PeerSync();
   PeerSync(const PeerSync &) = delete;
   PeerSync &operator=(const PeerSync &) = delete;
@@ -108,7 +108,8 @@
   void wait();
   void receive();
   void take(const peers::Announcement &From, TimePoint Now);
-  void compare(Channel &Each, const std::optional<peers::CollectionState> &Told,
+  void compare(Channel &Each,
+               const std::optional<peers::CollectionState> &Announced,
                const peers::Announcement &From, bool Trusted, TimePoint Now);
   void pull(Channel &Each, Endpoint From);
   net::HttpResponse answer(const net::HttpRequest &Request);
--- a/src/medlarmoor/flow/flow_book.cpp
+++ b/src/medlarmoor/flow/connection_tracker.cpp
@@ -1,4 +1,4 @@
-#include <medlarmoor/flow/flow_book.hpp>
+#include <medlarmoor/flow/connection_tracker.hpp>
 
 namespace medlarmoor::flow {
 
@@ -9,17 +9,18 @@
 
 } // namespace
 
-FlowBook::FlowBook(DomainName Domain, std::size_t Flows)
+ConnectionTracker::ConnectionTracker(DomainName Domain, std::size_t Flows)
     : Services_(std::move(Domain)), Table_(Flows + Flows / SpareDivisor),
       Flows_(Flows) {}
 
-bool FlowBook::exceptional(const FlowRecord &Record) noexcept {
+bool ConnectionTracker::exceptional(const FlowRecord &Record) noexcept {
   const FlowId Id = Record.id();
   return Record.has(FlowRecord::Pinned) ||
          serviceOf(Id).exceptional(Id.Hash_, Record.Upstream_);
 }
 
-FlowRecord *FlowBook::open(FlowId Id, UpstreamIndex Upstream, Rule Why) {
+FlowRecord *ConnectionTracker::open(FlowId Id, UpstreamIndex Upstream,
+                                    Rule Why) {
   if (Open_ >= Flows_)
     return nullptr;
   FlowRecord *Out = Table_.insert(Id);
@@ -33,7 +34,8 @@
   return Out;
 }
 
-FlowRecord *FlowBook::keepCopy(FlowId Id, UpstreamIndex Upstream, Stamp At) {
+FlowRecord *ConnectionTracker::keepCopy(FlowId Id, UpstreamIndex Upstream,
+                                        Stamp At) {
   FlowRecord *Out = Table_.find(Id);
   if (Out != nullptr) {
     release(*Out);
@@ -55,42 +57,42 @@
   return Out;
 }
 
-void FlowBook::promote(FlowRecord &Record) noexcept {
+void ConnectionTracker::promote(FlowRecord &Record) noexcept {
   Record.clear(FlowRecord::Copy);
   Record.clear(FlowRecord::Copied);
   count(Record, 1);
 }
 
-void FlowBook::demote(FlowRecord &Record) noexcept {
+void ConnectionTracker::demote(FlowRecord &Record) noexcept {
   if (Record.open())
     count(Record, -1);
   Record.set(FlowRecord::Copy);
   Record.clear(FlowRecord::Copied);
 }
 
-void FlowBook::close(FlowRecord &Record) noexcept {
+void ConnectionTracker::close(FlowRecord &Record) noexcept {
   if (Record.open())
     count(Record, -1);
   Record.set(FlowRecord::Closing);
 }
 
-void FlowBook::erase(FlowRecord *Record) noexcept {
+void ConnectionTracker::erase(FlowRecord *Record) noexcept {
   release(*Record);
   Table_.erase(Record);
 }
 
-void FlowBook::release(const FlowRecord &Record) noexcept {
+void ConnectionTracker::release(const FlowRecord &Record) noexcept {
   if (Record.open())
     count(Record, -1);
   --upstreamOf(Record).Held_;
 }
 
-void FlowBook::clear() noexcept {
+void ConnectionTracker::clear() noexcept {
   Table_.forEach([this](FlowRecord &Each) { release(Each); });
   Table_.clear();
 }
 
-void FlowBook::count(const FlowRecord &Record, int Step) noexcept {
+void ConnectionTracker::count(const FlowRecord &Record, int Step) noexcept {
   Open_ += static_cast<std::size_t>(Step);
   upstreamOf(Record).Open_ += static_cast<std::uint32_t>(Step);
 }
--- a/src/medlarmoor/flow/flow_book.hpp
+++ b/src/medlarmoor/flow/connection_tracker.hpp
@@ -1,19 +1,19 @@
-#ifndef MEDLARMOOR_FLOW_FLOW_BOOK_HPP
-#define MEDLARMOOR_FLOW_FLOW_BOOK_HPP
+#ifndef MEDLARMOOR_FLOW_CONNECTION_TRACKER_HPP
+#define MEDLARMOOR_FLOW_CONNECTION_TRACKER_HPP
 
 #include <medlarmoor/flow/flow_table.hpp>
-#include <medlarmoor/flow/service_book.hpp>
+#include <medlarmoor/flow/service_registry.hpp>
 
 namespace medlarmoor::flow {
 
 /// The flow records of one entry together with its services, whose counts of
 /// open flows it keeps in step with the records.
-class FlowBook {
+class ConnectionTracker {
 public:
   /// Flows is the most that may be open; copies for other homes come on top.
-  FlowBook(DomainName Domain, std::size_t Flows);
+  ConnectionTracker(DomainName Domain, std::size_t Flows);
 
-  [[nodiscard]] ServiceBook &services() noexcept { return Services_; }
+  [[nodiscard]] ServiceRegistry &services() noexcept { return Services_; }
   [[nodiscard]] FlowTable &table() noexcept { return Table_; }
   [[nodiscard]] ServiceState &serviceOf(FlowId Id) noexcept {
     return Services_.at(Id.Service_);
@@ -47,7 +47,7 @@
 private:
   void count(const FlowRecord &Record, int Step) noexcept;
 
-  ServiceBook Services_;
+  ServiceRegistry Services_;
   FlowTable Table_;
   std::size_t Flows_;
   std::size_t Open_ = 0;
@@ -55,4 +55,4 @@
 
 } // namespace medlarmoor::flow
 
-#endif // MEDLARMOOR_FLOW_FLOW_BOOK_HPP
+#endif // MEDLARMOOR_FLOW_CONNECTION_TRACKER_HPP
--- a/src/medlarmoor/flow/director.cpp
+++ b/src/medlarmoor/flow/director.cpp
@@ -30,12 +30,12 @@
 
 } // namespace
 
-Director::Director(const config::Settings &Told, Clock Time, Random Draw)
-    : Clock_(std::move(Time)), Draw_(Draw), Idle_(Told.Flow_.Idle_),
+Director::Director(const config::Settings &Told, Clock Time, Random Generator)
+    : Clock_(std::move(Time)), Random_(Generator), Idle_(Told.Flow_.Idle_),
       LongestPause_(longestPause(Told.Membership_)),
-      Book_(Told.Domain_, Told.Flow_.Flows_),
+      Tracker_(Told.Domain_, Told.Flow_.Flows_),
       Homes_(Told.Name_, Told.Membership_.Lease_),
-      Replicator_(Book_, Homes_, Draw_, Told.Flow_.ReplicationBytes_),
+      Replicator_(Tracker_, Homes_, Random_, Told.Flow_.ReplicationBytes_),
       Now_(Clock_.now()), Stamp_(stampOf(Now_)) {}
 
 void Director::begin() {
@@ -54,14 +54,14 @@
   if (Out.Drop_)
     return Out;
   const Endpoint To = Out.Packet_.Destination_;
-  const std::optional<ServiceIndex> Service = Book_.services().find(To);
+  const std::optional<ServiceIndex> Service = Tracker_.services().find(To);
   if (!Service) {
-    Out.Drop_ = Book_.services().empty() ? DropReason::NoConfiguration
-                                         : DropReason::UnknownAddress;
+    Out.Drop_ = Tracker_.services().empty() ? DropReason::NoConfiguration
+                                            : DropReason::UnknownAddress;
     return Out;
   }
   Out.Id_ = {*Service, hashFlow(Out.Packet_.Source_, To)};
-  Book_.table().prefetch(Out.Id_);
+  Tracker_.table().prefetch(Out.Id_);
   return Out;
 }
 
@@ -79,7 +79,7 @@
 Decision Director::decideFrom(const Prepared &Seen, const Arrival &Via) {
   if (Seen.Drop_)
     return Drop{*Seen.Drop_};
-  FlowRecord *Record = Book_.table().find(Seen.Id_);
+  FlowRecord *Record = Tracker_.table().find(Seen.Id_);
   const bool Own = Record != nullptr && !Record->has(FlowRecord::Copy);
   if (Own && (!Seen.Packet_.first() || ownsFirst(Seen.Id_, *Record)))
     return onRecord(*Record, Seen.Packet_);
@@ -92,7 +92,8 @@
   const bool Recent =
       secondsBetween(Record.Seen_, Stamp_) <= RepetitionSeconds &&
       !Record.has(FlowRecord::Closing);
-  return Recent || Homes_.isSelf(Homes_.home(Id, Book_.serviceOf(Id).seed()));
+  return Recent ||
+         Homes_.isSelf(Homes_.home(Id, Tracker_.serviceOf(Id).seed()));
 }
 
 Decision Director::onRecord(FlowRecord &Record, const Packet &Seen) {
@@ -105,7 +106,7 @@
   if (Record.Seen_ != Stamp_)
     Record.Seen_ = Stamp_;
   if (Seen.Fin_)
-    Book_.close(Record);
+    Tracker_.close(Record);
   return forward(Record);
 }
 
@@ -113,12 +114,12 @@
   const Decision Out = forward(Record);
   if (Record.has(FlowRecord::Copied))
     Replicator_.ended(Record);
-  Book_.erase(&Record);
+  Tracker_.erase(&Record);
   return Out;
 }
 
 Decision Director::onRepeatedFirst(FlowRecord &Record, const Packet &Seen) {
-  const UpstreamState &Of = Book_.upstreamOf(Record);
+  const UpstreamState &Of = Tracker_.upstreamOf(Record);
   const bool Recent = secondsBetween(Record.Seen_, Stamp_) <= RepetitionSeconds;
   const bool Established = Record.has(FlowRecord::Progressed);
   const bool Closed = Record.has(FlowRecord::Closing);
@@ -137,9 +138,9 @@
   }
   const bool WasCopied = Record.has(FlowRecord::Copied);
   const FlowId Id = Record.id();
-  Book_.erase(&Record);
+  Tracker_.erase(&Record);
   Decision Out = openFlow(Id, Seen);
-  FlowRecord *Fresh = Book_.table().find(Id);
+  FlowRecord *Fresh = Tracker_.table().find(Id);
   if (WasCopied && Fresh != nullptr) {
     Fresh->set(FlowRecord::Pinned);
     Replicator_.queue(*Fresh);
@@ -149,7 +150,7 @@
 
 Decision Director::route(FlowId Id, FlowRecord *Copy, const Packet &Seen,
                          const Arrival &Via) {
-  const std::uint64_t Seed = Book_.serviceOf(Id).seed();
+  const std::uint64_t Seed = Tracker_.serviceOf(Id).seed();
   const PeerIntent Intent = Via.Header_.Intent_;
   const bool Passable = Via.Header_.Hops_ < MaxHops;
   const bool Active = Homes_.active(Now_);
@@ -204,7 +205,7 @@
 }
 
 bool Director::isHome(const Member &Each, FlowId Id) {
-  const Member *Home = Homes_.home(Id, Book_.serviceOf(Id).seed());
+  const Member *Home = Homes_.home(Id, Tracker_.serviceOf(Id).seed());
   return Home != nullptr && Home->Name_ == Each.Name_;
 }
 
@@ -217,22 +218,22 @@
 Decision Director::decideHere(FlowId Id, FlowRecord *Copy, const Packet &Seen) {
   if (Copy == nullptr)
     return Seen.first() ? openFlow(Id, Seen) : continueFlow(Id, Seen);
-  if (Seen.first() && !Book_.upstreamOf(*Copy).Life_.takesNew()) {
-    Book_.erase(Copy);
+  if (Seen.first() && !Tracker_.upstreamOf(*Copy).Life_.takesNew()) {
+    Tracker_.erase(Copy);
     return openFlow(Id, Seen);
   }
-  Book_.promote(*Copy);
+  Tracker_.promote(*Copy);
   recorded(*Copy);
   return onRecord(*Copy, Seen);
 }
 
 Decision Director::openFlow(FlowId Id, const Packet &Seen) {
   const std::variant<Choice, RefuseReason> Chosen =
-      choose(Book_.serviceOf(Id), Id.Hash_, homeShare());
+      choose(Tracker_.serviceOf(Id), Id.Hash_, homeShare());
   if (const RefuseReason *Reason = std::get_if<RefuseReason>(&Chosen))
     return Refuse{*Reason, Seen};
   const Choice &Taken = *std::get_if<Choice>(&Chosen);
-  FlowRecord *Record = Book_.open(Id, Taken.Upstream_, Taken.Rule_);
+  FlowRecord *Record = Tracker_.open(Id, Taken.Upstream_, Taken.Rule_);
   if (Record == nullptr)
     return Refuse{RefuseReason::TableFull, Seen};
   recorded(*Record);
@@ -240,13 +241,13 @@
 }
 
 Decision Director::continueFlow(FlowId Id, const Packet &Seen) {
-  ServiceState &Service = Book_.serviceOf(Id);
+  ServiceState &Service = Tracker_.serviceOf(Id);
   const std::optional<UpstreamIndex> Upstream =
       Service.establishedDefaultOf(Id.Hash_);
   if (!Upstream)
     return Drop{DropReason::NoUpstream};
   if (!Seen.Rst_ && !Seen.Fin_) {
-    FlowRecord *Record = Book_.open(Id, *Upstream, Rule::EstablishedDefault);
+    FlowRecord *Record = Tracker_.open(Id, *Upstream, Rule::EstablishedDefault);
     if (Record != nullptr) {
       Record->set(FlowRecord::Progressed);
       recorded(*Record);
@@ -256,7 +257,7 @@
 }
 
 Decision Director::forward(const FlowRecord &Record) {
-  const UpstreamState &To = Book_.upstreamOf(Record);
+  const UpstreamState &To = Tracker_.upstreamOf(Record);
   if (To.Foreign_)
     return Drop{DropReason::UpstreamGone};
   return ToUpstream{To.Config_.Packets_};
@@ -266,10 +267,10 @@
 void Director::recorded(FlowRecord &Record) {
   Record.Seen_ = Stamp_;
   Record.View_ = ViewTag_;
-  if (!Book_.exceptional(Record))
+  if (!Tracker_.exceptional(Record))
     return;
   const FlowId Id = Record.id();
-  if (Homes_.isSelf(Homes_.home(Id, Book_.serviceOf(Id).seed())))
+  if (Homes_.isSelf(Homes_.home(Id, Tracker_.serviceOf(Id).seed())))
     Replicator_.queue(Record);
   else
     Replicator_.tellHome(Record);
@@ -277,7 +278,7 @@
 
 void Director::progress(FlowRecord &Record) {
   Record.set(FlowRecord::Progressed);
-  UpstreamState &Of = Book_.upstreamOf(Record);
+  UpstreamState &Of = Tracker_.upstreamOf(Record);
   Of.Stalled_ = 0;
   if (Of.Life_.phase() == LifecyclePhase::Ready)
     return;
@@ -289,7 +290,7 @@
 }
 
 void Director::stalled(FlowRecord &Record) {
-  UpstreamState &Of = Book_.upstreamOf(Record);
+  UpstreamState &Of = Tracker_.upstreamOf(Record);
   if (Record.has(FlowRecord::Repeated))
     return;
   Record.set(FlowRecord::Repeated);
@@ -314,7 +315,7 @@
 }
 
 void Director::adopt(const config::InForce &Document) {
-  if (!Book_.services().adopt(Document, Now_))
+  if (!Tracker_.services().adopt(Document, Now_))
     return;
   Replicator_.adoptConfiguration(Now_);
   sweepFast();
@@ -353,7 +354,7 @@
 bool Director::handedOver() const noexcept { return Replicator_.handedOver(); }
 
 void Director::forgetAll() {
-  Book_.clear();
+  Tracker_.clear();
   Replicator_.adoptView(true);
 }
 
--- a/src/medlarmoor/flow/director.hpp
+++ b/src/medlarmoor/flow/director.hpp
@@ -6,8 +6,8 @@
 #include <medlarmoor/core/clock.hpp>
 #include <medlarmoor/core/random.hpp>
 #include <medlarmoor/flow/chooser.hpp>
+#include <medlarmoor/flow/connection_tracker.hpp>
 #include <medlarmoor/flow/decision.hpp>
-#include <medlarmoor/flow/flow_book.hpp>
 #include <medlarmoor/flow/homes.hpp>
 #include <medlarmoor/flow/prepared.hpp>
 #include <medlarmoor/flow/replicator.hpp>
@@ -27,7 +27,7 @@
   /// How often tick() is to be called.
   static constexpr Nanos TickPeriod = Millis(100);
 
-  Director(const config::Settings &Told, Clock Time, Random Draw);
+  Director(const config::Settings &Told, Clock Time, Random Generator);
   Director(const Director &) = delete;
   Director &operator=(const Director &) = delete;
 
@@ -69,7 +69,7 @@
   /// under which view and version, as JSON text.
   [[nodiscard]] std::string explain(std::string_view Flow);
 
-  [[nodiscard]] FlowBook &book() noexcept { return Book_; }
+  [[nodiscard]] ConnectionTracker &tracker() noexcept { return Tracker_; }
   [[nodiscard]] Homes &homes() noexcept { return Homes_; }
   [[nodiscard]] const Replicator &replicator() const noexcept {
     return Replicator_;
@@ -113,10 +113,10 @@
   void forgetAll();
 
   Clock Clock_;
-  Random Draw_;
+  Random Random_;
   Nanos Idle_;
   Nanos LongestPause_;
-  FlowBook Book_;
+  ConnectionTracker Tracker_;
   Homes Homes_;
   Replicator Replicator_;
   TimePoint Now_;
--- a/src/medlarmoor/flow/director_explain.cpp
+++ b/src/medlarmoor/flow/director_explain.cpp
@@ -42,10 +42,11 @@
   const auto Ends = parseFlow(Flow);
   if (!Ends)
     return failure("expected address:port-address:port");
-  const std::optional<ServiceIndex> Index = Book_.services().find(Ends->second);
+  const std::optional<ServiceIndex> Index =
+      Tracker_.services().find(Ends->second);
   if (!Index)
     return failure(name(DropReason::UnknownAddress));
-  ServiceState &Service = Book_.services().at(*Index);
+  ServiceState &Service = Tracker_.services().at(*Index);
   const FlowId Id{*Index, hashFlow(Ends->first, Ends->second)};
   const membership::Member *Home = Homes_.home(Id, Service.seed());
   Json Out{{"flow", std::string(Flow)},
@@ -53,15 +54,15 @@
            {"entry", Homes_.view().self().value()},
            {"home", Home == nullptr ? "" : Home->Name_.value()},
            {"view", Homes_.view().id().value()},
-           {"config", Book_.services().version().value()},
+           {"config", Tracker_.services().version().value()},
            {"tables", Service.generations().size()}};
   Out["awaits"] = Json::array();
   for (const EntryName &Each : Homes_.awaited())
     Out["awaits"].push_back(Each.value());
   if (const auto Default = Service.defaultOf(Id.Hash_))
     Out["default"] = Service.upstreams()[*Default].Config_.Name_.value();
-  if (const FlowRecord *Record = Book_.table().find(Id))
-    Out["record"] = describeRecord(*Record, Book_.upstreamOf(*Record));
+  if (const FlowRecord *Record = Tracker_.table().find(Id))
+    Out["record"] = describeRecord(*Record, Tracker_.upstreamOf(*Record));
   else
     Out["record"] = nullptr;
   return Out.dump();
--- a/src/medlarmoor/flow/director_sweep.cpp
+++ b/src/medlarmoor/flow/director_sweep.cpp
@@ -30,7 +30,7 @@
   Homes_.tick(Now_);
   if (Now_ - RetiredAt_ >= Seconds(1)) {
     RetiredAt_ = Now_;
-    Book_.services().retire(Now_, Idle_);
+    Tracker_.services().retire(Now_, Idle_);
   }
   sweep();
   Replicator_.tick(Now_);
@@ -40,8 +40,9 @@
   if (Homes_.suspended())
     return;
   const std::size_t Ticks = Now_ < FastUntil_ ? FastSweepTicks : SweepTicks;
-  Book_.table().sweep(Book_.table().slots() / Ticks + 1,
-                      [this](FlowRecord &Each) { return sweepRecord(Each); });
+  Tracker_.table().sweep(
+      Tracker_.table().slots() / Ticks + 1,
+      [this](FlowRecord &Each) { return sweepRecord(Each); });
 }
 
 /// Brings one record up to date; true when it is to be erased.
@@ -49,19 +50,19 @@
   if (expired(Record)) {
     if (Record.has(FlowRecord::Copied))
       Replicator_.ended(Record);
-    Book_.release(Record);
+    Tracker_.release(Record);
     return true;
   }
   if (Homes_.leaving())
     return false;
   const FlowId Id = Record.id();
-  const std::uint64_t Seed = Book_.serviceOf(Id).seed();
+  const std::uint64_t Seed = Tracker_.serviceOf(Id).seed();
   const Member *Home = Homes_.home(Id, Seed);
   const bool Copy = Record.has(FlowRecord::Copy);
   if (Homes_.isSelf(Home)) {
     if (Copy && Homes_.previous(Id, Seed, false) == nullptr)
-      Book_.promote(Record);
-    if (Record.open() && Book_.exceptional(Record))
+      Tracker_.promote(Record);
+    if (Record.open() && Tracker_.exceptional(Record))
       auditOwn(Record, Homes_.homeWithout(Id, Seed, Home->Name_));
     return false;
   }
@@ -69,12 +70,12 @@
     return false;
   const bool Next = Home != nullptr &&
                     Homes_.isSelf(Homes_.homeWithout(Id, Seed, Home->Name_));
-  if (Next && Record.open() && Book_.exceptional(Record)) {
-    Book_.demote(Record);
+  if (Next && Record.open() && Tracker_.exceptional(Record)) {
+    Tracker_.demote(Record);
     Record.Seen_ = Stamp_;
     return false;
   }
-  Book_.release(Record);
+  Tracker_.release(Record);
   return true;
 }
 
--- a/src/medlarmoor/flow/flow_metrics.cpp
+++ b/src/medlarmoor/flow/flow_metrics.cpp
@@ -78,8 +78,8 @@
   const auto Signed = [](std::uint64_t Value) {
     return static_cast<std::int64_t>(Value);
   };
-  Open_.set(Signed(From.book().openFlows()));
-  Records_.set(Signed(From.book().table().size()));
+  Open_.set(Signed(From.tracker().openFlows()));
+  Records_.set(Signed(From.tracker().table().size()));
   Backlog_.set(Signed(From.replicator().backlog()));
   Bytes_.set(Signed(From.replicator().bytesSent()));
   Suspended_.set(From.suspended() ? 1 : 0);
--- a/src/medlarmoor/flow/peer_link.cpp
+++ b/src/medlarmoor/flow/peer_link.cpp
@@ -12,10 +12,10 @@
 
 } // namespace
 
-PeerLink::PeerLink(Random &Draw) : Draw_(Draw) { startOver(); }
+PeerLink::PeerLink(Random &Generator) : Random_(Generator) { startOver(); }
 
 void PeerLink::startOver() {
-  Epoch_ = static_cast<std::uint32_t>(Draw_());
+  Epoch_ = static_cast<std::uint32_t>(Random_());
   First_ = 0;
   Sent_ = 0;
 }
--- a/src/medlarmoor/flow/peer_link.hpp
+++ b/src/medlarmoor/flow/peer_link.hpp
@@ -16,7 +16,7 @@
 /// it.
 class PeerLink {
 public:
-  explicit PeerLink(Random &Draw);
+  explicit PeerLink(Random &Generator);
 
   /// Puts an update in line.
   void push(Update Next);
@@ -37,7 +37,7 @@
 private:
   void startOver();
 
-  Random &Draw_;
+  Random &Random_;
   std::uint32_t Epoch_ = 0;
   /// Sequence number of the front of Waiting_.
   std::uint32_t First_ = 0;
--- a/src/medlarmoor/flow/replicator.cpp
+++ b/src/medlarmoor/flow/replicator.cpp
@@ -82,9 +82,10 @@
 
 } // namespace
 
-Replicator::Replicator(FlowBook &Book, Homes &Where, Random &Draw,
-                       std::uint32_t BytesPerSecond)
-    : Book_(Book), Homes_(Where), Draw_(Draw), Rate_(BytesPerSecond) {}
+Replicator::Replicator(ConnectionTracker &Tracker, Homes &Where,
+                       Random &Generator, std::uint32_t BytesPerSecond)
+    : Tracker_(Tracker), Homes_(Where), Random_(Generator),
+      Rate_(BytesPerSecond) {}
 
 void Replicator::queue(FlowRecord &Record) {
   if (Record.has(FlowRecord::Queued) || Queue_.size() >= MostQueued)
@@ -95,7 +96,8 @@
 
 void Replicator::tellHome(const FlowRecord &Record) {
   const FlowId Id = Record.id();
-  const membership::Member *Home = Homes_.home(Id, Book_.serviceOf(Id).seed());
+  const membership::Member *Home =
+      Homes_.home(Id, Tracker_.serviceOf(Id).seed());
   if (Home == nullptr || Homes_.isSelf(Home))
     return;
   Update Told;
@@ -171,9 +173,9 @@
   }
   for (const WireFlow &Each : Told.Ended_) {
     const std::optional<FlowId> Id = localFlow(Each);
-    FlowRecord *Known = Id ? Book_.table().find(*Id) : nullptr;
+    FlowRecord *Known = Id ? Tracker_.table().find(*Id) : nullptr;
     if (Known != nullptr && Known->has(FlowRecord::Copy))
-      Book_.erase(Known);
+      Tracker_.erase(Known);
   }
   for (const WireCount &Each : Told.Counts_)
     takeCount(Sender, Each);
@@ -213,27 +215,27 @@
 }
 
 Replicator::Peer &Replicator::peer(const EntryName &Name) {
-  return Peers_.try_emplace(Name, Draw_).first->second;
+  return Peers_.try_emplace(Name, Random_).first->second;
 }
 
 WireFlow Replicator::wireFlow(FlowId Id) {
-  return {Book_.serviceOf(Id).wireId(), Id.Hash_};
+  return {Tracker_.serviceOf(Id).wireId(), Id.Hash_};
 }
 
 WireException Replicator::wireException(const FlowRecord &Record) {
-  return {wireFlow(Record.id()), Book_.upstreamOf(Record).WireId_};
+  return {wireFlow(Record.id()), Tracker_.upstreamOf(Record).WireId_};
 }
 
 std::optional<FlowId> Replicator::localFlow(const WireFlow &Flow) const {
   const std::optional<ServiceIndex> Service =
-      Book_.services().findWire(Flow.Service_);
+      Tracker_.services().findWire(Flow.Service_);
   if (!Service)
     return std::nullopt;
   return FlowId{*Service, Flow.Hash_ & FlowHashMask};
 }
 
 const membership::Member *Replicator::nextHome(FlowId Id) {
-  const std::uint64_t Seed = Book_.serviceOf(Id).seed();
+  const std::uint64_t Seed = Tracker_.serviceOf(Id).seed();
   const membership::Member *Home = Homes_.home(Id, Seed);
   if (Home == nullptr)
     return nullptr;
@@ -243,19 +245,19 @@
 void Replicator::startTransfer(const EntryName &To, Update Last) {
   Transfer Out;
   Out.Last_ = std::move(Last);
-  Book_.table().forEach([&](FlowRecord &Each) {
+  Tracker_.table().forEach([&](FlowRecord &Each) {
     const FlowId Id = Each.id();
-    const std::uint64_t Seed = Book_.serviceOf(Id).seed();
+    const std::uint64_t Seed = Tracker_.serviceOf(Id).seed();
     const membership::Member *Home = Homes_.home(Id, Seed);
-    if (Home == nullptr || Home->Name_ != To || !Book_.exceptional(Each))
+    if (Home == nullptr || Home->Name_ != To || !Tracker_.exceptional(Each))
       return;
     // A copy goes along when this entry is, or was, the home but for To.
     if (!Each.has(FlowRecord::Copy) || Homes_.ownBut(*Home, Id, Seed))
       Out.Exceptions_.push_back(wireException(Each));
   });
-  for (std::size_t I = 0; I < Book_.services().size(); ++I) {
+  for (std::size_t I = 0; I < Tracker_.services().size(); ++I) {
     const ServiceState &Service =
-        Book_.services().at(static_cast<ServiceIndex>(I));
+        Tracker_.services().at(static_cast<ServiceIndex>(I));
     for (const UpstreamState &Each : Service.upstreams())
       if (Each.Shared_ > 0)
         Out.Counts_.push_back({Service.wireId(), Each.WireId_, Each.Shared_});
@@ -302,13 +304,13 @@
   if (!Id)
     return false;
   const std::optional<UpstreamIndex> Upstream =
-      Book_.serviceOf(*Id).findWire(Told.Upstream_);
+      Tracker_.serviceOf(*Id).findWire(Told.Upstream_);
   if (!Upstream)
     return false;
-  const FlowRecord *Known = Book_.table().find(*Id);
+  const FlowRecord *Known = Tracker_.table().find(*Id);
   const bool Own = Known != nullptr && !Known->has(FlowRecord::Copy);
   if (!Own) // what this entry has seen itself counts more
-    Book_.keepCopy(*Id, *Upstream, stampOf(Now));
+    Tracker_.keepCopy(*Id, *Upstream, stampOf(Now));
   return true;
 }
 
@@ -320,7 +322,7 @@
   if (!Id || Relays >= MostRelays)
     return;
   const membership::Member *Home =
-      Homes_.home(*Id, Book_.serviceOf(*Id).seed());
+      Homes_.home(*Id, Tracker_.serviceOf(*Id).seed());
   if (Home == nullptr || Homes_.isSelf(Home) || Home->Name_ == From)
     return;
   Update Next;
@@ -333,9 +335,9 @@
 /// over to before it heard of that.
 void Replicator::passOnCopies(const EntryName &Of) {
   std::map<EntryName, std::deque<WireException>> For;
-  Book_.table().forEach([&](FlowRecord &Each) {
+  Tracker_.table().forEach([&](FlowRecord &Each) {
     const FlowId Id = Each.id();
-    const std::uint64_t Seed = Book_.serviceOf(Id).seed();
+    const std::uint64_t Seed = Tracker_.serviceOf(Id).seed();
     const membership::Member *Home = Homes_.home(Id, Seed);
     if (!Each.has(FlowRecord::Copy) || Home == nullptr || Homes_.isSelf(Home))
       return;
@@ -354,15 +356,15 @@
 
 void Replicator::takeCount(Peer &From, const WireCount &Told) {
   const std::optional<ServiceIndex> Service =
-      Book_.services().findWire(Told.Service_);
+      Tracker_.services().findWire(Told.Service_);
   if (!Service)
     return;
   const std::optional<UpstreamIndex> Upstream =
-      Book_.services().at(*Service).findWire(Told.Upstream_);
+      Tracker_.services().at(*Service).findWire(Told.Upstream_);
   if (!Upstream)
     return;
   std::uint32_t &Known = From.Counts_[countKey(*Service, *Upstream)];
-  UpstreamState &Of = Book_.services().at(*Service).upstreams()[*Upstream];
+  UpstreamState &Of = Tracker_.services().at(*Service).upstreams()[*Upstream];
   Of.Peers_ = Of.Peers_ - Known + Told.Open_;
   Known = Told.Open_;
 }
@@ -370,7 +372,7 @@
 void Replicator::forgetCounts(Peer &From) {
   for (const auto &[Key, Open] : From.Counts_) {
     ServiceState &Service =
-        Book_.services().at(static_cast<ServiceIndex>(Key >> 16U));
+        Tracker_.services().at(static_cast<ServiceIndex>(Key >> 16U));
     Service.upstreams()[static_cast<UpstreamIndex>(Key)].Peers_ -= Open;
   }
   From.Counts_.clear();
@@ -434,12 +436,12 @@
   while (!Queue_.empty() && Tokens_ > 0) {
     const FlowId Id = FlowId::ofKey(Queue_.front());
     Queue_.pop_front();
-    FlowRecord *Record = Book_.table().find(Id);
+    FlowRecord *Record = Tracker_.table().find(Id);
     if (Record == nullptr)
       continue;
     Record->clear(FlowRecord::Queued);
     const membership::Member *Next = nextHome(Id);
-    if (!Record->open() || !Book_.exceptional(*Record) || Next == nullptr ||
+    if (!Record->open() || !Tracker_.exceptional(*Record) || Next == nullptr ||
         Homes_.isSelf(Next))
       continue;
     Record->set(FlowRecord::Copied);
@@ -464,12 +466,12 @@
 }
 
 void Replicator::batchCounts(TimePoint Now) {
-  const std::size_t Services = Book_.services().size();
+  const std::size_t Services = Tracker_.services().size();
   const std::size_t Others = Homes_.view().members().size() - 1;
   for (std::size_t I = 0; I < Services && Tokens_ > 0; ++I) {
     CountCursor_ = (CountCursor_ + 1) % Services;
     ServiceState &Service =
-        Book_.services().at(static_cast<ServiceIndex>(CountCursor_));
+        Tracker_.services().at(static_cast<ServiceIndex>(CountCursor_));
     for (UpstreamState &Each : Service.upstreams()) {
       noteScarcity(Each, Homes_.liveCount(), Now);
       if (!worthTelling(Each, Homes_.liveCount()))
--- a/src/medlarmoor/flow/replicator.hpp
+++ b/src/medlarmoor/flow/replicator.hpp
@@ -3,7 +3,7 @@
 
 #include <medlarmoor/core/random.hpp>
 #include <medlarmoor/core/time.hpp>
-#include <medlarmoor/flow/flow_book.hpp>
+#include <medlarmoor/flow/connection_tracker.hpp>
 #include <medlarmoor/flow/homes.hpp>
 #include <medlarmoor/flow/peer_link.hpp>
 #include <medlarmoor/wire/outgoing.hpp>
@@ -22,7 +22,7 @@
 public:
   /// BytesPerSecond bounds what it sends while no home changes; a change of
   /// home may use twice as much.
-  Replicator(FlowBook &Book, Homes &Where, Random &Draw,
+  Replicator(ConnectionTracker &Tracker, Homes &Where, Random &Generator,
              std::uint32_t BytesPerSecond);
 
   /// The flow is, or has become, an exception that its next home must know.
@@ -60,7 +60,7 @@
     Update Last_;
   };
   struct Peer {
-    explicit Peer(Random &Draw) : Link_(Draw) {}
+    explicit Peer(Random &Generator) : Link_(Generator) {}
 
     PeerLink Link_;
     std::optional<Transfer> Transfer_;
@@ -96,9 +96,9 @@
   void sendBatch(const EntryName &To, Update Batch);
   void send(const EntryName &To, Update Out);
 
-  FlowBook &Book_;
+  ConnectionTracker &Tracker_;
   Homes &Homes_;
-  Random &Draw_;
+  Random &Random_;
   double Rate_;
   double Tokens_ = 0;
   TimePoint RefilledAt_;
--- a/src/medlarmoor/flow/service_book.cpp
+++ b/src/medlarmoor/flow/service_registry.cpp
@@ -1,12 +1,13 @@
-#include <medlarmoor/flow/service_book.hpp>
+#include <medlarmoor/flow/service_registry.hpp>
 
 #include <vector>
 
 namespace medlarmoor::flow {
 
-ServiceBook::ServiceBook(DomainName Domain) : Domain_(std::move(Domain)) {}
+ServiceRegistry::ServiceRegistry(DomainName Domain)
+    : Domain_(std::move(Domain)) {}
 
-bool ServiceBook::adopt(const config::InForce &Document, TimePoint Now) {
+bool ServiceRegistry::adopt(const config::InForce &Document, TimePoint Now) {
   if (Version_ && Document.Version_ <= *Version_)
     return false;
   Version_ = Document.Version_;
@@ -27,13 +28,13 @@
   return true;
 }
 
-void ServiceBook::retire(TimePoint Now, Nanos Kept) {
+void ServiceRegistry::retire(TimePoint Now, Nanos Kept) {
   for (ServiceState &Each : Services_)
     Each.retire(Now, Kept);
 }
 
 std::optional<ServiceIndex>
-ServiceBook::find(Endpoint Destination) const noexcept {
+ServiceRegistry::find(Endpoint Destination) const noexcept {
   const auto At = ByAddress_.find(Destination);
   if (At == ByAddress_.end())
     return std::nullopt;
@@ -41,14 +42,14 @@
 }
 
 std::optional<ServiceIndex>
-ServiceBook::findWire(std::uint32_t WireId) const noexcept {
+ServiceRegistry::findWire(std::uint32_t WireId) const noexcept {
   const auto At = ByWireId_.find(WireId);
   if (At == ByWireId_.end())
     return std::nullopt;
   return At->second;
 }
 
-ServiceIndex ServiceBook::place(const ServiceName &Name) {
+ServiceIndex ServiceRegistry::place(const ServiceName &Name) {
   const ServiceState Fresh(Name);
   if (const auto Known = findWire(Fresh.wireId());
       Known && Services_[*Known].name() == Name)
@@ -59,7 +60,7 @@
   return Index;
 }
 
-void ServiceBook::markForeign(const config::Environment &Document) {
+void ServiceRegistry::markForeign(const config::Environment &Document) {
   boost::unordered_flat_map<Endpoint, ServiceIndex, std::hash<Endpoint>> Owner;
   for (const config::Service &Each : Document.Services_)
     for (const config::Upstream &One : Each.Upstreams_)
--- a/src/medlarmoor/flow/service_book.hpp
+++ b/src/medlarmoor/flow/service_registry.hpp
@@ -1,5 +1,5 @@
-#ifndef MEDLARMOOR_FLOW_SERVICE_BOOK_HPP
-#define MEDLARMOOR_FLOW_SERVICE_BOOK_HPP
+#ifndef MEDLARMOOR_FLOW_SERVICE_REGISTRY_HPP
+#define MEDLARMOOR_FLOW_SERVICE_REGISTRY_HPP
 
 #include <medlarmoor/config/in_force.hpp>
 #include <medlarmoor/flow/service_state.hpp>
@@ -13,10 +13,10 @@
 
 /// The services of the document in force, found by their addresses. A service
 /// keeps its index for as long as the entry runs.
-class ServiceBook {
+class ServiceRegistry {
 public:
   /// Domain is the entry's own failure domain.
-  explicit ServiceBook(DomainName Domain);
+  explicit ServiceRegistry(DomainName Domain);
 
   /// Takes a document whose version is higher than the present one; false,
   /// and nothing changed, for others.
@@ -51,4 +51,4 @@
 
 } // namespace medlarmoor::flow
 
-#endif // MEDLARMOOR_FLOW_SERVICE_BOOK_HPP
+#endif // MEDLARMOOR_FLOW_SERVICE_REGISTRY_HPP
--- a/src/medlarmoor/membership/fwd.hpp
+++ b/src/medlarmoor/membership/fwd.hpp
@@ -18,7 +18,7 @@
 class ListSchedule;
 class Mesh;
 class PeerTable;
-class Rumours;
+class GossipQueue;
 class View;
 using ViewPtr = std::shared_ptr<const View>;
 
--- a/src/medlarmoor/membership/rumours.cpp
+++ b/src/medlarmoor/membership/gossip_queue.cpp
@@ -1,4 +1,4 @@
-#include <medlarmoor/membership/rumours.hpp>
+#include <medlarmoor/membership/gossip_queue.hpp>
 
 #include <algorithm>
 #include <bit>
@@ -11,11 +11,12 @@
 
 } // namespace
 
-void Rumours::add(const EntryName &Name, std::size_t Members) {
+void GossipQueue::add(const EntryName &Name, std::size_t Members) {
   Left_[Name] = MessagesPerDoubling * std::bit_width(Members + 1);
 }
 
-std::vector<EntryName> Rumours::take(std::size_t Max, std::size_t Messages) {
+std::vector<EntryName> GossipQueue::take(std::size_t Max,
+                                         std::size_t Messages) {
   std::vector<std::pair<std::size_t, EntryName>> Order;
   Order.reserve(Left_.size());
   for (const auto &[Name, Left] : Left_)
--- a/src/medlarmoor/membership/rumours.hpp
+++ b/src/medlarmoor/membership/gossip_queue.hpp
@@ -1,5 +1,5 @@
-#ifndef MEDLARMOOR_MEMBERSHIP_RUMOURS_HPP
-#define MEDLARMOOR_MEMBERSHIP_RUMOURS_HPP
+#ifndef MEDLARMOOR_MEMBERSHIP_GOSSIP_QUEUE_HPP
+#define MEDLARMOOR_MEMBERSHIP_GOSSIP_QUEUE_HPP
 
 #include <medlarmoor/core/ids.hpp>
 
@@ -11,7 +11,7 @@
 
 /// The members about whom something new has to be passed on, with the number
 /// of messages that have yet to carry it.
-class Rumours {
+class GossipQueue {
 public:
   /// Passes the news about Name on in further messages; Members is the size of
   /// the failure domain, with whose logarithm the number of messages grows.
@@ -28,4 +28,4 @@
 
 } // namespace medlarmoor::membership
 
-#endif // MEDLARMOOR_MEMBERSHIP_RUMOURS_HPP
+#endif // MEDLARMOOR_MEMBERSHIP_GOSSIP_QUEUE_HPP
--- a/src/medlarmoor/membership/mesh.cpp
+++ b/src/medlarmoor/membership/mesh.cpp
@@ -245,7 +245,7 @@
   if (state() == EntryState::Stopped)
     return;
   for (Peer *Each : Peers_.suspectSilent(Now, suspectAfter(Timing_))) {
-    Rumours_.add(Each->Name_, Peers_.active());
+    Gossip_.add(Each->Name_, Peers_.active());
     Urgent_ = true;
     wire::Heartbeat Probe = heartbeat(0);
     Probe.News_ = {Each->news()};
@@ -305,7 +305,7 @@
   Phase_ = Next;
   ++Generation_;
   Urgent_ = true;
-  Rumours_.add(Self_, Peers_.active());
+  Gossip_.add(Self_, Peers_.active());
   membersChanged();
 }
 
@@ -313,7 +313,7 @@
 
 wire::Heartbeat Mesh::heartbeat(std::size_t Messages) {
   wire::Heartbeat Out{Address_, View_->id(), Config_, Generation_, Phase_, {}};
-  for (const EntryName &Name : Rumours_.take(NewsPerBeat, Messages)) {
+  for (const EntryName &Name : Gossip_.take(NewsPerBeat, Messages)) {
     if (Name == Self_)
       Out.News_.push_back(ownNews());
     else if (const Peer *Each = Peers_.find(Name))
--- a/src/medlarmoor/membership/mesh.hpp
+++ b/src/medlarmoor/membership/mesh.hpp
@@ -6,11 +6,11 @@
 #include <medlarmoor/core/random.hpp>
 #include <medlarmoor/membership/action.hpp>
 #include <medlarmoor/membership/entry_lifecycle.hpp>
+#include <medlarmoor/membership/gossip_queue.hpp>
 #include <medlarmoor/membership/list_schedule.hpp>
 #include <medlarmoor/membership/listed_instance.hpp>
 #include <medlarmoor/membership/member.hpp>
 #include <medlarmoor/membership/peer_table.hpp>
-#include <medlarmoor/membership/rumours.hpp>
 #include <medlarmoor/membership/view.hpp>
 #include <medlarmoor/wire/incoming.hpp>
 
@@ -118,7 +118,7 @@
 
   EntryLifecycle Lifecycle_;
   PeerTable Peers_;
-  Rumours Rumours_;
+  GossipQueue Gossip_;
   ListSchedule Schedule_;
   std::vector<ListedInstance> Listed_;
   ViewPtr View_;
--- a/src/medlarmoor/membership/mesh_receive.cpp
+++ b/src/medlarmoor/membership/mesh_receive.cpp
@@ -88,7 +88,7 @@
   case Verdict::Full:
     return;
   }
-  Rumours_.add(Fact.Name_, Peers_.active());
+  Gossip_.add(Fact.Name_, Peers_.active());
   Urgent_ = true;
   membersChanged();
   if (Lifecycle_.state() == EntryState::Starting && Lifecycle_.contacted())
@@ -107,7 +107,7 @@
     return;
   Generation_ = Fact.Generation_ + 1;
   Urgent_ = true;
-  Rumours_.add(Self_, Peers_.active());
+  Gossip_.add(Self_, Peers_.active());
 }
 
 /// Views that differ for longer than news take to arrive are compared in full.
--- a/src/medlarmoor/objects/collection_reader.hpp
+++ b/src/medlarmoor/objects/collection_reader.hpp
@@ -41,11 +41,11 @@
   /// Name is what logs and metrics call the collection.
   CollectionReader(std::string Name, boost::asio::io_context &Io,
                    Endpoint Store, Ipv4 Source, CollectionCodec<Item> Codec,
-                   FollowerTiming Timing, Random Draw, Clock Time,
+                   FollowerTiming Timing, Random Generator, Clock Time,
                    Handlers Receivers, telemetry::Registry &Metrics,
                    telemetry::EventLog &Log)
       : Name_(std::move(Name)), Http_(Io, Source), Store_(Store),
-        Codec_(std::move(Codec)), Timing_(Timing), Follower_(Timing, Draw),
+        Codec_(std::move(Codec)), Timing_(Timing), Follower_(Timing, Generator),
         Time_(Time), Receivers_(std::move(Receivers)), Timer_(Io),
         Calls_(Metrics.counter("medlarmoor_store_calls_total",
                                "collection=\"" + Name_ + "\"")),
--- a/src/medlarmoor/placement/answer_size.cpp
+++ b/src/medlarmoor/placement/answer_size.cpp
@@ -25,17 +25,17 @@
 
 void AnswerSize::add(std::uint32_t Bytes) noexcept {
   const double Size = std::log(static_cast<double>(std::max(Bytes, 1U)));
-  if (Seen_ == 0)
+  if (Samples_ == 0)
     Median_ = Size;
-  Seen_ = std::min(Seen_ + 1, SettledAnswers);
-  const double Step = std::max(LeastStep, FirstStep / Seen_);
+  Samples_ = std::min(Samples_ + 1, SettledAnswers);
+  const double Step = std::max(LeastStep, FirstStep / Samples_);
   const double Distance = Size - Median_;
   Median_ += std::clamp(Distance, -Step, Step);
   Deviation_ += std::clamp(std::abs(Distance) - Deviation_, -Step, Step);
 }
 
 bool AnswerSize::unusuallyShort(std::uint32_t Bytes) const noexcept {
-  if (Seen_ < EnoughAnswers)
+  if (Samples_ < EnoughAnswers)
     return false;
   const double Size = std::log(static_cast<double>(std::max(Bytes, 1U)));
   return Median_ - Size >
--- a/src/medlarmoor/placement/answer_size.hpp
+++ b/src/medlarmoor/placement/answer_size.hpp
@@ -19,8 +19,8 @@
   /// Natural logarithm of bytes.
   double Median_ = 0;
   double Deviation_ = 0;
-  /// Answers seen, up to the number that judging takes.
-  std::uint32_t Seen_ = 0;
+  /// Answers added, up to the number that judging takes.
+  std::uint32_t Samples_ = 0;
 };
 
 } // namespace medlarmoor::placement
--- a/src/medlarmoor/placement/failure_rates.cpp
+++ b/src/medlarmoor/placement/failure_rates.cpp
@@ -22,7 +22,7 @@
 constexpr unsigned OverduePercent = 15;
 constexpr double Percent = 0.01;
 /// Overdue answers alone raise an excess no further.
-constexpr double MostTold = 0.5;
+constexpr double MostOverdue = 0.5;
 /// More suspects than this between two reports point to this instance's
 /// own network.
 constexpr std::size_t MostSuspects = 4;
@@ -58,16 +58,16 @@
   if (Left < ClearExcess)
     Suspects_.push_back({Upstream, OverduePercent});
   raise(Each,
-        std::max(Left, std::min(Left + OverduePercent * Percent, MostTold)),
+        std::max(Left, std::min(Left + OverduePercent * Percent, MostOverdue)),
         Left, Now);
 }
 
-bool FailureRates::reported(const Suspect &Told, TimePoint Now) {
-  Record &Each = Records_[Told.Upstream_];
+bool FailureRates::reported(const Suspect &Report, TimePoint Now) {
+  Record &Each = Records_[Report.Upstream_];
   const double Left = faded(Each, Now);
   if (Left >= ClearExcess)
     return false;
-  raise(Each, Left + std::min(Told.Percent_, FailurePercent) * Percent, Left,
+  raise(Each, Left + std::min(Report.Percent_, FailurePercent) * Percent, Left,
         Now);
   return Each.Excess_ >= ClearExcess;
 }
--- a/src/medlarmoor/placement/fwd.hpp
+++ b/src/medlarmoor/placement/fwd.hpp
@@ -13,7 +13,7 @@
 class ServiceTimes;
 class AnswerSize;
 class FailureRates;
-struct Observations;
+struct UpstreamStats;
 struct Suspect;
 enum class Outcome : unsigned char;
 
--- a/src/medlarmoor/placement/selector.cpp
+++ b/src/medlarmoor/placement/selector.cpp
@@ -1,7 +1,7 @@
 #include <medlarmoor/placement/selector.hpp>
 
 #include <medlarmoor/discovery/catalog_entry.hpp>
-#include <medlarmoor/placement/observations.hpp>
+#include <medlarmoor/placement/upstream_stats.hpp>
 
 #include <algorithm>
 
@@ -31,18 +31,18 @@
 
 const CatalogEntry *
 Selector::choose(const std::vector<const CatalogEntry *> &Candidates,
-                 const Observations &Seen, const CatalogEntry *Avoid,
+                 const UpstreamStats &Stats, const CatalogEntry *Avoid,
                  TimePoint Now) {
-  const View By{Seen, Now};
+  const View By{Stats, Now};
   Pool_.clear();
   std::size_t Ejected = 0;
   for (const CatalogEntry *Each : Candidates)
-    if (Seen.Outliers_.ejected(Each->Tag_, Now))
+    if (Stats.Outliers_.ejected(Each->Tag_, Now))
       ++Ejected;
     else if (Each != Avoid)
       Pool_.push_back(Each);
   const CatalogEntry *Chosen = fromPool(By);
-  if (Chosen && (Ejected <= Seen.Outliers_.most(Candidates.size()) ||
+  if (Chosen && (Ejected <= Stats.Outliers_.most(Candidates.size()) ||
                  !overloaded(*Chosen, By)))
     return Chosen;
   // What is left is too little: the fault may be on the way to the others.
@@ -63,20 +63,20 @@
 double Selector::cost(const CatalogEntry &Each, const View &By) const {
   const double Speed = Each.warmingUp(By.Now_) ? ColdSpeed : 1.0;
   const double Slots = static_cast<double>(Each.Upstream_.Slots_) * Speed;
-  const double Flows = static_cast<double>(By.Seen_.Flows_.active(Each.Tag_));
+  const double Flows = static_cast<double>(By.Stats_.Flows_.active(Each.Tag_));
   // The new flow takes longer where all flows do.
-  const double Slowness = By.Seen_.Times_.slowness(Each.Tag_, By.Now_);
+  const double Slowness = By.Stats_.Times_.slowness(Each.Tag_, By.Now_);
   double Cost = ((Flows + 1.0) * Slowness - 1.0) / Slots;
   if (Each.Upstream_.Domain_ != Home_)
     Cost += RemoteCost;
   if (Each.State_ == CatalogEntry::State::Lapsed)
     Cost += LapsedCost;
-  Cost += FailureCost * By.Seen_.Failures_.excess(Each.Tag_, By.Now_);
+  Cost += FailureCost * By.Stats_.Failures_.excess(Each.Tag_, By.Now_);
   return Cost;
 }
 
 bool Selector::overloaded(const CatalogEntry &Each, const View &By) const {
-  return static_cast<double>(By.Seen_.Flows_.active(Each.Tag_)) >=
+  return static_cast<double>(By.Stats_.Flows_.active(Each.Tag_)) >=
          OverloadedFlows * static_cast<double>(Each.Upstream_.Slots_);
 }
 
--- a/src/medlarmoor/placement/selector.hpp
+++ b/src/medlarmoor/placement/selector.hpp
@@ -22,7 +22,7 @@
   /// Avoid are passed over as long as others are left.
   [[nodiscard]] const discovery::CatalogEntry *
   choose(const std::vector<const discovery::CatalogEntry *> &Candidates,
-         const Observations &Seen, const discovery::CatalogEntry *Avoid,
+         const UpstreamStats &Stats, const discovery::CatalogEntry *Avoid,
          TimePoint Now);
 
 private:
@@ -30,7 +30,7 @@
 
   /// What a choice looks at.
   struct View {
-    const Observations &Seen_;
+    const UpstreamStats &Stats_;
     TimePoint Now_;
   };
 
--- a/src/medlarmoor/placement/observations.hpp
+++ b/src/medlarmoor/placement/upstream_stats.hpp
@@ -1,5 +1,5 @@
-#ifndef MEDLARMOOR_PLACEMENT_OBSERVATIONS_HPP
-#define MEDLARMOOR_PLACEMENT_OBSERVATIONS_HPP
+#ifndef MEDLARMOOR_PLACEMENT_UPSTREAM_STATS_HPP
+#define MEDLARMOOR_PLACEMENT_UPSTREAM_STATS_HPP
 
 #include <medlarmoor/placement/ejector.hpp>
 #include <medlarmoor/placement/failure_rates.hpp>
@@ -8,9 +8,9 @@
 
 namespace medlarmoor::placement {
 
-/// What this instance has seen of the upstreams.
-struct Observations {
-  explicit Observations(EjectionLimits Limits) : Outliers_(Limits) {}
+/// What this instance has measured of the upstreams.
+struct UpstreamStats {
+  explicit UpstreamStats(EjectionLimits Limits) : Outliers_(Limits) {}
 
   FlowTracker Flows_;
   ServiceTimes Times_;
@@ -20,4 +20,4 @@
 
 } // namespace medlarmoor::placement
 
-#endif // MEDLARMOOR_PLACEMENT_OBSERVATIONS_HPP
+#endif // MEDLARMOOR_PLACEMENT_UPSTREAM_STATS_HPP
--- a/src/medlarmoor/request/dispatcher.cpp
+++ b/src/medlarmoor/request/dispatcher.cpp
@@ -35,7 +35,7 @@
 } // namespace
 
 Dispatcher::Dispatcher(DispatcherIdentity Self, DispatcherLimits Limits,
-                       Ledger &Known, Tenure &Office, Quorum &Members,
+                       Ledger &Known, DispatcherRole &Office, Quorum &Members,
                        upstream::SlotPool Slots, Clock Time, Random Source)
     : Self_(std::move(Self)), Limits_(Limits), Known_(Known), Office_(Office),
       Members_(Members), Slots_(std::move(Slots)), Time_(std::move(Time)),
--- a/src/medlarmoor/request/dispatcher.hpp
+++ b/src/medlarmoor/request/dispatcher.hpp
@@ -5,11 +5,11 @@
 #include <medlarmoor/core/random.hpp>
 #include <medlarmoor/request/action.hpp>
 #include <medlarmoor/request/dispatcher_limits.hpp>
+#include <medlarmoor/request/dispatcher_role.hpp>
 #include <medlarmoor/request/ledger.hpp>
 #include <medlarmoor/request/quorum.hpp>
 #include <medlarmoor/request/retry_budget.hpp>
 #include <medlarmoor/request/submission.hpp>
-#include <medlarmoor/request/tenure.hpp>
 #include <medlarmoor/upstream/slot_pool.hpp>
 
 #include <deque>
@@ -35,7 +35,7 @@
   /// Known, Office and Members are shared by the dispatchers of one entry and
   /// must outlive them.
   Dispatcher(DispatcherIdentity Self, DispatcherLimits Limits, Ledger &Known,
-             Tenure &Office, Quorum &Members, upstream::SlotPool Slots,
+             DispatcherRole &Office, Quorum &Members, upstream::SlotPool Slots,
              Clock Time, Random Source);
 
   /// Takes a submission; its ticket gets exactly one Resolve, at once where
@@ -123,7 +123,7 @@
   DispatcherIdentity Self_;
   DispatcherLimits Limits_;
   Ledger &Known_;
-  Tenure &Office_;
+  DispatcherRole &Office_;
   Quorum &Members_;
   upstream::SlotPool Slots_;
   Clock Time_;
--- a/src/medlarmoor/request/tenure.cpp
+++ b/src/medlarmoor/request/dispatcher_role.cpp
@@ -1,5 +1,5 @@
+#include <medlarmoor/request/dispatcher_role.hpp>
 #include <medlarmoor/request/submission_reader.hpp>
-#include <medlarmoor/request/tenure.hpp>
 
 namespace medlarmoor::request {
 
@@ -10,11 +10,11 @@
 
 } // namespace
 
-Tenure::Tenure(EntryName Self, Millis Lease, Clock Time)
+DispatcherRole::DispatcherRole(EntryName Self, Millis Lease, Clock Time)
     : Self_(std::move(Self)), Lease_(Lease), Time_(std::move(Time)),
       View_(std::make_shared<membership::View>()), Checked_(Time_.now()) {}
 
-void Tenure::onView(membership::ViewPtr Now) {
+void DispatcherRole::onView(membership::ViewPtr Now) {
   check();
   View_ = std::move(Now);
   Suspended_.reset();
@@ -22,7 +22,7 @@
                 [&](const auto &Each) { return !isDispatcher(Each.first); });
 }
 
-void Tenure::onHandover(const ServiceName &Service, WallTime From) {
+void DispatcherRole::onHandover(const ServiceName &Service, WallTime From) {
   Received_[Service] = {From, Time_.now()};
   const auto At = Terms_.find(Service);
   if (At == Terms_.end())
@@ -31,7 +31,7 @@
   At->second.HandedOver_ = true;
 }
 
-void Tenure::check() {
+void DispatcherRole::check() {
   const TimePoint Now = Time_.now();
   if (Now - Checked_ > Lease_) {
     Suspended_ = Now;
@@ -43,19 +43,20 @@
     Suspended_.reset();
 }
 
-const membership::Member *Tenure::dispatcher(const ServiceName &Service) const {
+const membership::Member *
+DispatcherRole::dispatcher(const ServiceName &Service) const {
   const std::uint64_t Key = homeKey(Service);
   return Leaving_ ? View_->homeWithout(Key, Self_) : View_->home(Key);
 }
 
-bool Tenure::isDispatcher(const ServiceName &Service) const {
+bool DispatcherRole::isDispatcher(const ServiceName &Service) const {
   if (Suspended_ || Leaving_)
     return false;
   const membership::Member *Home = View_->home(homeKey(Service));
   return Home && Home->Name_ == Self_;
 }
 
-Tenure::Term *Tenure::term(const ServiceName &Service) {
+DispatcherRole::Term *DispatcherRole::term(const ServiceName &Service) {
   if (!isDispatcher(Service))
     return nullptr;
   const auto [At, Fresh] = Terms_.try_emplace(Service);
@@ -73,12 +74,12 @@
   return &At->second;
 }
 
-WallTime Tenure::judgesFrom(const ServiceName &Service) {
+WallTime DispatcherRole::judgesFrom(const ServiceName &Service) {
   const Term *Own = term(Service);
   return Own ? Own->From_ : WallTime::max();
 }
 
-bool Tenure::awaitsHandover(const ServiceName &Service) {
+bool DispatcherRole::awaitsHandover(const ServiceName &Service) {
   const Term *Own = term(Service);
   if (!Own || Own->HandedOver_ || Time_.now() - Own->Began_ > Lease_)
     return false;
--- a/src/medlarmoor/request/tenure.hpp
+++ b/src/medlarmoor/request/dispatcher_role.hpp
@@ -1,5 +1,5 @@
-#ifndef MEDLARMOOR_REQUEST_TENURE_HPP
-#define MEDLARMOOR_REQUEST_TENURE_HPP
+#ifndef MEDLARMOOR_REQUEST_DISPATCHER_ROLE_HPP
+#define MEDLARMOOR_REQUEST_DISPATCHER_ROLE_HPP
 
 #include <medlarmoor/core/clock.hpp>
 #include <medlarmoor/core/hash.hpp>
@@ -18,9 +18,9 @@
 
 /// Decides for which services this entry is the dispatcher now, and from
 /// which minting time on it may judge a key that has no record.
-class Tenure {
+class DispatcherRole {
 public:
-  Tenure(EntryName Self, Millis Lease, Clock Time);
+  DispatcherRole(EntryName Self, Millis Lease, Clock Time);
 
   /// Takes a new view.
   void onView(membership::ViewPtr Now);
@@ -73,4 +73,4 @@
 
 } // namespace medlarmoor::request
 
-#endif // MEDLARMOOR_REQUEST_TENURE_HPP
+#endif // MEDLARMOOR_REQUEST_DISPATCHER_ROLE_HPP
--- a/src/medlarmoor/request/fwd.hpp
+++ b/src/medlarmoor/request/fwd.hpp
@@ -18,7 +18,7 @@
 class Quorum;
 class RequestThread;
 class SubmissionReader;
-class Tenure;
+class DispatcherRole;
 
 } // namespace medlarmoor::request
 
--- a/src/medlarmoor/request/internal/desk.cpp
+++ b/src/medlarmoor/request/internal/dispatch_executor.cpp
@@ -1,4 +1,4 @@
-#include <medlarmoor/request/internal/desk.hpp>
+#include <medlarmoor/request/internal/dispatch_executor.hpp>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -67,13 +67,15 @@
 
 } // namespace
 
-Desk::Desk(asio::io_context &Io, ConnectionPool &Pool, Peers &Others,
-           Meters &Counts, Tracer &Traces, Dispatcher Decides, Clock Time)
+DispatchExecutor::DispatchExecutor(asio::io_context &Io, ConnectionPool &Pool,
+                                   Peers &Others, Meters &Counts,
+                                   Tracer &Traces, Dispatcher Decides,
+                                   Clock Time)
     : Io_(Io), Pool_(Pool), Others_(Others), Counts_(Counts), Traces_(Traces),
       Decides_(std::move(Decides)), Time_(std::move(Time)) {}
 
-void Desk::configure(const config::Service &Now,
-                     std::vector<config::Upstream> Upstreams) {
+void DispatchExecutor::configure(const config::Service &Now,
+                                 std::vector<config::Upstream> Upstreams) {
   Name_ = Now.Name_;
   Upstreams_ = std::move(Upstreams);
   DispatcherLimits Limits;
@@ -83,17 +85,17 @@
   Decides_.slots().configure(Upstreams_);
 }
 
-Awaitable<Verdict> Desk::serve(OpenRequestPtr Asked) {
+Awaitable<Verdict> DispatchExecutor::serve(OpenRequestPtr Asked) {
   const Ticket Of = Decides_.submit(Asked->Asked_);
   co_return co_await await(std::move(Asked), Of);
 }
 
-Awaitable<Verdict> Desk::refuse(OpenRequestPtr Asked, bool Stop) {
+Awaitable<Verdict> DispatchExecutor::refuse(OpenRequestPtr Asked, bool Stop) {
   const Ticket Of = Decides_.refuse(Asked->Asked_, Stop);
   co_return co_await await(std::move(Asked), Of);
 }
 
-Awaitable<Verdict> Desk::await(OpenRequestPtr Asked, Ticket Of) {
+Awaitable<Verdict> DispatchExecutor::await(OpenRequestPtr Asked, Ticket Of) {
   Open_.emplace(Of, Asked);
   TicketOf_.emplace(Asked.get(), Of);
   pump();
@@ -116,7 +118,7 @@
   co_return Verdict{Outcome::Unknown, "deadline_passed", true, nullptr, false};
 }
 
-void Desk::withdraw(const OpenRequestPtr &Asked) {
+void DispatchExecutor::withdraw(const OpenRequestPtr &Asked) {
   const auto At = TicketOf_.find(Asked.get());
   if (At == TicketOf_.end() || Asked->Verdict_)
     return;
@@ -127,17 +129,17 @@
   pump();
 }
 
-void Desk::tick() {
+void DispatchExecutor::tick() {
   Decides_.tick();
   pump();
 }
 
-void Desk::moveOn() {
+void DispatchExecutor::moveOn() {
   Decides_.moveOn();
   pump();
 }
 
-void Desk::pump() {
+void DispatchExecutor::pump() {
   if (Pumping_)
     return;
   Pumping_ = true;
@@ -148,7 +150,7 @@
   Pumping_ = false;
 }
 
-void Desk::act(const Send &Of) {
+void DispatchExecutor::act(const Send &Of) {
   const auto At = Open_.find(Of.Ticket_);
   if (At == Open_.end())
     return Decides_.answered(Of.Ticket_, AttemptEnd::NotConnected, Nanos(0));
@@ -156,7 +158,7 @@
   asio::co_spawn(Io_, attempt(Of, At->second), asio::detached);
 }
 
-void Desk::act(const Replicate &Of) {
+void DispatchExecutor::act(const Replicate &Of) {
   Others_.replicate(Of, Time_.now(),
                     [Self = shared_from_this(), Of](ReplicaEnd End) {
                       Self->Decides_.replicated(Of.Ticket_, End);
@@ -164,9 +166,9 @@
                     });
 }
 
-void Desk::act(const Announce &Of) { Others_.announce(Of); }
+void DispatchExecutor::act(const Announce &Of) { Others_.announce(Of); }
 
-void Desk::act(const Resolve &Of) {
+void DispatchExecutor::act(const Resolve &Of) {
   const auto At = Open_.find(Of.Ticket_);
   if (At == Open_.end())
     return;
@@ -175,7 +177,7 @@
   Open_.erase(At);
 }
 
-void Desk::act(const Cancel &Of) {
+void DispatchExecutor::act(const Cancel &Of) {
   asio::co_spawn(Io_, cancel(Of.At_, Of.Attempt_), asio::detached);
   const auto At = Open_.find(Of.Ticket_);
   if (!Of.GiveUp_ || At == Open_.end())
@@ -185,7 +187,7 @@
     At->second->Upstream_->Stream_.close();
 }
 
-Awaitable<void> Desk::attempt(Send Of, OpenRequestPtr Asked) {
+Awaitable<void> DispatchExecutor::attempt(Send Of, OpenRequestPtr Asked) {
   const auto Self = shared_from_this();
   const TimePoint Began = Time_.now();
   const Nanos Left = Of.Deadline_ - Began;
@@ -212,9 +214,9 @@
   pump();
 }
 
-Awaitable<AttemptEnd> Desk::take(const Send &Of, OpenRequestPtr Asked,
-                                 AnswerPtr Got,
-                                 std::shared_ptr<const KeptAnswer> &Kept) {
+Awaitable<AttemptEnd>
+DispatchExecutor::take(const Send &Of, OpenRequestPtr Asked, AnswerPtr Got,
+                       std::shared_ptr<const KeptAnswer> &Kept) {
   if (Got->field("Medlarmoor-Attempt") != Of.Attempt_.value()) {
     Counts_.Crossed_.add();
     Got->From_->Stream_.close();
@@ -242,7 +244,7 @@
   co_return Asked->Cut_ ? AttemptEnd::Abandoned : AttemptEnd::Failed;
 }
 
-Awaitable<void> Desk::cancel(config::Upstream At, AttemptId Which) {
+Awaitable<void> DispatchExecutor::cancel(config::Upstream At, AttemptId Which) {
   HttpMessage Message = postTo(At, "/cancel");
   Message.set("Medlarmoor-Attempt", Which.value());
   Message.prepare_payload();
@@ -251,13 +253,13 @@
                 Opened);
 }
 
-void Desk::pollLoads() {
+void DispatchExecutor::pollLoads() {
   for (const config::Upstream &Each : Upstreams_)
     if (!std::exchange(Polling_[Each.Name_], true))
       asio::co_spawn(Io_, pollLoad(Each), asio::detached);
 }
 
-Awaitable<void> Desk::pollLoad(config::Upstream At) {
+Awaitable<void> DispatchExecutor::pollLoad(config::Upstream At) {
   const auto Self = shared_from_this();
   HttpMessage Message(http::verb::get, "/load", 11);
   Message.set(http::field::host, At.Requests_.text());
--- a/src/medlarmoor/request/internal/desk.hpp
+++ b/src/medlarmoor/request/internal/dispatch_executor.hpp
@@ -1,5 +1,5 @@
-#ifndef MEDLARMOOR_REQUEST_INTERNAL_DESK_HPP
-#define MEDLARMOOR_REQUEST_INTERNAL_DESK_HPP
+#ifndef MEDLARMOOR_REQUEST_INTERNAL_DISPATCH_EXECUTOR_HPP
+#define MEDLARMOOR_REQUEST_INTERNAL_DISPATCH_EXECUTOR_HPP
 
 #include <medlarmoor/config/service.hpp>
 #include <medlarmoor/request/dispatcher.hpp>
@@ -16,10 +16,11 @@
 
 /// Carries out what the dispatcher of one service decides: sends attempts,
 /// brings copies to other entries, passes answers back.
-class Desk : public std::enable_shared_from_this<Desk> {
+class DispatchExecutor : public std::enable_shared_from_this<DispatchExecutor> {
 public:
-  Desk(asio::io_context &Io, ConnectionPool &Pool, Peers &Others,
-       Meters &Counts, Tracer &Traces, Dispatcher Decides, Clock Time);
+  DispatchExecutor(asio::io_context &Io, ConnectionPool &Pool, Peers &Others,
+                   Meters &Counts, Tracer &Traces, Dispatcher Decides,
+                   Clock Time);
 
   /// Takes the service as it is in force, and those of its upstreams that this
   /// entry uses.
@@ -73,4 +74,4 @@
 
 } // namespace medlarmoor::request::internal
 
-#endif // MEDLARMOOR_REQUEST_INTERNAL_DESK_HPP
+#endif // MEDLARMOOR_REQUEST_INTERNAL_DISPATCH_EXECUTOR_HPP
--- a/src/medlarmoor/request/internal/router.cpp
+++ b/src/medlarmoor/request/internal/router.cpp
@@ -65,7 +65,7 @@
 
 void Router::onConfig(config::InForcePtr Now) {
   Config_ = std::move(Now);
-  std::erase_if(Desks_, [&](const auto &Each) {
+  std::erase_if(Executors_, [&](const auto &Each) {
     const auto &All = Config_->Environment_.Services_;
     const bool Gone =
         std::none_of(All.begin(), All.end(), [&](const config::Service &Of) {
@@ -74,16 +74,16 @@
     return Gone && Each.second->decisions().open() == 0;
   });
   for (const config::Service &Each : Config_->Environment_.Services_) {
-    std::shared_ptr<Desk> &Of = Desks_[Each.Name_];
+    std::shared_ptr<DispatchExecutor> &Of = Executors_[Each.Name_];
     if (!Of) {
       upstream::SlotPool Slots({}, Time_, Random(Source_()));
       DispatcherLimits Limits;
       Limits.Horizon_ = Own_.Requests_.Horizon_;
-      Of = std::make_shared<Desk>(Io_, Pool_, Others_, Counts_, Traces_,
-                                  Dispatcher(Self_, Limits, Known_, Office_,
-                                             Members_, std::move(Slots), Time_,
-                                             Random(Source_())),
-                                  Time_);
+      Of = std::make_shared<DispatchExecutor>(
+          Io_, Pool_, Others_, Counts_, Traces_,
+          Dispatcher(Self_, Limits, Known_, Office_, Members_, std::move(Slots),
+                     Time_, Random(Source_())),
+          Time_);
     }
     Of->configure(Each, usedUpstreams(Each, Own_.Domain_));
   }
@@ -92,7 +92,7 @@
 void Router::onView(membership::ViewPtr Now) {
   Members_.onView(Now);
   Office_.onView(std::move(Now));
-  reviewTenures();
+  reviewRoles();
   reviewForwards();
 }
 
@@ -105,13 +105,13 @@
 void Router::leave() {
   Leaving_ = true;
   Office_.leave();
-  reviewTenures();
+  reviewRoles();
 }
 
-void Router::reviewTenures() {
+void Router::reviewRoles() {
   if (Office_.suspended())
     return Dispatched_.clear();
-  for (const auto &[Name, Of] : Desks_) {
+  for (const auto &[Name, Of] : Executors_) {
     if (Office_.isDispatcher(Name)) {
       Dispatched_[Name] = std::max(Office_.judgesFrom(Name), Members_.since());
       Exits_.erase(Name);
@@ -149,9 +149,9 @@
   const bool Alone = Office_.view().homeWithout(0, Self_.Name_) == nullptr;
   if (!Leaving_ || (!Exits_.empty() && !Alone))
     return false;
-  return std::all_of(Desks_.begin(), Desks_.end(), [](const auto &Each) {
-    return Each.second->decisions().open() == 0;
-  });
+  return std::all_of(
+      Executors_.begin(), Executors_.end(),
+      [](const auto &Each) { return Each.second->decisions().open() == 0; });
 }
 
 void Router::tick() {
@@ -159,10 +159,10 @@
   readList();
   Members_.tick();
   Known_.expire();
-  reviewTenures();
+  reviewRoles();
   std::size_t Waiting = 0;
   const bool Poll = ++Ticks_ % TicksPerLoadPoll == 0;
-  for (const auto &[Name, Of] : Desks_) {
+  for (const auto &[Name, Of] : Executors_) {
     Of->tick();
     Waiting += Of->decisions().waiting();
     if (Poll && Dispatched_.contains(Name))
@@ -172,9 +172,9 @@
   Counts_.LedgerKeys_.set(static_cast<std::int64_t>(Known_.size()));
 }
 
-Desk *Router::desk(const ServiceName &Name) {
-  const auto At = Desks_.find(Name);
-  return At == Desks_.end() ? nullptr : At->second.get();
+DispatchExecutor *Router::executor(const ServiceName &Name) {
+  const auto At = Executors_.find(Name);
+  return At == Executors_.end() ? nullptr : At->second.get();
 }
 
 void Router::count(const Verdict &Of) {
--- a/src/medlarmoor/request/internal/router.hpp
+++ b/src/medlarmoor/request/internal/router.hpp
@@ -5,7 +5,7 @@
 #include <medlarmoor/config/settings.hpp>
 #include <medlarmoor/core/findings.hpp>
 #include <medlarmoor/net/http_request.hpp>
-#include <medlarmoor/request/internal/desk.hpp>
+#include <medlarmoor/request/internal/dispatch_executor.hpp>
 #include <medlarmoor/request/submission_reader.hpp>
 #include <medlarmoor/telemetry/fwd.hpp>
 #include <medlarmoor/wire/http_seal.hpp>
@@ -83,7 +83,7 @@
   /// Brings Of to its dispatcher. True when the answer has been passed on
   /// already; else Into holds what to respond.
   [[nodiscard]] Awaitable<bool> settle(Ask &Of, Verdict &Into, bool Close);
-  [[nodiscard]] Awaitable<Verdict> here(Ask &Of, Desk &At);
+  [[nodiscard]] Awaitable<Verdict> here(Ask &Of, DispatchExecutor &At);
   [[nodiscard]] Awaitable<bool> there(Ask &Of, membership::Member To,
                                       Verdict &Into, bool Close);
   [[nodiscard]] Awaitable<bool> respond(const Ask &Of, const Verdict &With,
@@ -96,8 +96,8 @@
   [[nodiscard]] Awaitable<void> pause(Nanos Time);
   void watch(const OpenRequestPtr &Of, std::function<void()> OnLeft);
 
-  Desk *desk(const ServiceName &Name);
-  void reviewTenures();
+  DispatchExecutor *executor(const ServiceName &Name);
+  void reviewRoles();
   /// Gives up waiting at entries that are no longer members, so that their
   /// requests go to the next dispatcher.
   void reviewForwards();
@@ -119,13 +119,13 @@
   DispatcherIdentity Self_;
   wire::HttpSeal Seal_;
   Ledger Known_;
-  Tenure Office_;
+  DispatcherRole Office_;
   Quorum Members_;
   ConnectionPool Pool_;
   Peers Others_;
   SubmissionReader Reader_;
   config::InForcePtr Config_;
-  std::map<ServiceName, std::shared_ptr<Desk>> Desks_;
+  std::map<ServiceName, std::shared_ptr<DispatchExecutor>> Executors_;
   /// The services that this entry dispatched when it last looked, each with
   /// the minting time from which on its ledger is whole.
   std::map<ServiceName, WallTime> Dispatched_;
--- a/src/medlarmoor/request/internal/router_answers.cpp
+++ b/src/medlarmoor/request/internal/router_answers.cpp
@@ -117,10 +117,11 @@
     Open.Asked_ = *Read;
     return;
   }
-  Into.Status_ = statusOf(Into.Findings_, desk(Service) != nullptr);
+  Into.Status_ = statusOf(Into.Findings_, executor(Service) != nullptr);
   const auto Key = Message.Headers_.find("Idempotency-Key");
   const auto Parts = Key ? parseKey(IdempotencyKey(*Key)) : std::nullopt;
-  Into.Hopeless_ = !Parts || !desk(Service) || Parts->Domain_ != Own_.Domain_;
+  Into.Hopeless_ =
+      !Parts || !executor(Service) || Parts->Domain_ != Own_.Domain_;
   Into.Verb_ = Verb::Refuse;
   if (!Into.Hopeless_)
     Open.Asked_ = {Service,
@@ -134,14 +135,14 @@
 void Router::readQuestion(const ServiceName &Service, const std::string &Key,
                           Ask &Into) {
   const auto Parts = parseKey(IdempotencyKey(Key));
-  if (!desk(Service))
+  if (!executor(Service))
     Into.Findings_.add({"service", 0, 0},
                        "unknown service '" + Service.value() + "'");
   if (!Parts)
     Into.Findings_.add({"key", 0, 0}, "malformed",
                        "{failure domain}-{unix milliseconds}-{random}");
   Into.Hopeless_ = !Into.Findings_.empty();
-  Into.Status_ = desk(Service) ? 400 : 404;
+  Into.Status_ = executor(Service) ? 400 : 404;
   if (!Into.Hopeless_)
     Into.Open_->Asked_ = {
         Service,        MethodClass::Once, IdempotencyKey(Key),
@@ -233,7 +234,7 @@
   while (!Foreign && Time_.now() < Until && Of.Open_->Caller_) {
     Office_.check();
     const membership::Member *To = Office_.dispatcher(Asked.Service_);
-    Desk *Here = desk(Asked.Service_);
+    DispatchExecutor *Here = executor(Asked.Service_);
     const bool Mine = To && To->Name_ == Self_.Name_;
     if (Here && Mine && !Office_.suspended()) {
       Into = co_await here(Of, *Here);
@@ -254,8 +255,8 @@
   co_return false;
 }
 
-Awaitable<Verdict> Router::here(Ask &Of, Desk &At) {
-  const std::shared_ptr<Desk> Kept = At.shared_from_this();
+Awaitable<Verdict> Router::here(Ask &Of, DispatchExecutor &At) {
+  const std::shared_ptr<DispatchExecutor> Kept = At.shared_from_this();
   if (Of.Verb_ == Verb::LookUp)
     co_return At.decisions().lookUp(Of.Open_->Asked_.Key_);
   if (Of.Verb_ != Verb::Submit)
--- a/test/flow/director_test.cpp
+++ b/test/flow/director_test.cpp
@@ -199,7 +199,7 @@
   CheckAll();
   Fleet.run(Seconds(5));
   CheckAll();
-  CHECK(Fleet.director(3).book().openFlows() > 200);
+  CHECK(Fleet.director(3).tracker().openFlows() > 200);
   CHECK_FALSE(Fleet.director(3).homes().waiting());
 }
 
@@ -245,17 +245,17 @@
   Fleet.run(Seconds(9));
   Fleet.wake(1);
   CHECK(Fleet.director(1).suspended());
-  CHECK(Fleet.director(1).book().table().size() == 0);
+  CHECK(Fleet.director(1).tracker().table().size() == 0);
   Fleet.run(Seconds(1));
   for (const auto &[Port, Upstream] : Where)
     REQUIRE(Fleet.send(1, caller(Port), Address, Ack).Upstream_ == Upstream);
-  CHECK(Fleet.director(1).book().table().size() == 0);
+  CHECK(Fleet.director(1).tracker().table().size() == 0);
   Fleet.showAll();
   Fleet.run(Seconds(5));
   CHECK_FALSE(Fleet.director(1).suspended());
   for (const auto &[Port, Upstream] : Where)
     REQUIRE(Fleet.send(0, caller(Port), Address, Ack).Upstream_ == Upstream);
-  CHECK(Fleet.director(1).book().openFlows() > 200);
+  CHECK(Fleet.director(1).tracker().openFlows() > 200);
 }
 
 TEST_CASE("repeated first packets make an upstream silent and leave it") {
--- a/test/flow/one_upstream_test.cpp
+++ b/test/flow/one_upstream_test.cpp
@@ -26,7 +26,7 @@
 public:
   /// Changes follow each other after Apart or up to 4 s later.
   Scene(std::uint64_t Seed, Nanos Apart)
-      : Apart_(Apart), Draw_(Seed), Fleet_({}, Seed), Members_(Fleet_),
+      : Apart_(Apart), Random_(Seed), Fleet_({}, Seed), Members_(Fleet_),
         Load_(
             {60, 15, 1.0}, Seed,
             [this](std::size_t Entry, Endpoint From, Endpoint To, Flags Set) {
@@ -46,7 +46,7 @@
     switch (Next.Kind_) {
     case 0:
       if (Members_.live().size() < 6)
-        Members_.lag(Members_.join(), Millis(Draw_() % 3000));
+        Members_.lag(Members_.join(), Millis(Random_() % 3000));
       break;
     case 1:
       if (const auto Entry = pick(Next.Which_))
@@ -128,13 +128,13 @@
       return;
     }
     for (std::size_t I = 0; I < Fleet_.size(); ++I)
-      Fleet_.schedule(Millis(Draw_() % 2000),
+      Fleet_.schedule(Millis(Random_() % 2000),
                       [this, I, Next] { Fleet_.document(I, Next); });
     Fleet_.schedule(Seconds(2), [this, Next] { Fleet_.document(Next); });
   }
 
   Nanos Apart_;
-  Random Draw_;
+  Random Random_;
   FlowFleet Fleet_;
   FleetMembership Members_;
   SprayedLoad Load_;
--- a/test/flow/table_test.cpp
+++ b/test/flow/table_test.cpp
@@ -14,9 +14,10 @@
 TEST_CASE("the flow table agrees with a map over random work") {
   FlowTable Table(200);
   std::map<std::uint64_t, UpstreamIndex> Model;
-  Random Draw(7);
+  Random Generator(7);
   for (int Step = 0; Step < 50'000; ++Step) {
-    const FlowId Id{static_cast<ServiceIndex>(Draw() % 3), Draw() % 150};
+    const FlowId Id{static_cast<ServiceIndex>(Generator() % 3),
+                    Generator() % 150};
     FlowRecord *Found = Table.find(Id);
     REQUIRE((Found != nullptr) == Model.contains(Id.key()));
     if (Found != nullptr) {
--- a/test/harness/sprayed_load.cpp
+++ b/test/harness/sprayed_load.cpp
@@ -20,7 +20,7 @@
 
 SprayedLoad::SprayedLoad(LoadShape Shape, std::uint64_t Seed, Carrier Carry,
                          Spray Over)
-    : Shape_(Shape), Draw_(Seed), Carry_(std::move(Carry)),
+    : Shape_(Shape), Random_(Seed), Carry_(std::move(Carry)),
       Over_(std::move(Over)) {}
 
 void SprayedLoad::document(const config::Environment &Document) {
@@ -85,12 +85,12 @@
 Nanos SprayedLoad::draw(double MeanSeconds) {
   std::exponential_distribution<double> Distribution(1 / MeanSeconds);
   return std::chrono::duration_cast<Nanos>(
-      std::chrono::duration<double>(Distribution(Draw_)));
+      std::chrono::duration<double>(Distribution(Random_)));
 }
 
 std::size_t SprayedLoad::drawEntry() {
   const std::vector<std::size_t> Over = Over_();
-  return Over[Draw_() % Over.size()];
+  return Over[Random_() % Over.size()];
 }
 
 void SprayedLoad::openFlow(TimePoint When) {
@@ -100,7 +100,7 @@
   std::size_t All = 0;
   for (const Target &Each : Targets_)
     All += Each.Upstreams_.size();
-  std::size_t Ticket = Draw_() % All;
+  std::size_t Ticket = Random_() % All;
   while (Ticket >= Targets_[Fresh.Service_].Upstreams_.size())
     Ticket -= Targets_[Fresh.Service_++].Upstreams_.size();
   Fresh.Ends_ = When + draw(Shape_.LifeSeconds_);
--- a/test/harness/sprayed_load.hpp
+++ b/test/harness/sprayed_load.hpp
@@ -104,7 +104,7 @@
   void end(std::uint64_t Id);
 
   LoadShape Shape_;
-  Random Draw_;
+  Random Random_;
   Carrier Carry_;
   Spray Over_;
   std::vector<Target> Targets_;
--- a/test/placement/selector_test.cpp
+++ b/test/placement/selector_test.cpp
@@ -1,7 +1,7 @@
 #include <harness/catalog_builder.hpp>
 
-#include <medlarmoor/placement/observations.hpp>
 #include <medlarmoor/placement/selector.hpp>
+#include <medlarmoor/placement/upstream_stats.hpp>
 
 #include <catch2/catch.hpp>
 
@@ -24,17 +24,17 @@
   /// The name of the next choice, which is then at work there.
   std::string place(TimePoint Now = at(0)) {
     const auto *Chosen =
-        Selector_.choose(Catalog_.candidates(Web), Seen_, Avoid_, Now);
+        Selector_.choose(Catalog_.candidates(Web), Stats_, Avoid_, Now);
     if (!Chosen)
       return "";
     const auto Port = static_cast<std::uint16_t>(++Ports_);
-    Seen_.Flows_.add({{Ipv4(1), Port}, {Ipv4(2), 443}}, Chosen->Tag_,
-                     Seconds(10), Now);
+    Stats_.Flows_.add({{Ipv4(1), Port}, {Ipv4(2), 443}}, Chosen->Tag_,
+                      Seconds(10), Now);
     return Chosen->Upstream_.Name_.value();
   }
 
   discovery::Catalog Catalog_{{}};
-  Observations Seen_{{.Failures_ = 1}};
+  UpstreamStats Stats_{{.Failures_ = 1}};
   const discovery::CatalogEntry *Avoid_ = nullptr;
   Selector Selector_{DomainName("seeb"), LeastLoaded{}, Random(1)};
   unsigned Ports_ = 0;
@@ -80,8 +80,8 @@
 TEST_CASE(
     "dark upstream: an ejected one is passed over while others are left") {
   Bench Each({upstream("i-1"), upstream("i-2"), upstream("i-3")});
-  Each.Seen_.Outliers_.handshakeTimedOut(affinity::tagOf(UpstreamName("i-1")),
-                                         at(0));
+  Each.Stats_.Outliers_.handshakeTimedOut(affinity::tagOf(UpstreamName("i-1")),
+                                          at(0));
   for (int I = 0; I < 10; ++I)
     CHECK(Each.place(at(10)) != "i-1");
 }
@@ -91,8 +91,8 @@
   Bench Each(
       {upstream("i-1"), upstream("i-2"), upstream("i-3"), upstream("i-4")});
   for (const char *Name : {"i-1", "i-2", "i-3", "i-4"})
-    Each.Seen_.Outliers_.handshakeTimedOut(affinity::tagOf(UpstreamName(Name)),
-                                           at(0));
+    Each.Stats_.Outliers_.handshakeTimedOut(affinity::tagOf(UpstreamName(Name)),
+                                            at(0));
   std::map<std::string, int> Placed;
   for (int I = 0; I < 8; ++I)
     ++Placed[Each.place(at(10))];
@@ -102,8 +102,8 @@
 TEST_CASE("cut: upstreams of the own domain serve alone while they can") {
   Bench Each({upstream("i-1"), remote("i-2"), remote("i-3"), remote("i-4")});
   for (const char *Name : {"i-2", "i-3", "i-4"})
-    Each.Seen_.Outliers_.handshakeTimedOut(affinity::tagOf(UpstreamName(Name)),
-                                           at(0));
+    Each.Stats_.Outliers_.handshakeTimedOut(affinity::tagOf(UpstreamName(Name)),
+                                            at(0));
   for (int I = 0; I < 4; ++I)
     CHECK(Each.place(at(10)) == "i-1");
   // Two flows at work and two waiting: another one tries its luck elsewhere.
@@ -113,12 +113,12 @@
 TEST_CASE("slow upstream: it gets as many flows as it can finish in time") {
   Bench Each({upstream("i-1"), upstream("i-2")});
   for (int I = 0; I < 20; ++I) {
-    Each.Seen_.Times_.ended({Ipv4(2), 443},
-                            affinity::tagOf(UpstreamName("i-1")), Millis(30),
-                            at(I));
-    Each.Seen_.Times_.ended({Ipv4(2), 443},
-                            affinity::tagOf(UpstreamName("i-2")), Millis(150),
-                            at(I));
+    Each.Stats_.Times_.ended({Ipv4(2), 443},
+                             affinity::tagOf(UpstreamName("i-1")), Millis(30),
+                             at(I));
+    Each.Stats_.Times_.ended({Ipv4(2), 443},
+                             affinity::tagOf(UpstreamName("i-2")), Millis(150),
+                             at(I));
   }
   std::map<std::string, int> Placed;
   for (int I = 0; I < 10; ++I)
@@ -132,7 +132,7 @@
     "are idle") {
   Bench Each({upstream("i-1"), upstream("i-2"), remote("i-3")});
   const affinity::Tag Grey = affinity::tagOf(UpstreamName("i-1"));
-  Each.Seen_.Failures_.ended({Ipv4(2), 443}, Grey, 0, at(0));
+  Each.Stats_.Failures_.ended({Ipv4(2), 443}, Grey, 0, at(0));
   std::map<std::string, int> Placed;
   for (int I = 0; I < 4; ++I)
     ++Placed[Each.place(at(10))];
@@ -143,7 +143,7 @@
 TEST_CASE("grey upstream: it is better than a long queue elsewhere") {
   Bench Each({upstream("i-1"), upstream("i-2")});
   const affinity::Tag Grey = affinity::tagOf(UpstreamName("i-1"));
-  Each.Seen_.Failures_.ended({Ipv4(2), 443}, Grey, 0, at(0));
+  Each.Stats_.Failures_.ended({Ipv4(2), 443}, Grey, 0, at(0));
   std::map<std::string, int> Placed;
   for (int I = 0; I < 20; ++I)
     ++Placed[Each.place(at(10))];
--- a/test/request/cluster.cpp
+++ b/test/request/cluster.cpp
@@ -38,7 +38,7 @@
 
   Incarnation Run_;
   Ledger Known_;
-  Tenure Office_;
+  DispatcherRole Office_;
   Quorum Members_;
   Dispatcher Decides_;
   bool Paused_ = false;
--- a/test/request/fleet.cpp
+++ b/test/request/fleet.cpp
@@ -1,5 +1,5 @@
+#include <medlarmoor/request/dispatcher_role.hpp>
 #include <medlarmoor/request/submission_reader.hpp>
-#include <medlarmoor/request/tenure.hpp>
 #include <medlarmoor/telemetry/span_log.hpp>
 #include <request/fleet.hpp>
 
