Let the soak's last requests end before they are judged

The bound stays; no request is begun after the measured time and those under way end first, so that each counts as done or failed.

--- a/bench/edge_soak/clients.cpp
+++ b/bench/edge_soak/clients.cpp
@@ -11,7 +11,6 @@
 constexpr Millis FirstRepeat{200};
 constexpr Millis LongestRepeat{1600};
 constexpr std::uint32_t SynCopies = 2;
-constexpr Millis Deadline{2500};
 /// Packets of a finished flow are still known for this long.
 constexpr Millis Linger{200};
 constexpr std::uint16_t FirstPort = 1024;
--- a/bench/edge_soak/clients.hpp
+++ b/bench/edge_soak/clients.hpp
@@ -23,6 +23,9 @@
 /// flow, so that each failure counts.
 class Clients {
 public:
+  /// A client gives up a request after this long (the clients' protocol).
+  static constexpr Millis Deadline{2500};
+
   /// How requests ended that began after a moment.
   struct Tally {
     std::uint64_t Asked_ = 0;
--- a/bench/edge_soak/edge_soak.cpp
+++ b/bench/edge_soak/edge_soak.cpp
@@ -101,6 +101,7 @@
   const soak::Clients::Tally During = World.clients().tally();
   World.clients().restartTally();
   World.run(Measured);
+  World.finishRequests();
   const Record Out = judge(World, Kinds, Asked, During);
   if (!Out.Held_) {
     World.folder().keep();
--- a/bench/edge_soak/soak_world.cpp
+++ b/bench/edge_soak/soak_world.cpp
@@ -81,6 +81,11 @@
   Io_.run_for(For);
 }
 
+void SoakWorld::finishRequests() {
+  Asking_ = false;
+  run(Clients::Deadline);
+}
+
 std::string SoakWorld::planned() {
   const std::size_t Edge = draw(Edges_.size());
   switch (draw(4)) {
@@ -198,6 +203,8 @@
 }
 
 void SoakWorld::arrive() {
+  if (!Asking_)
+    return;
   Clients_.ask(virtualAddress(FirstRoute), true);
   if (draw(SecondRouteShare) == 0)
     Clients_.ask(virtualAddress(SecondRoute), false);
--- a/bench/edge_soak/soak_world.hpp
+++ b/bench/edge_soak/soak_world.hpp
@@ -27,6 +27,8 @@
   [[nodiscard]] bool start();
   /// Runs everything for a while.
   void run(Millis For);
+  /// Begins no more requests and runs until those under way have ended.
+  void finishRequests();
   [[nodiscard]] const std::string &lastReason() const noexcept {
     return Reason_;
   }
@@ -75,6 +77,7 @@
   std::vector<std::unique_ptr<Upstream>> Upstreams_;
   std::uint64_t ConfigVersion_ = 1;
   bool SecondRoute_ = false;
+  bool Asking_ = true;
   std::uint8_t NextUpstream_ = 1;
   std::string Reason_;
 };
