Let the request tests' fleet wait until its entries have their view

The fleet slept 200 ms after the start and took for granted that each request thread had taken its view by then. A trial with a thread that starts 400 ms late fails the same way with the old fleet and passes with this one, which asks each thread and so waits for its event loop.

The product's answer was right: it cannot vouch for a key that was minted before it took over.

--- a/test/request/fleet.cpp
+++ b/test/request/fleet.cpp
@@ -14,6 +14,15 @@
 const ServiceName Seal("seal");
 constexpr std::uint16_t UpstreamPort = 8000;
 
+/// Waits until the thread has taken the messages that were pushed before. Its
+/// event loop looks for them between any two questions, and handles them before
+/// it answers the third.
+void awaitTaken(request::RequestThread &Thread) {
+  constexpr int Questions = 3;
+  for (int I = 0; I < Questions; ++I)
+    static_cast<void>(Thread.explain("seeb-0-0"));
+}
+
 } // namespace
 
 struct FakeUpstream::Impl {
@@ -144,6 +153,8 @@
       throw std::runtime_error("mailbox full");
     see(I, All);
   }
+  for (const auto &Each : Entries_)
+    awaitTaken(*Each->Thread_);
   // Keys that are minted before the entries can vouch for them are unknown.
   std::this_thread::sleep_for(request::ClockBound + Millis(100));
 }
