Call an update an update, and build the announcement once a tick

Read-through: FailureRates::raise also lowers an excess after a success, so it is update() now; PeerSync::tick took its reading state twice. Behaviour as before. test_placement, test_edge and test_peers pass, lint and format clean.

--- a/src/medlarmoor/edge/peer_sync.cpp
+++ b/src/medlarmoor/edge/peer_sync.cpp
@@ -199,8 +199,8 @@
     Log_.info("peer_lost",
               {{"peer", Each.text()}, {"members", Members_.size()}});
   MemberCount_.set(static_cast<std::int64_t>(Members_.size()));
-  noteReading(reading(Now), Now);
   Announcement News = announcement(Now);
+  noteReading(News.Reading_, Now);
   News.Suspects_ = NewSuspects_();
   if (News.Reading_ || !News.Suspects_.empty())
     send(audience(), News);
--- a/src/medlarmoor/placement/failure_rates.cpp
+++ b/src/medlarmoor/placement/failure_rates.cpp
@@ -57,9 +57,9 @@
   const double Left = faded(Each, Now);
   if (Left < ClearExcess)
     Suspects_.push_back({Upstream, OverduePercent});
-  raise(Each,
-        std::max(Left, std::min(Left + OverduePercent * Percent, MostOverdue)),
-        Left, Now);
+  update(Each,
+         std::max(Left, std::min(Left + OverduePercent * Percent, MostOverdue)),
+         Left, Now);
 }
 
 bool FailureRates::reported(const Suspect &Report, TimePoint Now) {
@@ -67,8 +67,8 @@
   const double Left = faded(Each, Now);
   if (Left >= ClearExcess)
     return false;
-  raise(Each, Left + std::min(Report.Percent_, FailurePercent) * Percent, Left,
-        Now);
+  update(Each, Left + std::min(Report.Percent_, FailurePercent) * Percent, Left,
+         Now);
   return Each.Excess_ >= ClearExcess;
 }
 
@@ -96,11 +96,11 @@
     Each.Repeats_ = 0;
     Each.Avoided_ = false;
   }
-  raise(Each, Excess, Left, Now);
+  update(Each, Excess, Left, Now);
 }
 
-void FailureRates::raise(Record &Each, double Excess, double Left,
-                         TimePoint Now) {
+void FailureRates::update(Record &Each, double Excess, double Left,
+                          TimePoint Now) {
   if (Each.Avoided_ && Left < ClearExcess && Excess >= ClearExcess)
     Each.Repeats_ = std::min(Each.Repeats_ + 1, MostDoublings);
   Each.Excess_ = Excess;
--- a/src/medlarmoor/placement/failure_rates.hpp
+++ b/src/medlarmoor/placement/failure_rates.hpp
@@ -62,8 +62,8 @@
   };
 
   void count(Route &Of, affinity::Tag Upstream, bool Failed, TimePoint Now);
-  /// Raises the excess of an upstream to Excess; Left is what remained.
-  static void raise(Record &Each, double Excess, double Left, TimePoint Now);
+  /// Sets the excess of an upstream; Left is what remained of the earlier one.
+  static void update(Record &Each, double Excess, double Left, TimePoint Now);
   [[nodiscard]] static double faded(const Record &Each, TimePoint Now) noexcept;
 
   std::unordered_map<Endpoint, Route> Routes_;
