--- a/bench/config/config_world.cpp
+++ b/bench/config/config_world.cpp
@@ -35,9 +35,9 @@
         Out.Seed_ = Seed;
         Out.Proxied_ = Proxied;
         Out.Adjust_ = [this, Proxied](config::Settings &Each) {
-          Each.Doors_ = false;
-          Each.Flow_.Flows_ = ThinFlows;
-          Each.Requests_.LedgerKeys_ = ThinKeys;
+          Each.ListenersEnabled_ = false;
+          Each.Flow_.MaxFlows_ = ThinFlows;
+          Each.Requests_.MaxLedgerKeys_ = ThinKeys;
           if (!Proxied)
             addNeighbours(Each);
         };
--- a/bench/flows/flow_stage.cpp
+++ b/bench/flows/flow_stage.cpp
@@ -49,7 +49,7 @@
 }
 
 void FlowStage::distribute(Nanos Apart) {
-  const config::InForcePtr Next = Doc_.build();
+  const config::ActiveConfigPtr Next = Doc_.build();
   Load_.document(Next->Environment_);
   for (std::size_t I = 0; I < Fleet_.size() && Apart > Nanos(0); ++I)
     Fleet_.schedule(Nanos(static_cast<std::int64_t>(Random_() % Apart.count())),
--- a/bench/membership/membership.cpp
+++ b/bench/membership/membership.cpp
@@ -169,7 +169,7 @@
   Out.Figures_["join_seen_s"] = timeUntil(Net, Full);
   Net.perform(0, Net.mesh(0).leave());
   Net.run(Millis(500));
-  Net.perform(0, Net.mesh(0).farewell());
+  Net.perform(0, Net.mesh(0).completeLeave());
   Net.kill(0);
   Out.Figures_["farewell_seen_s"] = timeUntil(Net, OneLess);
   const TimePoint End = Calm.When_ + RestartPeriod;
--- a/bench/requests/queue_world.cpp
+++ b/bench/requests/queue_world.cpp
@@ -9,7 +9,7 @@
 namespace {
 
 using namespace medlarmoor::request;
-using upstream::AttemptEnd;
+using upstream::AttemptResult;
 
 /// One way between two entries.
 constexpr Micros Hop{1000};
@@ -54,11 +54,11 @@
                  Time, Random(Plan.Seed_ + 2)) {
     const auto View = std::make_shared<membership::View>(
         Self_, std::vector<membership::Member>{{Self_, Ipv4(1)}});
-    Members_.introduce();
+    Members_.proceedWithoutList();
     Members_.onView(View);
     Office_.onView(View);
-    std::ignore = Office_.judgesFrom(Booking);
-    Decides_.slots().configure(
+    std::ignore = Office_.decidesFrom(Booking);
+    Decides_.slotPool().configure(
         documentOf(std::min(Plan.Upstreams_, Plan.JoinFrom_)));
   }
 
@@ -99,7 +99,7 @@
   later(SampleTime, [this] { sample(); });
   if (Plan_.JoinFrom_ < Plan_.Upstreams_)
     later(Millis(static_cast<std::int64_t>(Plan_.JoinSecond_ * 1000)), [this] {
-      Door_->Decides_.slots().configure(documentOf(Plan_.Upstreams_));
+      Door_->Decides_.slotPool().configure(documentOf(Plan_.Upstreams_));
       Plan_.JoinFrom_ = SIZE_MAX;
     });
   const TimePoint Last = Start_ + Millis(std::int64_t(Plan_.Seconds_ * 1000));
@@ -144,7 +144,7 @@
   if (second(Clock_->now()) > Plan_.Seconds_)
     return;
   const std::size_t At = Random_() % Plan_.OthersUpstreams_;
-  runAt(At, std::make_shared<Call>(), [](AttemptEnd, Nanos) {});
+  runAt(At, std::make_shared<Call>(), [](AttemptResult, Nanos) {});
   const double Rate = Plan_.OthersLoad_ * 2.0 *
                       static_cast<double>(Plan_.OthersUpstreams_) * 1000.0 /
                       static_cast<double>(Plan_.Service_.count());
@@ -171,8 +171,9 @@
     if (Upstreams_[I].Running_ < Upstreams_[I].Slots_ && I < Plan_.JoinFrom_) {
       const CallPtr Of = OneQueue_.front();
       OneQueue_.pop_front();
-      runAt(I, Of, [this, Of](AttemptEnd End, Nanos) {
-        end(Of, End == AttemptEnd::Whole ? Outcome::Done : Outcome::Unknown);
+      runAt(I, Of, [this, Of](AttemptResult End, Nanos) {
+        end(Of,
+            End == AttemptResult::Complete ? Outcome::Done : Outcome::Unknown);
         startQueued();
       });
     }
@@ -200,11 +201,11 @@
   if (Plan_.Balancing_ == Balancing::TwoChoicesOwn && Own[Other] < Own[Best])
     Best = Other;
   ++Own[Best];
-  runAt(Best, Of, [this, Of, Best](AttemptEnd End, Nanos) {
+  runAt(Best, Of, [this, Of, Best](AttemptResult End, Nanos) {
     --Open_[Of->Entry_][Best];
-    end(Of, End == AttemptEnd::Whole  ? Outcome::Done
-            : End == AttemptEnd::Shed ? Outcome::NotRun
-                                      : Outcome::Unknown);
+    end(Of, End == AttemptResult::Complete ? Outcome::Done
+            : End == AttemptResult::Shed   ? Outcome::NotRun
+                                           : Outcome::Unknown);
   });
 }
 
@@ -219,8 +220,8 @@
 void QueueWorld::pump() {
   if (std::exchange(Pumping_, true))
     return;
-  for (auto All = Door_->Decides_.take(); !All.empty();
-       All = Door_->Decides_.take())
+  for (auto All = Door_->Decides_.takeActions(); !All.empty();
+       All = Door_->Decides_.takeActions())
     for (const Action &Each : All) {
       if (const auto *Of = std::get_if<Send>(&Each))
         act(*Of);
@@ -237,10 +238,11 @@
   const Nanos Copies = Once ? 2 * Nanos(Hop) : Nanos(0);
   ++Figures_.Attempts_;
   later(Copies, [this, Of, Mine, Copies] {
-    runAt(indexOf(Of.To_), Mine, [this, Of, Copies](AttemptEnd End, Nanos T) {
-      Door_->Decides_.answered(Of.Ticket_, End, T + Copies);
-      pump();
-    });
+    runAt(indexOf(Of.Target_), Mine,
+          [this, Of, Copies](AttemptResult End, Nanos T) {
+            Door_->Decides_.onAttemptEnd(Of.Ticket_, End, T + Copies);
+            pump();
+          });
   });
 }
 
@@ -258,7 +260,7 @@
 void QueueWorld::runAt(std::size_t Upstream, const CallPtr &Of, Ended Done) {
   FakeUpstream &At = Upstreams_[Upstream];
   if (At.sheds(Clock_->now()))
-    return Done(AttemptEnd::Shed, Millis(1));
+    return Done(AttemptResult::Shed, Millis(1));
   if (At.Running_ < At.Slots_)
     return begin(Upstream, Of, std::move(Done));
   ++Figures_.OverSlots_;
@@ -292,7 +294,7 @@
             Freed.Queue_.pop_front();
             Next();
           }
-          Done(Fails ? AttemptEnd::Failed : AttemptEnd::Whole,
+          Done(Fails ? AttemptResult::Failed : AttemptResult::Complete,
                Clock_->now() - Began);
         });
 }
@@ -335,7 +337,8 @@
       Report.Age_ = Plan_.ReportAge_;
       if (Clock_->now() < Upstreams_[I].ColdUntil_)
         Report.State_ = upstream::ServingState::Warming;
-      Door_->Decides_.slots().report(UpstreamName(std::to_string(I)), Report);
+      Door_->Decides_.slotPool().recordReport(UpstreamName(std::to_string(I)),
+                                              Report);
     }
   Door_->Decides_.tick();
   Door_->Known_.expire();
--- a/bench/requests/queue_world.hpp
+++ b/bench/requests/queue_world.hpp
@@ -100,7 +100,7 @@
     }
   };
   using CallPtr = std::shared_ptr<Call>;
-  using Ended = std::function<void(upstream::AttemptEnd, Nanos)>;
+  using Ended = std::function<void(upstream::AttemptResult, Nanos)>;
 
   void later(Nanos Delay, std::function<void()> Run);
   void arrive();
--- a/src/medlarmoor/config/edge_settings.hpp
+++ b/src/medlarmoor/config/edge_settings.hpp
@@ -11,47 +11,50 @@
 
 namespace medlarmoor::config {
 
-/// Settings of one edge instance.
+/// The settings of one edge instance.
 struct EdgeSettings {
   EntryName Name_;
   DomainName Domain_;
+  /// The local address of connections to the object store.
   Ipv4 Address_;
-  /// Where routers send packets.
+  /// Receives packets from routers.
   Endpoint Packets_;
-  /// Where routers ask whether this instance takes traffic.
+  /// Answers readiness checks of routers.
   Endpoint Readiness_;
-  /// The path of that question.
+  /// The HTTP path of the readiness check.
   std::string ReadinessPath_ = "/ready";
-  /// Where metrics are served.
+  /// Serves metrics.
   Endpoint Metrics_;
-  /// The object store.
+  /// The address of the object store.
   Endpoint Store_;
-  /// Other instances to begin gossip with, at their Peers_; they may be down.
+  /// The Peers_ endpoints of other instances to start gossip with. The
+  /// instances may be down.
   std::vector<Endpoint> Seeds_;
-  /// Where other instances fetch snapshots. The port is the same on all.
+  /// Serves snapshots to other instances. All instances use the same port.
   Endpoint Peers_;
-  /// Where other instances send gossip. The port is the same on all.
+  /// Receives gossip from other instances. All instances use the same port.
   Endpoint Gossip_;
-  /// Between the stop signal and the kill.
-  Millis Grace_{6000};
-  /// A change of the routes must be in force this soon.
+  /// The time between the stop signal and the kill signal.
+  Millis GracePeriod_{6000};
+  /// The time limit within which a route change must take effect.
   Millis ApplyLimit_{3000};
-  /// An upstream that drains must get no new flows this soon.
+  /// The time limit after which a draining upstream must receive no new flows.
   Millis DrainLimit_{3000};
-  /// No flow is older than this.
-  Millis FlowAge_{60'000};
+  /// The maximum age of a flow.
+  Millis MaxFlowAge_{60'000};
   std::string LogLevel_ = "INFO";
 
-  /// The store must be known at least this recently.
-  [[nodiscard]] Millis freshness() const noexcept {
+  /// Returns the maximum age of the data read from the object store: the
+  /// stricter of the two time limits.
+  [[nodiscard]] Millis maxStaleness() const noexcept {
     return std::min(ApplyLimit_, DrainLimit_);
   }
-  /// Where the seeds receive gossip.
+  /// Returns the addresses of the seeds with the gossip port.
   [[nodiscard]] std::vector<Endpoint> gossipSeeds() const {
-    std::vector<Endpoint> Out;
-    for (const Endpoint Each : Seeds_)
-      Out.emplace_back(Each.address(), Gossip_.port());
-    return Out;
+    std::vector<Endpoint> Targets;
+    for (const Endpoint Seed : Seeds_)
+      Targets.emplace_back(Seed.address(), Gossip_.port());
+    return Targets;
   }
 
   friend bool operator==(const EdgeSettings &, const EdgeSettings &) = default;
--- a/src/medlarmoor/config/environment.hpp
+++ b/src/medlarmoor/config/environment.hpp
@@ -9,7 +9,7 @@
 
 namespace medlarmoor::config {
 
-/// A checked environment document.
+/// A validated environment document.
 struct Environment {
   /// For example "muscat-trial".
   std::string Name_;
--- a/src/medlarmoor/config/failure_domain.hpp
+++ b/src/medlarmoor/config/failure_domain.hpp
@@ -5,7 +5,7 @@
 
 namespace medlarmoor::config {
 
-/// A failure domain and the region that it lies in.
+/// A failure domain and the region that contains it.
 struct FailureDomain {
   DomainName Name_;
   RegionName Region_;
--- a/src/medlarmoor/config/follower.cpp
+++ b/src/medlarmoor/config/follower.cpp
@@ -6,178 +6,182 @@
 
 namespace {
 
-/// An entry without a document first listens to its neighbours for this long,
-/// because the platform may answer old data. Without any view after it, the
-/// entry watches the platform by itself.
-constexpr Millis ListenFirst{1000};
-/// A gap between ticks that tells that the process stood still.
+/// An entry without a document first waits this long for versions from its
+/// neighbours, because the platform may return old data. If it still knows no
+/// members after that, it watches the platform on its own.
+constexpr Millis ListenPeriod{1000};
+/// A gap between ticks from which on the process counts as having been paused.
 constexpr Millis PauseGap{1000};
-constexpr Millis PartRetry{200};
-/// How long a member that can't reach the platform comes last.
-constexpr Millis LossRemembered{10'000};
-/// Shortest time between two reports to the leader.
-constexpr Millis ReportPeriod{10'000};
-/// After a change of leader the reports of all members spread over this time.
+/// Delay before parts are read again after a failed or rejected part.
+constexpr Millis PartRetryDelay{200};
+/// A member that can't reach the platform is ordered last in the push tree for
+/// this long.
+constexpr Millis PlatformLossPeriod{10'000};
+/// Minimum time between two reports to the same leader.
+constexpr Millis MinReportInterval{10'000};
+/// After a change of leader the members' reports are spread over this time.
 constexpr std::int64_t ReportSpreadMs = 2000;
-/// Parts read from the platform at once.
-constexpr std::size_t PartsAtOnce = 16;
+/// Maximum number of part reads in flight.
+constexpr std::size_t MaxPartReads = 16;
 
 } // namespace
 
 Follower::Follower(std::string Environment, EntryName Self, Clock Time,
                    Random Source)
     : Self_(std::move(Self)), Clock_(Time), Replica_(std::move(Environment)),
-      Pulls_(Time, Random(Source())), Duty_(Time, Random(Source())),
-      Random_(Source()), RetryParts_(Time.now()), NextReport_(Time.now()),
-      Started_(Time.now()), LastTick_(Time.now()) {}
+      Pulls_(Time, Random(Source())), Scheduler_(Time, Random(Source())),
+      Random_(Source()), RetryPartsAt_(Time.now()), NextReportAt_(Time.now()),
+      StartedAt_(Time.now()), LastTickAt_(Time.now()) {}
 
-bool Follower::isStranger() const { return Live_.empty() && !isListening(); }
+bool Follower::actsAlone() const { return Live_.empty() && !isListening(); }
 
 bool Follower::isListening() const {
   return Replica_.version() == ConfigVersion(0) &&
-         Clock_.now() - Started_ < ListenFirst;
+         Clock_.now() - StartedAt_ < ListenPeriod;
 }
 
 bool Follower::watches() const {
-  return (Tree_.watches(Self_) || isStranger()) && !isListening();
+  return (Tree_.isWatcher(Self_) || actsAlone()) && !isListening();
 }
 
-bool Follower::leads() const { return Tree_.leader() == Self_ || isStranger(); }
+bool Follower::leads() const { return Tree_.leader() == Self_ || actsAlone(); }
 
-void Follower::replant() {
+void Follower::rebuildTree() {
   const TimePoint Now = Clock_.now();
-  std::erase_if(Lost_, [Now](const auto &Each) { return Each.second <= Now; });
-  std::set<EntryName> Last;
-  for (const auto &[Name, Until] : Lost_)
-    Last.insert(Name);
-  Tree_ = PushTree(Live_, Last);
-  Duty_.set(watches(), !leads());
+  std::erase_if(UnreachableUntil_,
+                [Now](const auto &Entry) { return Entry.second <= Now; });
+  std::set<EntryName> Unreachable;
+  for (const auto &[Name, Until] : UnreachableUntil_)
+    Unreachable.insert(Name);
+  Tree_ = PushTree(Live_, Unreachable);
+  Scheduler_.setDuty(watches(), !leads());
 }
 
 FollowerActions Follower::onMembers(std::vector<EntryName> Live) {
   Live_ = std::move(Live);
   Pulls_.onMembers(Live_);
-  replant();
-  return after({});
+  rebuildTree();
+  return addDueActions({});
 }
 
 FollowerActions Follower::onHeartbeat(const EntryName &From,
                                       ConfigVersion Version) {
   if (From != Self_)
-    Pulls_.onHeard(From, Version, false);
-  return after({});
+    Pulls_.onMemberVersion(From, Version, false);
+  return addDueActions({});
 }
 
 FollowerActions Follower::onNotice(const EntryName &From,
                                    ConfigVersion Version) {
   if (From != Self_)
-    Pulls_.onHeard(From, Version, true);
-  return after({});
+    Pulls_.onMemberVersion(From, Version, true);
+  return addDueActions({});
 }
 
 FollowerActions Follower::onPlatformLost(const EntryName &From) {
-  Lost_[From] = Clock_.now() + LossRemembered;
-  replant();
-  return after({});
+  UnreachableUntil_[From] = Clock_.now() + PlatformLossPeriod;
+  rebuildTree();
+  return addDueActions({});
 }
 
 FollowerActions Follower::onManifest(const std::string &Text) {
-  FollowerActions Out;
+  FollowerActions Actions;
   std::string Reason;
-  const std::optional<Manifest> Read = readManifest(Text, Reason);
-  if (!Read) {
-    Out.emplace_back(Reject{Reason});
-    return Out;
+  const std::optional<Manifest> Offered = readManifest(Text, Reason);
+  if (!Offered) {
+    Actions.emplace_back(ReportRejection{Reason});
+    return Actions;
   }
-  const ConfigVersion Before = Replica_.version();
-  const bool Same =
-      Read->Version_ == Before && Read->Token_ != Replica_.token();
-  Replica_.aim(*Read);
-  if (Same)
-    Out.emplace_back(Reject{Replica_.lastReason()});
-  if (Replica_.version() != Before)
-    announce(Out);
-  fetchMissing(Out);
-  return after(std::move(Out));
+  const ConfigVersion PreviousVersion = Replica_.version();
+  const bool IsConflicting = Offered->Version_ == PreviousVersion &&
+                             Offered->Token_ != Replica_.token();
+  Replica_.setTarget(*Offered);
+  if (IsConflicting)
+    Actions.emplace_back(ReportRejection{Replica_.lastReason()});
+  if (Replica_.version() != PreviousVersion)
+    publishAndNotify(Actions);
+  readMissingParts(Actions);
+  return addDueActions(std::move(Actions));
 }
 
-FollowerActions Follower::onListed(std::optional<std::uint64_t> Revision) {
-  Duty_.onListed(Revision);
-  return after({});
+FollowerActions Follower::onListEnd(std::optional<std::uint64_t> Revision) {
+  Scheduler_.onListEnd(Revision);
+  return addDueActions({});
 }
 
-FollowerActions Follower::onWatched(std::optional<std::uint64_t> Revision) {
-  Duty_.onWatched(Revision);
-  return after({});
+FollowerActions Follower::onWatchEnd(std::optional<std::uint64_t> Revision) {
+  Scheduler_.onWatchEnd(Revision);
+  return addDueActions({});
 }
 
-FollowerActions Follower::onTooOld() {
-  Duty_.onTooOld();
-  return after({});
+FollowerActions Follower::onWatchExpired() {
+  Scheduler_.onWatchExpired();
+  return addDueActions({});
 }
 
-FollowerActions Follower::onRead(bool Answered) {
-  Duty_.onRead(Answered);
-  return after({});
+FollowerActions Follower::onReadEnd(bool Answered) {
+  Scheduler_.onReadEnd(Answered);
+  return addDueActions({});
 }
 
 FollowerActions Follower::onPart(const PartId &Id,
                                  const std::optional<std::string> &Text) {
-  FollowerActions Out;
-  Reading_.erase(Id);
-  const bool Adopted = Text && Replica_.put(Id, *Text);
+  FollowerActions Actions;
+  PartReadsInFlight_.erase(Id);
+  const bool Adopted = Text && Replica_.addPart(Id, *Text);
   if (!Text)
-    RetryParts_ = Clock_.now() + PartRetry;
+    RetryPartsAt_ = Clock_.now() + PartRetryDelay;
   if (Text && !Replica_.lastReason().empty()) {
-    RetryParts_ = Clock_.now() + PartRetry;
-    Out.emplace_back(Reject{Replica_.lastReason()});
+    RetryPartsAt_ = Clock_.now() + PartRetryDelay;
+    Actions.emplace_back(ReportRejection{Replica_.lastReason()});
   }
   if (Adopted)
-    announce(Out);
-  fetchMissing(Out);
-  return after(std::move(Out));
+    publishAndNotify(Actions);
+  readMissingParts(Actions);
+  return addDueActions(std::move(Actions));
 }
 
-FollowerActions Follower::onPulled(const EntryName &From,
-                                   const std::optional<std::string> &Text) {
-  FollowerActions Out;
+FollowerActions Follower::onPullEnd(const EntryName &From,
+                                    const std::optional<std::string> &Text) {
+  FollowerActions Actions;
   if (!Text || Text->empty()) {
-    Pulls_.onDone(From, Text ? PullResult::Done : PullResult::Failed);
-    return after({});
+    Pulls_.onPullEnd(From, Text ? PullResult::Completed : PullResult::Failed);
+    return addDueActions({});
   }
   std::string Reason;
-  const std::optional<Manifest> Read = readManifest(*Text, Reason);
-  if (!Read) {
-    Pulls_.onDone(From, PullResult::Failed);
-    Out.emplace_back(Reject{Reason});
-    return Out;
+  const std::optional<Manifest> Offered = readManifest(*Text, Reason);
+  if (!Offered) {
+    Pulls_.onPullEnd(From, PullResult::Failed);
+    Actions.emplace_back(ReportRejection{Reason});
+    return Actions;
   }
-  const bool Newer = Read->Version_ > Replica_.version();
-  if (Replica_.adopt(*Read))
-    announce(Out);
-  else if (Newer)
-    Out.emplace_back(Reject{Replica_.lastReason()});
-  const bool Fits = !Newer || Replica_.lastReason().empty();
-  Pulls_.onDone(From, Fits ? PullResult::Done : PullResult::DidNotFit);
-  return after(std::move(Out));
+  const bool IsNewer = Offered->Version_ > Replica_.version();
+  if (Replica_.adopt(*Offered))
+    publishAndNotify(Actions);
+  else if (IsNewer)
+    Actions.emplace_back(ReportRejection{Replica_.lastReason()});
+  const bool IsUsable = !IsNewer || Replica_.lastReason().empty();
+  Pulls_.onPullEnd(From,
+                   IsUsable ? PullResult::Completed : PullResult::BaseMismatch);
+  return addDueActions(std::move(Actions));
 }
 
 FollowerActions Follower::onTick() {
-  FollowerActions Out;
+  FollowerActions Actions;
   const TimePoint Now = Clock_.now();
-  if (Now - LastTick_ >= PauseGap)
-    Duty_.readSoon();
-  LastTick_ = Now;
-  replant();
-  fetchMissing(Out);
-  report(Out);
-  admitLoss(Out);
-  return after(std::move(Out));
-}
-
-/// Tells the leader which version is in force here. In a large domain the
-/// leader hears the heartbeats of few members only.
-void Follower::report(FollowerActions &Out) {
+  if (Now - LastTickAt_ >= PauseGap)
+    Scheduler_.requestRead();
+  LastTickAt_ = Now;
+  rebuildTree();
+  readMissingParts(Actions);
+  reportVersion(Actions);
+  announcePlatformLoss(Actions);
+  return addDueActions(std::move(Actions));
+}
+
+/// Reports the version in force here to the leader. In a large domain the
+/// leader receives the heartbeats of only a few members.
+void Follower::reportVersion(FollowerActions &Actions) {
   const std::optional<EntryName> Leader = Tree_.leader();
   if (!Leader || *Leader == Self_ || Replica_.version() == ConfigVersion(0))
     return;
@@ -185,64 +189,67 @@
   if (*Leader != ReportedTo_) {
     std::uniform_int_distribution<std::int64_t> Spread(0, ReportSpreadMs);
     ReportedTo_ = *Leader;
-    Reported_ = ConfigVersion(0);
-    NextReport_ = Now + Millis(Spread(Random_));
+    ReportedVersion_ = ConfigVersion(0);
+    NextReportAt_ = Now + Millis(Spread(Random_));
   }
-  if (Reported_ == Replica_.version() || Now < NextReport_)
+  if (ReportedVersion_ == Replica_.version() || Now < NextReportAt_)
     return;
-  Reported_ = Replica_.version();
-  NextReport_ = Now + ReportPeriod;
-  Out.emplace_back(Tell{*Leader, Reported_});
+  ReportedVersion_ = Replica_.version();
+  NextReportAt_ = Now + MinReportInterval;
+  Actions.emplace_back(NotifyMember{*Leader, ReportedVersion_});
 }
 
-/// Lets another member watch. While the loss is remembered here too, it is not
-/// told again.
-void Follower::admitLoss(FollowerActions &Out) {
-  if (!Duty_.lost() || Live_.size() <= Watchers || Lost_.count(Self_) != 0)
+/// Announces that this entry can't reach the platform, so that another member
+/// watches instead. The loss is not announced again until it has expired here.
+void Follower::announcePlatformLoss(FollowerActions &Actions) {
+  if (!Scheduler_.hasLostPlatform() || Live_.size() <= WatcherCount ||
+      UnreachableUntil_.count(Self_) != 0)
     return;
-  Lost_[Self_] = Clock_.now() + LossRemembered;
-  replant();
-  Out.emplace_back(TellPlatformLost{Replica_.version()});
+  UnreachableUntil_[Self_] = Clock_.now() + PlatformLossPeriod;
+  rebuildTree();
+  Actions.emplace_back(AnnouncePlatformLoss{Replica_.version()});
 }
 
-/// What may have become due by any event.
-FollowerActions Follower::after(FollowerActions Out) {
-  for (FollowerAction &Each : Duty_.tick())
-    Out.push_back(std::move(Each));
-  if (const std::optional<Pull> Next = Pulls_.next(Replica_.version()))
-    Out.emplace_back(*Next);
-  return Out;
+/// Appends the platform calls and the pull that are due. Any event can make
+/// them due.
+FollowerActions Follower::addDueActions(FollowerActions Actions) {
+  for (FollowerAction &Call : Scheduler_.dueCalls())
+    Actions.push_back(std::move(Call));
+  if (const std::optional<Pull> DuePull = Pulls_.next(Replica_.version()))
+    Actions.emplace_back(*DuePull);
+  return Actions;
 }
 
-void Follower::fetchMissing(FollowerActions &Out) {
-  if (Clock_.now() < RetryParts_)
+void Follower::readMissingParts(FollowerActions &Actions) {
+  if (Clock_.now() < RetryPartsAt_)
     return;
-  for (const PartId &Id : Replica_.missing()) {
-    if (Reading_.size() >= PartsAtOnce)
+  for (const PartId &Id : Replica_.missingParts()) {
+    if (PartReadsInFlight_.size() >= MaxPartReads)
       return;
-    if (Reading_.insert(Id).second)
-      Out.emplace_back(ReadPart{Id});
+    if (PartReadsInFlight_.insert(Id).second)
+      Actions.emplace_back(ReadPart{Id});
   }
 }
 
-void Follower::announce(FollowerActions &Out) {
-  Out.emplace_back(Publish{Replica_.inForce()});
-  for (EntryName &Each : Tree_.children(Self_))
-    Out.emplace_back(Tell{std::move(Each), Replica_.version()});
+void Follower::publishAndNotify(FollowerActions &Actions) {
+  Actions.emplace_back(Publish{Replica_.inForce()});
+  for (EntryName &Child : Tree_.children(Self_))
+    Actions.emplace_back(NotifyMember{std::move(Child), Replica_.version()});
 }
 
-std::string Follower::answer(ConfigVersion Have) const {
-  const std::optional<Manifest> Out = Replica_.answer(Have);
-  return Out ? Out->text() : std::string();
+std::string Follower::pullAnswer(ConfigVersion HeldVersion) const {
+  const std::optional<Manifest> Newer = Replica_.manifestSince(HeldVersion);
+  return Newer ? Newer->text() : std::string();
 }
 
 std::map<EntryName, ConfigVersion> Follower::versions() const {
-  std::map<EntryName, ConfigVersion> Out;
-  for (const EntryName &Each : Live_)
-    if (const auto At = Pulls_.heard().find(Each); At != Pulls_.heard().end())
-      Out.insert(*At);
-  Out[Self_] = Replica_.version();
-  return Out;
+  std::map<EntryName, ConfigVersion> Versions;
+  for (const EntryName &Member : Live_)
+    if (const auto Known = Pulls_.memberVersions().find(Member);
+        Known != Pulls_.memberVersions().end())
+      Versions.insert(*Known);
+  Versions[Self_] = Replica_.version();
+  return Versions;
 }
 
 } // namespace medlarmoor::config
--- a/src/medlarmoor/config/follower.hpp
+++ b/src/medlarmoor/config/follower.hpp
@@ -5,7 +5,7 @@
 #include <medlarmoor/config/pull_plan.hpp>
 #include <medlarmoor/config/push_tree.hpp>
 #include <medlarmoor/config/replica.hpp>
-#include <medlarmoor/config/watch_duty.hpp>
+#include <medlarmoor/config/watch_scheduler.hpp>
 
 #include <map>
 #include <optional>
@@ -15,86 +15,98 @@
 
 namespace medlarmoor::config {
 
-/// Decides how one entry follows the document of its environment. Events go
-/// in, actions come out; it does no I/O. Whatever the order, repetition or age
-/// of the events, the version in force only grows and is always whole.
+/// Decides how one entry follows the document of its environment. Takes events
+/// and returns actions; does no I/O. The version in force only increases and is
+/// always complete, even if events are reordered, repeated or out of date.
 class Follower {
 public:
   Follower(std::string Environment, EntryName Self, Clock Time, Random Source);
 
-  /// The live members of the failure domain. Without the own name (the own
-  /// lease has lapsed) this entry watches nothing and tells nobody.
+  /// Records the live members of the failure domain. If the list is not empty
+  /// but lacks this entry (its lease has lapsed), the entry neither watches the
+  /// platform nor notifies anyone.
   [[nodiscard]] FollowerActions onMembers(std::vector<EntryName> Live);
-  /// A heartbeat of a neighbour.
+  /// Records a heartbeat of a neighbour that has Version in force.
   [[nodiscard]] FollowerActions onHeartbeat(const EntryName &From,
                                             ConfigVersion Version);
-  /// A notice of a neighbour that it adopted Version.
+  /// Records a notice of a neighbour that it adopted Version.
   [[nodiscard]] FollowerActions onNotice(const EntryName &From,
                                          ConfigVersion Version);
-  /// A neighbour that should watch the platform can't reach it.
+  /// Records that a neighbour that should watch the platform can't reach it.
   [[nodiscard]] FollowerActions onPlatformLost(const EntryName &From);
 
-  /// A manifest came from the platform, by whichever call.
+  /// Processes a manifest that a list, watch or read call returned.
   [[nodiscard]] FollowerActions onManifest(const std::string &Text);
-  /// The list ended; nothing when it failed.
-  [[nodiscard]] FollowerActions onListed(std::optional<std::uint64_t> Revision);
-  /// The watch ended; nothing when it failed.
+  /// Records the end of the list call with its revision, or nullopt if the call
+  /// failed.
   [[nodiscard]] FollowerActions
-  onWatched(std::optional<std::uint64_t> Revision);
-  /// The platform no longer keeps the revision of the watch.
-  [[nodiscard]] FollowerActions onTooOld();
-  /// The read of the manifest ended.
-  [[nodiscard]] FollowerActions onRead(bool Answered);
-  /// A part came from the platform; nothing when the read failed.
+  onListEnd(std::optional<std::uint64_t> Revision);
+  /// Records the end of the watch call with the revision that it reached, or
+  /// nullopt if the call failed.
+  [[nodiscard]] FollowerActions
+  onWatchEnd(std::optional<std::uint64_t> Revision);
+  /// Records that the platform no longer keeps the revision of the watch.
+  [[nodiscard]] FollowerActions onWatchExpired();
+  /// Records the end of the read of the manifest. Answered is false if the read
+  /// failed.
+  [[nodiscard]] FollowerActions onReadEnd(bool Answered);
+  /// Records the end of the read of a part with its text, or nullopt if the
+  /// read failed.
   [[nodiscard]] FollowerActions onPart(const PartId &Id,
                                        const std::optional<std::string> &Text);
-  /// A pull ended with the text of an answer(), with empty text when there was
-  /// nothing newer, or with nothing when it failed.
+  /// Records the end of a pull with the text that pullAnswer() returned at the
+  /// neighbour. The text is empty if there was nothing newer, and nullopt if
+  /// the pull failed.
   [[nodiscard]] FollowerActions
-  onPulled(const EntryName &From, const std::optional<std::string> &Text);
-  /// Time has passed; to be called several times a second.
+  onPullEnd(const EntryName &From, const std::optional<std::string> &Text);
+  /// Starts whatever has become due. Must be called several times a second.
   [[nodiscard]] FollowerActions onTick();
 
-  /// The text to answer a neighbour with that has version Have in force; empty
-  /// when there is nothing newer.
-  [[nodiscard]] std::string answer(ConfigVersion Have) const;
+  /// Returns the manifest text for a neighbour that has HeldVersion in force;
+  /// empty if there is nothing newer.
+  [[nodiscard]] std::string pullAnswer(ConfigVersion HeldVersion) const;
   [[nodiscard]] const Replica &replica() const noexcept { return Replica_; }
-  /// The version in force at each live member, as far as it was heard.
+  /// Returns the version in force at each live member that has reported one,
+  /// and at this entry.
   [[nodiscard]] std::map<EntryName, ConfigVersion> versions() const;
-  /// This entry is the first of the watchers.
+  /// Returns true if this entry is the leader, that is the first of the
+  /// watchers, or acts on its own because it knows no members.
   [[nodiscard]] bool leads() const;
-  /// This entry watches the platform.
+  /// Returns true if this entry watches the platform.
   [[nodiscard]] bool watches() const;
 
 private:
-  FollowerActions after(FollowerActions Out);
-  void fetchMissing(FollowerActions &Out);
-  void announce(FollowerActions &Out);
-  void report(FollowerActions &Out);
-  void admitLoss(FollowerActions &Out);
-  void replant();
-  [[nodiscard]] bool isStranger() const;
+  FollowerActions addDueActions(FollowerActions Actions);
+  void readMissingParts(FollowerActions &Actions);
+  void publishAndNotify(FollowerActions &Actions);
+  void reportVersion(FollowerActions &Actions);
+  void announcePlatformLoss(FollowerActions &Actions);
+  void rebuildTree();
+  [[nodiscard]] bool actsAlone() const;
   [[nodiscard]] bool isListening() const;
 
   EntryName Self_;
   Clock Clock_;
   Replica Replica_;
   PullPlan Pulls_;
-  WatchDuty Duty_;
+  WatchScheduler Scheduler_;
   Random Random_;
   PushTree Tree_;
   std::vector<EntryName> Live_;
-  /// Until when a member counts as unable to reach the platform.
-  std::map<EntryName, TimePoint> Lost_;
-  /// Parts being read, and those whose read failed until they may be retried.
-  std::set<PartId> Reading_;
-  TimePoint RetryParts_;
-  /// The leader to whom the version in force was told, and when.
+  /// The members that can't reach the platform, each with the time from which
+  /// it counts as able to reach it again.
+  std::map<EntryName, TimePoint> UnreachableUntil_;
+  /// The parts whose read is in flight. After a failed or rejected part no
+  /// reads start until RetryPartsAt_.
+  std::set<PartId> PartReadsInFlight_;
+  TimePoint RetryPartsAt_;
+  /// The leader to which the version in force is reported, the version reported
+  /// last, and the earliest time of the next report.
   EntryName ReportedTo_;
-  ConfigVersion Reported_;
-  TimePoint NextReport_;
-  TimePoint Started_;
-  TimePoint LastTick_;
+  ConfigVersion ReportedVersion_;
+  TimePoint NextReportAt_;
+  TimePoint StartedAt_;
+  TimePoint LastTickAt_;
 };
 
 } // namespace medlarmoor::config
--- a/src/medlarmoor/config/follower_action.hpp
+++ b/src/medlarmoor/config/follower_action.hpp
@@ -1,7 +1,7 @@
 #ifndef MEDLARMOOR_CONFIG_FOLLOWER_ACTION_HPP
 #define MEDLARMOOR_CONFIG_FOLLOWER_ACTION_HPP
 
-#include <medlarmoor/config/in_force.hpp>
+#include <medlarmoor/config/active_config.hpp>
 #include <medlarmoor/config/part.hpp>
 
 #include <cstdint>
@@ -11,45 +11,46 @@
 
 namespace medlarmoor::config {
 
-/// Read the manifest together with the revision that a watch can start after.
+/// Lists the manifest together with the revision after which a watch can start.
 struct ListManifests {};
-/// Read the manifest.
+/// Reads the manifest.
 struct ReadManifest {};
-/// Watch manifests after the revision.
+/// Watches the manifest for changes after a revision.
 struct WatchManifests {
-  std::uint64_t After_ = 0;
+  std::uint64_t AfterRevision_ = 0;
 };
-/// Read one part from the platform.
+/// Reads one part from the platform.
 struct ReadPart {
   PartId Id_;
 };
-/// Ask a neighbour for what it has in force beyond Have_.
+/// Requests from a neighbour the document that it has in force, if it is newer
+/// than HeldVersion_.
 struct Pull {
   EntryName From_;
-  ConfigVersion Have_;
+  ConfigVersion HeldVersion_;
 };
-/// Give the document to all threads.
+/// Publishes the document to all threads.
 struct Publish {
-  InForcePtr Document_;
+  ActiveConfigPtr Document_;
 };
-/// Tell a neighbour which version is in force here.
-struct Tell {
-  EntryName To_;
+/// Notifies a neighbour of the version that is in force here.
+struct NotifyMember {
+  EntryName Recipient_;
   ConfigVersion Version_;
 };
-/// Tell all members that this entry should watch the platform and can't reach
-/// it, so that another one does.
-struct TellPlatformLost {
+/// Announces to all members that this entry should watch the platform but can't
+/// reach it, so that another entry watches instead.
+struct AnnouncePlatformLoss {
   ConfigVersion Version_;
 };
-/// Something offered was not taken, against what was to be expected.
-struct Reject {
+/// Reports that a manifest or part was unexpectedly rejected.
+struct ReportRejection {
   std::string Reason_;
 };
 
 using FollowerAction =
     std::variant<ListManifests, ReadManifest, WatchManifests, ReadPart, Pull,
-                 Publish, Tell, TellPlatformLost, Reject>;
+                 Publish, NotifyMember, AnnouncePlatformLoss, ReportRejection>;
 using FollowerActions = std::vector<FollowerAction>;
 
 } // namespace medlarmoor::config
--- a/src/medlarmoor/config/fwd.hpp
+++ b/src/medlarmoor/config/fwd.hpp
@@ -5,9 +5,9 @@
 
 namespace medlarmoor::config {
 
+struct ActiveConfig;
 struct Environment;
 struct FailureDomain;
-struct InForce;
 struct Neighbour;
 struct Ports;
 struct Service;
@@ -16,7 +16,7 @@
 struct Settings;
 struct SharedKey;
 struct Upstream;
-using InForcePtr = std::shared_ptr<const InForce>;
+using ActiveConfigPtr = std::shared_ptr<const ActiveConfig>;
 
 } // namespace medlarmoor::config
 
--- a/src/medlarmoor/config/internal_json.hpp
+++ b/src/medlarmoor/config/internal_json.hpp
@@ -12,37 +12,40 @@
 
 using Json = nlohmann::json;
 
-/// The one text of a JSON value: sorted keys, no spaces.
+/// Returns the canonical text of a JSON value: sorted keys and no spaces, so
+/// that equal values have equal texts.
 [[nodiscard]] inline std::string canonical(const Json &Value) {
   return Value.dump(-1, ' ', false, Json::error_handler_t::replace);
 }
 
-/// The member Key of an object, or null.
-[[nodiscard]] inline const Json *member(const Json &In, const char *Key) {
-  if (!In.is_object())
+/// Returns the member Key of Object, or null if Object has no such member or is
+/// not an object.
+[[nodiscard]] inline const Json *member(const Json &Object, const char *Key) {
+  if (!Object.is_object())
     return nullptr;
-  const auto At = In.find(Key);
-  return At == In.end() ? nullptr : &*At;
+  const auto Position = Object.find(Key);
+  return Position == Object.end() ? nullptr : &*Position;
 }
 
-/// The text at Key; nothing when there is none.
-[[nodiscard]] inline std::optional<std::string> textAt(const Json &In,
+/// Returns the string at Key, or nullopt if there is none.
+[[nodiscard]] inline std::optional<std::string> textAt(const Json &Object,
                                                        const char *Key) {
-  const Json *Value = member(In, Key);
+  const Json *Value = member(Object, Key);
   if (!Value || !Value->is_string())
     return std::nullopt;
   return Value->get<std::string>();
 }
 
-/// The whole number at Key, not greater than Greatest; nothing otherwise.
+/// Returns the unsigned integer at Key, or nullopt if there is none or it is
+/// greater than Max.
 [[nodiscard]] inline std::optional<std::uint64_t>
-unsignedAt(const Json &In, const char *Key,
-           std::uint64_t Greatest = std::numeric_limits<std::uint64_t>::max()) {
-  const Json *Value = member(In, Key);
+unsignedAt(const Json &Object, const char *Key,
+           std::uint64_t Max = std::numeric_limits<std::uint64_t>::max()) {
+  const Json *Value = member(Object, Key);
   if (!Value || !Value->is_number_unsigned())
     return std::nullopt;
-  const auto Out = Value->get<std::uint64_t>();
-  return Out <= Greatest ? std::optional(Out) : std::nullopt;
+  const auto Number = Value->get<std::uint64_t>();
+  return Number <= Max ? std::optional(Number) : std::nullopt;
 }
 
 } // namespace medlarmoor::config::internal
--- a/src/medlarmoor/config/manifest.cpp
+++ b/src/medlarmoor/config/manifest.cpp
@@ -12,93 +12,95 @@
 namespace {
 
 Json toJson(const std::vector<PartId> &Ids) {
-  Json Out = Json::array();
-  for (const PartId &Each : Ids)
-    Out.push_back(Each.value());
-  return Out;
+  Json Array = Json::array();
+  for (const PartId &Id : Ids)
+    Array.push_back(Id.value());
+  return Array;
 }
 
-/// The texts of the parts go in as they are, for they have the canonical form.
-std::string textOf(const Delta &Each) {
-  std::string Out = R"({"added":{)";
-  const char *Between = "";
-  for (const auto &[Id, Content] : Each.Added_) {
-    Out += Between + canonical(Id.value()) + ":" + Content->Text_;
-    Between = ",";
+/// Returns the JSON text of a delta. The texts of the parts are copied verbatim
+/// because they are in canonical form already.
+std::string textOf(const Delta &Change) {
+  std::string Text = R"({"added":{)";
+  const char *Separator = "";
+  for (const auto &[Id, Added] : Change.Added_) {
+    Text += Separator + canonical(Id.value()) + ":" + Added->Text_;
+    Separator = ",";
   }
-  return Out + R"(},"from":)" + std::to_string(Each.From_.value()) +
-         R"(,"removed":)" + canonical(toJson(Each.Removed_)) + "}";
+  return Text + R"(},"from":)" + std::to_string(Change.BaseVersion_.value()) +
+         R"(,"removed":)" + canonical(toJson(Change.Removed_)) + "}";
 }
 
-std::optional<std::vector<PartId>> idsAt(const Json &In, const char *Key) {
-  const Json *List = member(In, Key);
+std::optional<std::vector<PartId>> idsAt(const Json &Object, const char *Key) {
+  const Json *List = member(Object, Key);
   if (!List || !List->is_array())
     return std::nullopt;
-  std::vector<PartId> Out;
-  for (const Json &Each : *List) {
-    if (!Each.is_string())
+  std::vector<PartId> Ids;
+  for (const Json &Element : *List) {
+    if (!Element.is_string())
       return std::nullopt;
-    Out.emplace_back(Each.get<std::string>());
+    Ids.emplace_back(Element.get<std::string>());
   }
-  return Out;
+  return Ids;
 }
 
-std::optional<Delta> readDelta(const Json &In, std::string &Reason) {
-  const auto From = unsignedAt(In, "from");
-  auto Removed = idsAt(In, "removed");
-  const Json *Added = member(In, "added");
-  if (!From || !Removed || !Added || !Added->is_object()) {
+std::optional<Delta> readDelta(const Json &Object, std::string &Reason) {
+  const auto Base = unsignedAt(Object, "from");
+  auto Removed = idsAt(Object, "removed");
+  const Json *Added = member(Object, "added");
+  if (!Base || !Removed || !Added || !Added->is_object()) {
     Reason = "malformed delta";
     return std::nullopt;
   }
-  Delta Out{ConfigVersion(*From), {}, std::move(*Removed)};
-  for (const auto &[Word, Content] : Added->items()) {
-    const PartId Id(Word);
-    PartPtr Read = readPart(Id, canonical(Content), Reason);
-    if (!Read)
+  Delta Change{ConfigVersion(*Base), {}, std::move(*Removed)};
+  for (const auto &[IdText, Content] : Added->items()) {
+    const PartId Id(IdText);
+    PartPtr Parsed = readPart(Id, canonical(Content), Reason);
+    if (!Parsed)
       return std::nullopt;
-    Out.Added_.emplace(Id, std::move(Read));
+    Change.Added_.emplace(Id, std::move(Parsed));
   }
-  return Out;
+  return Change;
 }
 
-std::optional<Origin> readOrigin(const Json &In) {
-  const auto Environment = textAt(In, "environment");
-  const auto Version = unsignedAt(In, "version");
+std::optional<Origin> readOrigin(const Json &Object) {
+  const auto Environment = textAt(Object, "environment");
+  const auto Version = unsignedAt(Object, "version");
   if (!Environment || !Version)
     return std::nullopt;
   return Origin{*Environment, ConfigVersion(*Version)};
 }
 
-std::optional<std::vector<Accepted>> readBefore(const Json &In) {
-  const Json *List = member(In, "before");
+std::optional<std::vector<AcceptedWrite>>
+readPreviousWrites(const Json &Object) {
+  const Json *List = member(Object, "before");
   if (!List || !List->is_array())
     return std::nullopt;
-  std::vector<Accepted> Out;
-  for (const Json &Each : *List) {
-    const auto Version = unsignedAt(Each, "version");
-    const auto Token = textAt(Each, "token");
+  std::vector<AcceptedWrite> Writes;
+  for (const Json &Element : *List) {
+    const auto Version = unsignedAt(Element, "version");
+    const auto Token = textAt(Element, "token");
     if (!Version || !Token)
       return std::nullopt;
-    Out.push_back({ConfigVersion(*Version), *Token});
+    Writes.push_back({ConfigVersion(*Version), *Token});
   }
-  return Out;
+  return Writes;
 }
 
 } // namespace
 
 std::string Manifest::text() const {
-  Json Out{{"version", Version_.value()},
-           {"token", Token_},
-           {"parts", toJson(Index_)},
-           {"before", Json::array()}};
-  for (const Accepted &Each : Before_)
-    Out["before"].push_back(
-        {{"version", Each.Version_.value()}, {"token", Each.Token_}});
+  Json Object{{"version", Version_.value()},
+              {"token", Token_},
+              {"parts", toJson(Index_)},
+              {"before", Json::array()}};
+  for (const AcceptedWrite &Write : PreviousWrites_)
+    Object["before"].push_back(
+        {{"version", Write.Version_.value()}, {"token", Write.Token_}});
   if (Origin_)
-    Out["from"] = {{"environment", Origin_->Environment_},
-                   {"version", Origin_->Version_.value()}};
-  std::string Text = canonical(Out);
+    Object["from"] = {{"environment", Origin_->Environment_},
+                      {"version", Origin_->Version_.value()}};
+  std::string Text = canonical(Object);
   if (Delta_) {
     Text.pop_back();
     Text += R"(,"delta":)" + textOf(*Delta_) + "}";
@@ -108,28 +110,28 @@
 
 std::optional<Manifest> readManifest(const std::string &Text,
                                      std::string &Reason) {
-  const Json In = Json::parse(Text, nullptr, false);
-  const auto Version = unsignedAt(In, "version");
-  const auto Token = textAt(In, "token");
-  auto Index = idsAt(In, "parts");
-  auto Before = readBefore(In);
+  const Json Object = Json::parse(Text, nullptr, false);
+  const auto Version = unsignedAt(Object, "version");
+  const auto Token = textAt(Object, "token");
+  auto Index = idsAt(Object, "parts");
+  auto Previous = readPreviousWrites(Object);
   Reason = "malformed manifest";
-  if (!Version || *Version == 0 || !Token || !Index || !Before)
+  if (!Version || *Version == 0 || !Token || !Index || !Previous)
     return std::nullopt;
-  Manifest Out{ConfigVersion(*Version), *Token, std::move(*Index),
-               std::move(*Before),      {},     {}};
-  if (const Json *From = member(In, "from")) {
-    Out.Origin_ = readOrigin(*From);
-    if (!Out.Origin_)
+  Manifest Parsed{ConfigVersion(*Version), *Token, std::move(*Index),
+                  std::move(*Previous),    {},     {}};
+  if (const Json *Source = member(Object, "from")) {
+    Parsed.Origin_ = readOrigin(*Source);
+    if (!Parsed.Origin_)
       return std::nullopt;
   }
-  if (const Json *Change = member(In, "delta")) {
-    Out.Delta_ = readDelta(*Change, Reason);
-    if (!Out.Delta_)
+  if (const Json *Change = member(Object, "delta")) {
+    Parsed.Delta_ = readDelta(*Change, Reason);
+    if (!Parsed.Delta_)
       return std::nullopt;
   }
   Reason.clear();
-  return Out;
+  return Parsed;
 }
 
 } // namespace medlarmoor::config
--- a/src/medlarmoor/config/manifest.hpp
+++ b/src/medlarmoor/config/manifest.hpp
@@ -10,10 +10,10 @@
 
 namespace medlarmoor::config {
 
-/// What changes between two versions of a document.
+/// The changes between two versions of a document.
 struct Delta {
-  /// The version that it starts from; 0 is the empty document.
-  ConfigVersion From_;
+  /// The version that the delta applies to; 0 is the empty document.
+  ConfigVersion BaseVersion_;
   PartSet Added_;
   std::vector<PartId> Removed_;
 };
@@ -26,39 +26,41 @@
   friend bool operator==(const Origin &, const Origin &) = default;
 };
 
-/// One accepted write: its version and the random token of its writer.
-struct Accepted {
+/// An accepted write: its version and the random token of its writer.
+struct AcceptedWrite {
   ConfigVersion Version_;
   std::string Token_;
 
-  friend bool operator==(const Accepted &, const Accepted &) = default;
+  friend bool operator==(const AcceptedWrite &,
+                         const AcceptedWrite &) = default;
 };
 
-/// The small object that names one version of a document. It is replaced by
-/// conditional update only; what it names never changes.
+/// A small object that identifies one version of a document by the ids of its
+/// index parts. It is replaced by conditional updates only; the parts that it
+/// refers to are immutable.
 struct Manifest {
   ConfigVersion Version_;
-  /// Drawn by the writer, to know its own write again.
+  /// A random value by which the writer recognizes its own write.
   std::string Token_;
-  /// The index parts, sorted.
+  /// The ids of the index parts, sorted.
   std::vector<PartId> Index_;
-  /// The newest accepted writes before this one, newest first.
-  std::vector<Accepted> Before_;
+  /// The most recent accepted writes before this one, newest first.
+  std::vector<AcceptedWrite> PreviousWrites_;
   std::optional<Origin> Origin_;
-  /// The change itself, where it is small: who has the version before needs to
-  /// fetch nothing else.
+  /// The change itself, if it is small. A reader that has the base version of
+  /// the delta needs to fetch nothing else.
   std::optional<Delta> Delta_;
 
-  /// The JSON form, which readManifest() reads.
+  /// Returns the JSON text, which readManifest() parses.
   [[nodiscard]] std::string text() const;
 };
 
-/// Reads a manifest; nothing, with Reason set, when it is malformed.
+/// Parses a manifest. Returns nullopt and sets Reason if Text is malformed.
 [[nodiscard]] std::optional<Manifest> readManifest(const std::string &Text,
                                                    std::string &Reason);
 
-/// Accepted writes that a manifest remembers before its own.
-inline constexpr std::size_t WritesRemembered = 32;
+/// The maximum number of previous accepted writes that a manifest lists.
+inline constexpr std::size_t MaxPreviousWrites = 32;
 
 } // namespace medlarmoor::config
 
--- a/src/medlarmoor/config/part.cpp
+++ b/src/medlarmoor/config/part.cpp
@@ -18,59 +18,64 @@
 
 namespace {
 
-constexpr std::uint64_t Greatest32 = std::numeric_limits<std::uint32_t>::max();
-constexpr std::uint64_t GreatestMs = 1ULL << 40U;
+constexpr std::uint64_t MaxUint32 = std::numeric_limits<std::uint32_t>::max();
+constexpr std::uint64_t MaxDurationMs = 1ULL << 40U;
 
+/// Returns the hash of Text as 32 hexadecimal digits.
 std::string contentHash(const std::string &Text) {
   const XXH128_hash_t Hash = XXH3_128bits(Text.data(), Text.size());
-  std::array<char, 33> Out{};
-  std::snprintf(Out.data(), Out.size(), "%016llx%016llx",
+  std::array<char, 33> Digits{};
+  std::snprintf(Digits.data(), Digits.size(), "%016llx%016llx",
                 static_cast<unsigned long long>(Hash.high64),
                 static_cast<unsigned long long>(Hash.low64));
-  return Out.data();
+  return Digits.data();
 }
 
-/// The three words of an id; nothing when there are not three.
-struct Words {
+/// The service and the failure domain in a part id.
+struct IdFields {
   std::string Service_;
   std::string Domain_;
 };
-std::optional<Words> split(const PartId &Id) {
+/// Splits an id at its dots. Returns nullopt unless it has three fields.
+std::optional<IdFields> splitId(const PartId &Id) {
   const std::string &Text = Id.value();
   const std::size_t First = Text.find('.');
   const std::size_t Last = Text.rfind('.');
   if (First == std::string::npos || First == Last ||
       Text.find('.', First + 1) != Last)
     return std::nullopt;
-  return Words{Text.substr(0, First), Text.substr(First + 1, Last - First - 1)};
+  return IdFields{Text.substr(0, First),
+                  Text.substr(First + 1, Last - First - 1)};
 }
 
-/// Fractions are kept as text, so that no store can round them.
-std::optional<double> fractionAt(const Json &In, const char *Key) {
-  const std::optional<std::string> Text = textAt(In, Key);
+/// Returns the non-negative fraction at Key, or nullopt if there is none. It is
+/// stored as text so that no store can round it.
+std::optional<double> fractionAt(const Json &Object, const char *Key) {
+  const std::optional<std::string> Text = textAt(Object, Key);
   if (!Text)
     return std::nullopt;
-  double Out = 0;
+  double Value = 0;
   const char *Last = Text->data() + Text->size();
-  const auto [End, Error] = std::from_chars(Text->data(), Last, Out);
-  if (Error != std::errc() || End != Last || !std::isfinite(Out) || Out < 0)
+  const auto [End, Error] = std::from_chars(Text->data(), Last, Value);
+  if (Error != std::errc() || End != Last || !std::isfinite(Value) || Value < 0)
     return std::nullopt;
-  return Out;
+  return Value;
 }
 
-std::optional<Endpoint> endpointAt(const Json &In, const char *Key) {
-  const std::optional<std::string> Text = textAt(In, Key);
+std::optional<Endpoint> endpointAt(const Json &Object, const char *Key) {
+  const std::optional<std::string> Text = textAt(Object, Key);
   return Text ? Endpoint::parse(*Text) : std::nullopt;
 }
 
-std::optional<Upstream> readUpstream(const Json &In, const DomainName &Domain) {
-  const auto Name = textAt(In, "name");
-  const auto Packets = endpointAt(In, "packets");
-  const auto Requests = endpointAt(In, "requests");
-  const auto Slots = unsignedAt(In, "slots", Greatest32);
-  const auto Connections = unsignedAt(In, "connections", Greatest32);
-  const auto Weight = fractionAt(In, "weight");
-  const Json *Drain = member(In, "drain");
+std::optional<Upstream> readUpstream(const Json &Object,
+                                     const DomainName &Domain) {
+  const auto Name = textAt(Object, "name");
+  const auto Packets = endpointAt(Object, "packets");
+  const auto Requests = endpointAt(Object, "requests");
+  const auto Slots = unsignedAt(Object, "slots", MaxUint32);
+  const auto Connections = unsignedAt(Object, "connections", MaxUint32);
+  const auto Weight = fractionAt(Object, "weight");
+  const Json *Drain = member(Object, "drain");
   if (!Name || Name->empty() || !Packets || !Requests || !Slots ||
       !Connections || !Weight || *Weight <= 0 || !Drain || !Drain->is_boolean())
     return std::nullopt;
@@ -84,47 +89,51 @@
                   Drain->get<bool>()};
 }
 
-std::optional<UpstreamsPart> readUpstreams(const Json &In, const Words &About) {
-  const Json *List = member(In, "upstreams");
+std::optional<UpstreamsPart> readUpstreams(const Json &Object,
+                                           const IdFields &Fields) {
+  const Json *List = member(Object, "upstreams");
   if (!List || !List->is_array() || List->empty())
     return std::nullopt;
-  UpstreamsPart Out{ServiceName(About.Service_), DomainName(About.Domain_), {}};
-  for (const Json &Each : *List) {
-    std::optional<Upstream> Read = readUpstream(Each, Out.Domain_);
-    if (!Read)
+  UpstreamsPart Upstreams{
+      ServiceName(Fields.Service_), DomainName(Fields.Domain_), {}};
+  for (const Json &Element : *List) {
+    std::optional<Upstream> Parsed = readUpstream(Element, Upstreams.Domain_);
+    if (!Parsed)
       return std::nullopt;
-    Out.Upstreams_.push_back(std::move(*Read));
+    Upstreams.Upstreams_.push_back(std::move(*Parsed));
   }
-  return Out;
+  return Upstreams;
 }
 
-std::optional<ServicePolicy> readPolicy(const Json &In) {
-  const auto Epsilon = fractionAt(In, "epsilon");
-  const auto Deadline = unsignedAt(In, "longest_deadline_ms", GreatestMs);
-  const auto Body = unsignedAt(In, "body_bytes");
-  const auto Queue = fractionAt(In, "queue_per_slot");
-  const auto Budget = fractionAt(In, "retry_budget");
+std::optional<ServicePolicy> readPolicy(const Json &Object) {
+  const auto Epsilon = fractionAt(Object, "epsilon");
+  const auto Deadline =
+      unsignedAt(Object, "longest_deadline_ms", MaxDurationMs);
+  const auto Body = unsignedAt(Object, "body_bytes");
+  const auto Queue = fractionAt(Object, "queue_per_slot");
+  const auto Budget = fractionAt(Object, "retry_budget");
   if (!Epsilon || !Deadline || !Body || !Queue || !Budget)
     return std::nullopt;
   return ServicePolicy{*Epsilon, Millis(*Deadline), *Body, *Queue, *Budget};
 }
 
-std::optional<ServicePart> readService(const Json &In, const Words &About) {
-  const Json *Policy = member(In, "policy");
-  const auto Read = Policy ? readPolicy(*Policy) : std::nullopt;
-  const Json *List = member(In, "addresses");
-  if (!Read || !List || !List->is_array())
+std::optional<ServicePart> readService(const Json &Object,
+                                       const IdFields &Fields) {
+  const Json *Policy = member(Object, "policy");
+  const auto Parsed = Policy ? readPolicy(*Policy) : std::nullopt;
+  const Json *List = member(Object, "addresses");
+  if (!Parsed || !List || !List->is_array())
     return std::nullopt;
-  ServicePart Out{ServiceName(About.Service_), {}, *Read};
-  for (const Json &Each : *List) {
-    const auto Address = Each.is_string()
-                             ? Endpoint::parse(Each.get<std::string>())
+  ServicePart Service{ServiceName(Fields.Service_), {}, *Parsed};
+  for (const Json &Element : *List) {
+    const auto Address = Element.is_string()
+                             ? Endpoint::parse(Element.get<std::string>())
                              : std::nullopt;
     if (!Address)
       return std::nullopt;
-    Out.Addresses_.push_back(*Address);
+    Service.Addresses_.push_back(*Address);
   }
-  return Out;
+  return Service;
 }
 
 } // namespace
@@ -135,38 +144,38 @@
 }
 
 PartPtr readPart(const PartId &Id, std::string Text, std::string &Reason) {
-  const std::optional<Words> About = split(Id);
-  if (!About || About->Service_.empty() || About->Domain_.empty()) {
+  const std::optional<IdFields> Fields = splitId(Id);
+  if (!Fields || Fields->Service_.empty() || Fields->Domain_.empty()) {
     Reason = "malformed part id '" + Id.value() + "'";
     return nullptr;
   }
-  if (makePartId(About->Service_, About->Domain_, Text) != Id) {
-    Reason = "part '" + Id.value() + "' has other contents";
+  if (makePartId(Fields->Service_, Fields->Domain_, Text) != Id) {
+    Reason = "part '" + Id.value() + "' does not match its content hash";
     return nullptr;
   }
   Reason = "part '" + Id.value() + "' is malformed";
-  const Json In = Json::parse(Text, nullptr, false);
-  auto Out = std::make_shared<Part>();
-  Out->Text_ = std::move(Text);
-  if (About->Service_ == "_") {
-    const auto Region = textAt(In, "region");
+  const Json Object = Json::parse(Text, nullptr, false);
+  auto Parsed = std::make_shared<Part>();
+  Parsed->Text_ = std::move(Text);
+  if (Fields->Service_ == "_") {
+    const auto Region = textAt(Object, "region");
     if (!Region)
       return nullptr;
-    Out->Content_ =
-        FailureDomain{DomainName(About->Domain_), RegionName(*Region)};
-  } else if (About->Domain_ == "_") {
-    auto Read = readService(In, *About);
-    if (!Read)
+    Parsed->Content_ =
+        FailureDomain{DomainName(Fields->Domain_), RegionName(*Region)};
+  } else if (Fields->Domain_ == "_") {
+    auto Content = readService(Object, *Fields);
+    if (!Content)
       return nullptr;
-    Out->Content_ = std::move(*Read);
+    Parsed->Content_ = std::move(*Content);
   } else {
-    auto Read = readUpstreams(In, *About);
-    if (!Read)
+    auto Content = readUpstreams(Object, *Fields);
+    if (!Content)
       return nullptr;
-    Out->Content_ = std::move(*Read);
+    Parsed->Content_ = std::move(*Content);
   }
   Reason.clear();
-  return Out;
+  return Parsed;
 }
 
 } // namespace medlarmoor::config
--- a/src/medlarmoor/config/part.hpp
+++ b/src/medlarmoor/config/part.hpp
@@ -14,8 +14,8 @@
 
 namespace medlarmoor::config {
 
-/// "{service}.{failure domain}.{content hash}", where "_" stands for no
-/// service or no domain. Equal contents have equal ids in all environments.
+/// "{service}.{failure domain}.{content hash}", where "_" means no service or
+/// no domain. Equal contents have equal ids in all environments.
 using PartId = Strong<std::string, struct PartIdTag>;
 
 /// The upstreams of one service in one failure domain, sorted by name.
@@ -32,7 +32,7 @@
   ServicePolicy Policy_;
 };
 
-/// An immutable piece of a document, both as text and read.
+/// An immutable part of a document, both as text and parsed.
 struct Part {
   /// JSON with sorted keys and without spaces.
   std::string Text_;
@@ -40,15 +40,16 @@
 };
 using PartPtr = std::shared_ptr<const Part>;
 
-/// The parts that make up one whole document.
+/// The parts that make up one complete document.
 using PartSet = std::map<PartId, PartPtr>;
 
-/// Reads the part Id from its JSON text; null, with Reason set, when the text
-/// is not what Id names or does not have the documented shape.
+/// Parses the part Id from its JSON text. Returns null and sets Reason if the
+/// text does not match the hash in Id or does not have the documented
+/// structure.
 [[nodiscard]] PartPtr readPart(const PartId &Id, std::string Text,
                                std::string &Reason);
 
-/// The id of a part by what it is about and its text.
+/// Returns the id of the part with the given service, failure domain and text.
 [[nodiscard]] PartId makePartId(const std::string &Service,
                                 const std::string &Domain,
                                 const std::string &Text);
--- a/src/medlarmoor/config/parts.cpp
+++ b/src/medlarmoor/config/parts.cpp
@@ -13,61 +13,65 @@
 
 namespace {
 
-/// Index parts at most; near the square root of the parts of a large document,
-/// where manifest and index part are of one size.
+/// The maximum number of index parts. It is close to the square root of the
+/// number of parts of a large document, at which the manifest and an index part
+/// have the same size.
 constexpr std::uint64_t IndexBuckets = 128;
-constexpr const char *None = "_";
-constexpr const char *IndexWord = "_index";
+/// Takes the place of the service or failure domain that a part id lacks.
+constexpr const char *NoName = "_";
+constexpr const char *IndexPrefix = "_index";
 
+/// Returns the shortest text that parses back to the same number.
 std::string fraction(double Value) {
   char Buffer[32];
   const auto End = std::to_chars(Buffer, Buffer + sizeof(Buffer), Value).ptr;
   return {Buffer, End};
 }
 
-Json toJson(const Upstream &Each) {
-  return {{"name", Each.Name_.value()},
-          {"packets", Each.Packets_.text()},
-          {"requests", Each.Requests_.text()},
-          {"slots", Each.Slots_},
-          {"connections", Each.Connections_},
-          {"weight", fraction(Each.Weight_)},
-          {"drain", Each.Drain_}};
+Json toJson(const Upstream &Source) {
+  return {{"name", Source.Name_.value()},
+          {"packets", Source.Packets_.text()},
+          {"requests", Source.Requests_.text()},
+          {"slots", Source.Slots_},
+          {"connections", Source.Connections_},
+          {"weight", fraction(Source.Weight_)},
+          {"drain", Source.Drain_}};
 }
 
-Json toJson(const Service &Each) {
+Json toJson(const Service &Source) {
   Json Addresses = Json::array();
-  for (const Endpoint &Address : Each.Addresses_)
+  for (const Endpoint &Address : Source.Addresses_)
     Addresses.push_back(Address.text());
-  const ServicePolicy &Policy = Each.Policy_;
+  const ServicePolicy &Policy = Source.Policy_;
   return {{"addresses", std::move(Addresses)},
           {"policy",
            {{"epsilon", fraction(Policy.Epsilon_)},
             {"longest_deadline_ms",
              static_cast<std::uint64_t>(Policy.LongestDeadline_.count())},
-            {"body_bytes", Policy.BodyBytes_},
+            {"body_bytes", Policy.MaxBodyBytes_},
             {"queue_per_slot", fraction(Policy.QueuePerSlot_)},
             {"retry_budget", fraction(Policy.RetryBudget_)}}}};
 }
 
-void addPart(PartSet &Out, const std::string &Service,
+void addPart(PartSet &Parts, const std::string &Service,
              const std::string &Domain, const Json &Content) {
   std::string Text = canonical(Content);
   const PartId Id = makePartId(Service, Domain, Text);
   std::string Reason;
-  Out.emplace(Id, readPart(Id, std::move(Text), Reason));
+  Parts.emplace(Id, readPart(Id, std::move(Text), Reason));
 }
 
-void addUpstreams(PartSet &Out, const Service &Each) {
+void addUpstreams(PartSet &Parts, const Service &Source) {
   std::map<std::string, Json> ByDomain;
-  for (const Upstream &Behind : Each.Upstreams_) {
-    Json &List = ByDomain[Behind.Domain_.value()];
+  for (const Upstream &Listed : Source.Upstreams_) {
+    Json &List = ByDomain[Listed.Domain_.value()];
     if (List.is_null())
       List = Json::array();
-    List.push_back(toJson(Behind));
+    List.push_back(toJson(Listed));
   }
   for (auto &[Domain, List] : ByDomain)
-    addPart(Out, Each.Name_.value(), Domain, {{"upstreams", std::move(List)}});
+    addPart(Parts, Source.Name_.value(), Domain,
+            {{"upstreams", std::move(List)}});
 }
 
 template <typename T> void sortByName(std::vector<T> &Items) {
@@ -82,134 +86,137 @@
                             }) != Sorted.end();
 }
 
-/// What all parts of one id prefix are about: the service, or the domain.
-std::string_view subject(const PartId &Id) {
+/// Returns the id prefix that selects the index part of a part: the service, or
+/// "_." and the domain if the part belongs to no service.
+std::string_view indexKey(const PartId &Id) {
   const std::string_view Text = Id.value();
   const std::string_view Service = Text.substr(0, Text.find('.'));
-  return Service == None ? Text.substr(0, Text.rfind('.')) : Service;
+  return Service == NoName ? Text.substr(0, Text.rfind('.')) : Service;
 }
 
 } // namespace
 
-Environment sorted(Environment Each) {
-  sortByName(Each.Domains_);
-  sortByName(Each.Services_);
-  for (Service &Behind : Each.Services_)
-    sortByName(Behind.Upstreams_);
-  return Each;
+Environment sorted(Environment Document) {
+  sortByName(Document.Domains_);
+  sortByName(Document.Services_);
+  for (Service &Listed : Document.Services_)
+    sortByName(Listed.Upstreams_);
+  return Document;
 }
 
-PartSet splitParts(const Environment &Each) {
-  PartSet Out;
-  const Environment In = sorted(Each);
-  for (const FailureDomain &Domain : In.Domains_)
-    addPart(Out, None, Domain.Name_.value(),
+PartSet splitParts(const Environment &Document) {
+  PartSet Parts;
+  const Environment Sorted = sorted(Document);
+  for (const FailureDomain &Domain : Sorted.Domains_)
+    addPart(Parts, NoName, Domain.Name_.value(),
             {{"region", Domain.Region_.value()}});
-  for (const Service &Service : In.Services_) {
-    addPart(Out, Service.Name_.value(), None, toJson(Service));
-    addUpstreams(Out, Service);
+  for (const Service &Listed : Sorted.Services_) {
+    addPart(Parts, Listed.Name_.value(), NoName, toJson(Listed));
+    addUpstreams(Parts, Listed);
   }
-  return Out;
+  return Parts;
 }
 
 std::optional<Environment>
 joinParts(const std::string &Name, const PartSet &Parts, std::string &Reason) {
-  Environment Out{Name, {}, {}};
+  Environment Document{Name, {}, {}};
   std::map<ServiceName, std::vector<Upstream>> Upstreams;
-  for (const auto &[Id, Each] : Parts)
-    std::visit(Overloaded{[&Out](const FailureDomain &In) {
-                            Out.Domains_.push_back(In);
+  for (const auto &[Id, Piece] : Parts)
+    std::visit(Overloaded{[&Document](const FailureDomain &Domain) {
+                            Document.Domains_.push_back(Domain);
                           },
-                          [&Out](const ServicePart &In) {
-                            Out.Services_.push_back(
-                                {In.Name_, In.Addresses_, In.Policy_, {}});
+                          [&Document](const ServicePart &Content) {
+                            Document.Services_.push_back({Content.Name_,
+                                                          Content.Addresses_,
+                                                          Content.Policy_,
+                                                          {}});
                           },
-                          [&Upstreams](const UpstreamsPart &In) {
-                            auto &List = Upstreams[In.Service_];
-                            List.insert(List.end(), In.Upstreams_.begin(),
-                                        In.Upstreams_.end());
+                          [&Upstreams](const UpstreamsPart &Content) {
+                            auto &List = Upstreams[Content.Service_];
+                            List.insert(List.end(), Content.Upstreams_.begin(),
+                                        Content.Upstreams_.end());
                           }},
-               Each->Content_);
-  for (Service &Each : Out.Services_) {
-    const auto At = Upstreams.find(Each.Name_);
-    if (At == Upstreams.end()) {
-      Reason = "service '" + Each.Name_.value() + "' has no upstreams";
+               Piece->Content_);
+  for (Service &Listed : Document.Services_) {
+    const auto Found = Upstreams.find(Listed.Name_);
+    if (Found == Upstreams.end()) {
+      Reason = "service '" + Listed.Name_.value() + "' has no upstreams";
       return std::nullopt;
     }
-    Each.Upstreams_ = std::move(At->second);
-    Upstreams.erase(At);
+    Listed.Upstreams_ = std::move(Found->second);
+    Upstreams.erase(Found);
   }
   if (!Upstreams.empty()) {
     Reason = "upstreams of the unknown service '" +
              Upstreams.begin()->first.value() + "'";
     return std::nullopt;
   }
-  Out = sorted(std::move(Out));
-  if (hasDuplicate(Out.Domains_) || hasDuplicate(Out.Services_)) {
-    Reason = "two parts about one domain or service";
+  Document = sorted(std::move(Document));
+  if (hasDuplicate(Document.Domains_) || hasDuplicate(Document.Services_)) {
+    Reason = "two parts describe the same domain or service";
     return std::nullopt;
   }
-  return Out;
+  return Document;
 }
 
 std::uint64_t digestOf(const PartSet &Parts) {
-  std::uint64_t Out = 0;
-  for (const auto &[Id, Each] : Parts)
-    Out = mix(Out, hashText(Id.value()));
-  return Out;
+  std::uint64_t Digest = 0;
+  for (const auto &[Id, Ignored] : Parts)
+    Digest = mix(Digest, hashText(Id.value()));
+  return Digest;
 }
 
 IndexParts makeIndex(const std::vector<PartId> &Parts) {
   std::map<std::uint64_t, Json> Buckets;
   std::vector<PartId> Sorted = Parts;
   std::sort(Sorted.begin(), Sorted.end());
-  for (const PartId &Each : Sorted) {
-    Json &List = Buckets[hashText(subject(Each)) % IndexBuckets];
+  for (const PartId &Id : Sorted) {
+    Json &List = Buckets[hashText(indexKey(Id)) % IndexBuckets];
     if (List.is_null())
       List = Json::array();
-    List.push_back(Each.value());
+    List.push_back(Id.value());
   }
-  IndexParts Out;
+  IndexParts Index;
   for (auto &[Bucket, List] : Buckets) {
     std::string Text = canonical({{"parts", std::move(List)}});
-    const PartId Id = makePartId(IndexWord, std::to_string(Bucket), Text);
-    Out.emplace(Id, std::move(Text));
+    const PartId Id = makePartId(IndexPrefix, std::to_string(Bucket), Text);
+    Index.emplace(Id, std::move(Text));
   }
-  return Out;
+  return Index;
 }
 
 std::optional<std::vector<PartId>>
 readIndex(const PartId &Id, const std::string &Text, std::string &Reason) {
-  const std::string &Word = Id.value();
-  const std::size_t First = Word.find('.');
-  const std::size_t Last = Word.rfind('.');
-  Reason = "index part '" + Word + "' is malformed";
+  const std::string &IdText = Id.value();
+  const std::size_t First = IdText.find('.');
+  const std::size_t Last = IdText.rfind('.');
+  Reason = "index part '" + IdText + "' is malformed";
   if (First == std::string::npos || First == Last ||
-      Word.substr(0, First) != IndexWord)
+      IdText.substr(0, First) != IndexPrefix)
     return std::nullopt;
-  if (makePartId(IndexWord, Word.substr(First + 1, Last - First - 1), Text) !=
-      Id)
+  if (makePartId(IndexPrefix, IdText.substr(First + 1, Last - First - 1),
+                 Text) != Id)
     return std::nullopt;
-  const Json In = Json::parse(Text, nullptr, false);
-  const Json *List = internal::member(In, "parts");
+  const Json Object = Json::parse(Text, nullptr, false);
+  const Json *List = internal::member(Object, "parts");
   if (!List || !List->is_array())
     return std::nullopt;
-  std::vector<PartId> Out;
-  for (const Json &Each : *List) {
-    if (!Each.is_string())
+  std::vector<PartId> Ids;
+  for (const Json &Element : *List) {
+    if (!Element.is_string())
       return std::nullopt;
-    Out.emplace_back(Each.get<std::string>());
+    Ids.emplace_back(Element.get<std::string>());
   }
   Reason.clear();
-  return Out;
+  return Ids;
 }
 
 std::vector<PartId> idsOf(const PartSet &Parts) {
-  std::vector<PartId> Out;
-  Out.reserve(Parts.size());
-  for (const auto &[Id, Each] : Parts)
-    Out.push_back(Id);
-  return Out;
+  std::vector<PartId> Ids;
+  Ids.reserve(Parts.size());
+  for (const auto &[Id, Ignored] : Parts)
+    Ids.push_back(Id);
+  return Ids;
 }
 
 } // namespace medlarmoor::config
--- a/src/medlarmoor/config/parts.hpp
+++ b/src/medlarmoor/config/parts.hpp
@@ -11,35 +11,36 @@
 
 namespace medlarmoor::config {
 
-/// The document with domains, services and upstreams sorted by name: the form
-/// in which entries hold it.
-[[nodiscard]] Environment sorted(Environment Each);
+/// Returns the document with domains, services and upstreams sorted by name,
+/// which is the form that entries hold.
+[[nodiscard]] Environment sorted(Environment Document);
 
-/// Cuts a document into its parts.
-[[nodiscard]] PartSet splitParts(const Environment &Each);
+/// Splits a document into its parts.
+[[nodiscard]] PartSet splitParts(const Environment &Document);
 
-/// Puts a document together; nothing, with Reason set, when the parts do not
-/// fit each other.
+/// Assembles the document Name from its parts. Returns nullopt and sets Reason
+/// if the parts are inconsistent.
 [[nodiscard]] std::optional<Environment>
 joinParts(const std::string &Name, const PartSet &Parts, std::string &Reason);
 
-/// Hash of the ids of the parts, and so of their contents.
+/// Returns a hash of the ids of the parts. The ids contain content hashes, so
+/// the digest covers the contents as well.
 [[nodiscard]] std::uint64_t digestOf(const PartSet &Parts);
 
-/// Index parts by id. Each lists the ids of the parts of some services, so
-/// that a manifest that names the index parts stays small and a change
-/// replaces one index part.
+/// Index parts by id. An index part lists the ids of the parts of some
+/// services. A manifest lists only the index parts and therefore stays small,
+/// and a change to a service replaces a single index part.
 using IndexParts = std::map<PartId, std::string>;
 
-/// The index over the given parts; equal parts give an equal index.
+/// Returns the index of the given parts. Equal parts have an equal index.
 [[nodiscard]] IndexParts makeIndex(const std::vector<PartId> &Parts);
 
-/// The part ids that an index part lists; nothing, with Reason set, when Text
-/// is not what Id names or is malformed.
+/// Returns the part ids that an index part lists. Returns nullopt and sets
+/// Reason if Text does not match the hash in Id or is malformed.
 [[nodiscard]] std::optional<std::vector<PartId>>
 readIndex(const PartId &Id, const std::string &Text, std::string &Reason);
 
-/// The ids of a set, sorted.
+/// Returns the ids of the parts, sorted.
 [[nodiscard]] std::vector<PartId> idsOf(const PartSet &Parts);
 
 } // namespace medlarmoor::config
--- a/src/medlarmoor/config/ports.hpp
+++ b/src/medlarmoor/config/ports.hpp
@@ -5,7 +5,7 @@
 
 namespace medlarmoor::config {
 
-/// The ports of an entry instance, equal on all entries of an environment.
+/// The ports of an entry instance, the same on all entries of an environment.
 struct Ports {
   /// UDP: encapsulated packets from the fabric.
   std::uint16_t Flow_ = 7100;
@@ -13,11 +13,11 @@
   std::uint16_t Peer_ = 7101;
   /// UDP: signed control messages between entries.
   std::uint16_t Control_ = 7102;
-  /// TCP: requests of callers (HTTP).
+  /// TCP: requests from callers (HTTP).
   std::uint16_t Requests_ = 7180;
-  /// TCP: signed HTTP between entries.
+  /// TCP: signed messages between entries (HTTP).
   std::uint16_t Internal_ = 7181;
-  /// TCP: the configuration in force, for other entries (HTTP).
+  /// TCP: the active configuration, for other entries (HTTP).
   std::uint16_t Config_ = 7183;
   /// TCP: metrics, health, status and explain (HTTP).
   std::uint16_t Admin_ = 7182;
--- a/src/medlarmoor/config/publisher.cpp
+++ b/src/medlarmoor/config/publisher.cpp
@@ -7,13 +7,13 @@
 namespace {
 
 constexpr Millis RetryDelay{200};
-/// A larger change is left out of the manifest and fetched by its parts.
-constexpr std::size_t LargestDelta = 64U * 1024U;
+/// A larger change is left out of the manifest; readers then fetch its parts.
+constexpr std::size_t MaxDeltaBytes = 64U * 1024U;
 
 PublisherSteps step(PublisherAction Action, Millis After = Millis(0)) {
-  PublisherSteps Out;
-  Out.push_back({std::move(Action), After});
-  return Out;
+  PublisherSteps Steps;
+  Steps.push_back({std::move(Action), After});
+  return Steps;
 }
 
 PublisherSteps finish(PublishResult Result) {
@@ -21,100 +21,106 @@
 }
 
 std::vector<PartId> idsOf(const IndexParts &Index) {
-  std::vector<PartId> Out;
+  std::vector<PartId> Ids;
   for (const auto &[Id, Text] : Index)
-    Out.push_back(Id);
-  return Out;
+    Ids.push_back(Id);
+  return Ids;
 }
 
 } // namespace
 
-Publisher::Publisher(Publication What, Clock Time, Millis Patience)
-    : What_(std::move(What)), Clock_(std::move(Time)),
-      Deadline_(Clock_.now() + Patience),
-      Index_(makeIndex(config::idsOf(What_.Parts_))) {}
+Publisher::Publisher(Publication Document, Clock Time, Millis Timeout)
+    : Document_(std::move(Document)), Clock_(std::move(Time)),
+      Deadline_(Clock_.now() + Timeout),
+      Index_(makeIndex(config::idsOf(Document_.Parts_))) {}
 
-PublisherSteps Publisher::start() { return step(ReadPublished()); }
+PublisherSteps Publisher::start() { return step(ReadCurrentManifest()); }
 
-bool Publisher::late() const { return Clock_.now() >= Deadline_; }
+bool Publisher::isPastDeadline() const { return Clock_.now() >= Deadline_; }
 
 PublisherSteps Publisher::giveUp(const std::string &Reason) const {
-  if (Lost_)
+  if (AnswerLost_)
     return finish(Uncertain{Reason});
-  if (Conflicted_)
-    return finish(Overtaken{});
+  if (ConflictSeen_)
+    return finish(VersionConflict{});
   return finish(NotWritten{Reason});
 }
 
-PublisherSteps Publisher::readAgain(const std::string &Reason) {
-  if (late())
+PublisherSteps Publisher::retryRead(const std::string &Reason) {
+  if (isPastDeadline())
     return giveUp(Reason);
-  return step(ReadPublished(), RetryDelay);
+  return step(ReadCurrentManifest(), RetryDelay);
 }
 
-PublisherSteps Publisher::onManifestUnread(const std::string &Reason) {
-  return readAgain("the manifest could not be read: " + Reason);
+PublisherSteps Publisher::onManifestReadFailed(const std::string &Reason) {
+  return retryRead("the manifest could not be read: " + Reason);
 }
 
 PublisherSteps Publisher::onManifest(std::uint64_t ObjectVersion,
                                      const std::string &Text) {
-  std::optional<Manifest> There;
+  std::optional<Manifest> Current;
   if (ObjectVersion != 0) {
     std::string Reason;
-    There = readManifest(Text, Reason);
-    if (!There)
-      return giveUp("the manifest there is unreadable: " + Reason);
+    Current = readManifest(Text, Reason);
+    if (!Current)
+      return giveUp("the current manifest is invalid: " + Reason);
   }
-  if (Sent_)
-    return judge(ObjectVersion, There);
-  Base_ = There.value_or(Manifest());
-  BaseObject_ = ObjectVersion;
-  if (What_.Seen_ && *What_.Seen_ != Base_.Version_)
-    return finish(Overtaken{Base_.Version_});
-  return compare();
-}
-
-/// Finds out what became of a manifest that was sent.
-PublisherSteps Publisher::judge(std::uint64_t ObjectVersion,
-                                const std::optional<Manifest> &There) {
-  const ConfigVersion Newest = There ? There->Version_ : ConfigVersion(0);
-  const ConfigVersion Own = next().Version_;
-  if (There && There->Token_ == What_.Token_)
+  if (ManifestSent_)
+    return resolveSentWrite(ObjectVersion, Current);
+  Base_ = Current.value_or(Manifest());
+  BaseObjectVersion_ = ObjectVersion;
+  if (Document_.ExpectedVersion_ &&
+      *Document_.ExpectedVersion_ != Base_.Version_)
+    return finish(VersionConflict{Base_.Version_});
+  return readReplacedIndex();
+}
+
+/// Determines from the current manifest whether the manifest that was sent took
+/// effect.
+PublisherSteps
+Publisher::resolveSentWrite(std::uint64_t ObjectVersion,
+                            const std::optional<Manifest> &Current) {
+  const ConfigVersion Newest = Current ? Current->Version_ : ConfigVersion(0);
+  const ConfigVersion Own = nextManifest().Version_;
+  if (Current && Current->Token_ == Document_.Token_)
     return finish(Published{Own, Newest});
-  if (ObjectVersion <= BaseObject_) {
-    if (Conflicted_ || late())
-      return readAgain("the platform answers old data");
+  if (ObjectVersion <= BaseObjectVersion_) {
+    if (ConflictSeen_ || isPastDeadline())
+      return retryRead("the platform returned an outdated manifest");
     return storeManifest();
   }
-  const std::vector<Accepted> None;
-  const auto &Before = There ? There->Before_ : None;
-  const bool Mine =
-      std::any_of(Before.begin(), Before.end(), [this](const Accepted &Each) {
-        return Each.Token_ == What_.Token_;
-      });
-  if (Mine)
+  const std::vector<AcceptedWrite> None;
+  const auto &PreviousWrites = Current ? Current->PreviousWrites_ : None;
+  const bool WasAccepted =
+      std::any_of(PreviousWrites.begin(), PreviousWrites.end(),
+                  [this](const AcceptedWrite &Write) {
+                    return Write.Token_ == Document_.Token_;
+                  });
+  if (WasAccepted)
     return finish(Published{Own, Newest});
-  const bool Remembered =
-      Newest == Own ||
-      std::any_of(Before.begin(), Before.end(),
-                  [Own](const Accepted &Each) { return Each.Version_ == Own; });
-  if (Remembered || !Lost_)
-    return finish(Overtaken{Newest});
-  return finish(Uncertain{"too many versions were accepted meanwhile"});
-}
-
-/// Reads those index parts of the base that the new document replaces.
-PublisherSteps Publisher::compare() {
+  const bool HistoryCoversOwn =
+      Newest == Own || std::any_of(PreviousWrites.begin(), PreviousWrites.end(),
+                                   [Own](const AcceptedWrite &Write) {
+                                     return Write.Version_ == Own;
+                                   });
+  if (HistoryCoversOwn || !AnswerLost_)
+    return finish(VersionConflict{Newest});
+  return finish(Uncertain{"too many versions were accepted since to determine "
+                          "whether this one was"});
+}
+
+/// Reads the index parts of the base that the new document replaces.
+PublisherSteps Publisher::readReplacedIndex() {
   if (idsOf(Index_) == Base_.Index_)
     return finish(Unchanged{Base_.Version_});
-  PublisherSteps Out;
+  PublisherSteps Steps;
   for (const PartId &Id : Base_.Index_) {
     if (Index_.count(Id) != 0)
       continue;
-    IndexToRead_.insert(Id);
-    Out.push_back({ReadIndexPart{Id}});
+    IndexPartsToRead_.insert(Id);
+    Steps.push_back({ReadIndexPart{Id}});
   }
-  return Out.empty() ? storeParts() : Out;
+  return Steps.empty() ? storeParts() : Steps;
 }
 
 PublisherSteps Publisher::onIndexPart(const PartId &Id,
@@ -122,100 +128,102 @@
   std::string Reason;
   const auto Listed = Text ? readIndex(Id, *Text, Reason)
                            : std::optional<std::vector<PartId>>();
-  if (!Listed && !late() && !Text)
+  if (!Listed && !isPastDeadline() && !Text)
     return step(ReadIndexPart{Id}, RetryDelay);
   if (Listed)
-    OldParts_.insert(Listed->begin(), Listed->end());
+    BaseParts_.insert(Listed->begin(), Listed->end());
   else
-    OldKnown_ = false;
-  IndexToRead_.erase(Id);
-  return IndexToRead_.empty() ? storeParts() : PublisherSteps();
+    BasePartsKnown_ = false;
+  IndexPartsToRead_.erase(Id);
+  return IndexPartsToRead_.empty() ? storeParts() : PublisherSteps();
 }
 
 PublisherSteps Publisher::storeParts() {
   for (const auto &[Id, Text] : Index_) {
     if (std::binary_search(Base_.Index_.begin(), Base_.Index_.end(), Id))
       continue;
-    ToStore_.emplace(Id, Text);
+    PartsToStore_.emplace(Id, Text);
     std::string Reason;
     const std::vector<PartId> Listed = readIndex(Id, Text, Reason).value();
     for (const PartId &Part : Listed)
-      if (OldParts_.count(Part) == 0) {
-        NewParts_.insert(Part);
-        ToStore_.emplace(Part, What_.Parts_.at(Part)->Text_);
+      if (BaseParts_.count(Part) == 0) {
+        AddedParts_.insert(Part);
+        PartsToStore_.emplace(Part, Document_.Parts_.at(Part)->Text_);
       }
   }
-  PublisherSteps Out;
-  for (const auto &[Id, Text] : ToStore_)
-    Out.push_back({StorePart{Id, Text}});
-  return Out.empty() ? storeManifest() : Out;
+  PublisherSteps Steps;
+  for (const auto &[Id, Text] : PartsToStore_)
+    Steps.push_back({StorePart{Id, Text}});
+  return Steps.empty() ? storeManifest() : Steps;
 }
 
 PublisherSteps Publisher::onPartStored(const PartId &Id) {
-  ToStore_.erase(Id);
-  return ToStore_.empty() ? storeManifest() : PublisherSteps();
-}
-
-PublisherSteps Publisher::onPartLost(const PartId &Id,
-                                     const std::string &Reason) {
-  if (late())
-    return giveUp("a part could not be stored: " + Reason);
-  return step(StorePart{Id, ToStore_.at(Id)}, RetryDelay);
-}
-
-Manifest Publisher::next() const {
-  Manifest Out;
-  Out.Version_ = ConfigVersion(Base_.Version_.value() + 1);
-  Out.Token_ = What_.Token_;
-  Out.Index_ = idsOf(Index_);
-  Out.Origin_ = What_.Origin_;
-  if (BaseObject_ != 0) {
-    Out.Before_ = Base_.Before_;
-    Out.Before_.insert(Out.Before_.begin(), {Base_.Version_, Base_.Token_});
+  PartsToStore_.erase(Id);
+  return PartsToStore_.empty() ? storeManifest() : PublisherSteps();
+}
+
+PublisherSteps Publisher::onPartUncertain(const PartId &Id,
+                                          const std::string &Reason) {
+  if (isPastDeadline())
+    return giveUp("storage of part " + Id.value() +
+                  " was not confirmed: " + Reason);
+  return step(StorePart{Id, PartsToStore_.at(Id)}, RetryDelay);
+}
+
+Manifest Publisher::nextManifest() const {
+  Manifest Next;
+  Next.Version_ = ConfigVersion(Base_.Version_.value() + 1);
+  Next.Token_ = Document_.Token_;
+  Next.Index_ = idsOf(Index_);
+  Next.Origin_ = Document_.Origin_;
+  if (BaseObjectVersion_ != 0) {
+    Next.PreviousWrites_ = Base_.PreviousWrites_;
+    Next.PreviousWrites_.insert(Next.PreviousWrites_.begin(),
+                                {Base_.Version_, Base_.Token_});
   }
-  if (Out.Before_.size() > WritesRemembered)
-    Out.Before_.resize(WritesRemembered);
-  if (!OldKnown_)
-    return Out;
-  Delta Change{Base_.Version_, {}, {}};
-  std::size_t Size = 0;
-  for (const PartId &Id : NewParts_) {
-    const PartPtr &Each = What_.Parts_.at(Id);
-    Change.Added_.emplace(Id, Each);
-    Size += Each->Text_.size();
+  if (Next.PreviousWrites_.size() > MaxPreviousWrites)
+    Next.PreviousWrites_.resize(MaxPreviousWrites);
+  if (!BasePartsKnown_)
+    return Next;
+  Delta Changes{Base_.Version_, {}, {}};
+  std::size_t AddedBytes = 0;
+  for (const PartId &Id : AddedParts_) {
+    const PartPtr &Part = Document_.Parts_.at(Id);
+    Changes.Added_.emplace(Id, Part);
+    AddedBytes += Part->Text_.size();
   }
-  for (const PartId &Id : OldParts_)
-    if (What_.Parts_.count(Id) == 0)
-      Change.Removed_.push_back(Id);
-  if (Size <= LargestDelta)
-    Out.Delta_ = std::move(Change);
-  return Out;
+  for (const PartId &Id : BaseParts_)
+    if (Document_.Parts_.count(Id) == 0)
+      Changes.Removed_.push_back(Id);
+  if (AddedBytes <= MaxDeltaBytes)
+    Next.Delta_ = std::move(Changes);
+  return Next;
 }
 
 PublisherSteps Publisher::storeManifest() {
-  if (late())
-    return giveUp("out of time");
-  Sent_ = true;
-  return step(StoreManifest{next().text(), BaseObject_});
+  if (isPastDeadline())
+    return giveUp("the deadline for the write has passed");
+  ManifestSent_ = true;
+  return step(StoreManifest{nextManifest().text(), BaseObjectVersion_});
 }
 
 PublisherSteps Publisher::onManifestStored() {
-  const ConfigVersion Own = next().Version_;
+  const ConfigVersion Own = nextManifest().Version_;
   return finish(Published{Own, Own});
 }
 
 PublisherSteps Publisher::onManifestConflict() {
-  Conflicted_ = true;
-  return step(ReadPublished());
+  ConflictSeen_ = true;
+  return step(ReadCurrentManifest());
 }
 
-PublisherSteps Publisher::onManifestLost() {
-  Lost_ = true;
-  return readAgain("the answer to the write was lost");
+PublisherSteps Publisher::onManifestUncertain() {
+  AnswerLost_ = true;
+  return retryRead("the answer to the write of the manifest was lost");
 }
 
 PublisherSteps Publisher::onRefused(const std::string &Reason) {
-  return giveUp("the platform refused: " + Reason);
+  return giveUp("the platform rejected the write: " + Reason);
 }
 
 } // namespace medlarmoor::config
--- a/src/medlarmoor/config/publisher.hpp
+++ b/src/medlarmoor/config/publisher.hpp
@@ -12,79 +12,87 @@
 
 namespace medlarmoor::config {
 
-/// What is to be published.
+/// A document to publish.
 struct Publication {
   PartSet Parts_;
-  /// The version that the operator saw; nothing takes whatever is there.
-  std::optional<ConfigVersion> Seen_;
-  /// Of a promotion: what it copies.
+  /// The version that the operator expects to replace; nullopt replaces any
+  /// version.
+  std::optional<ConfigVersion> ExpectedVersion_;
+  /// For a promotion, the document that it copies.
   std::optional<Origin> Origin_;
-  /// Random text that no other write has.
+  /// Random text that is unique to this write and identifies it.
   std::string Token_;
 };
 
 /// Decides how one document is written to the platform: parts first, then the
-/// manifest by conditional update, so that readers see the old document or the
-/// whole new one. After a lost answer it looks for its own token in what is
-/// there and tries again only where that cannot double the write. Steps go
-/// out, results come in; it does no I/O.
+/// manifest by conditional update, so that readers see either the old or the
+/// complete new document. After a lost answer it looks for its own token in the
+/// current manifest and retries only if that cannot apply the write twice.
+/// Returns steps and takes their results; does no I/O.
 class Publisher {
 public:
-  /// Gives up after Patience.
-  Publisher(Publication What, Clock Time, Millis Patience);
+  /// Calls that fail are retried until Timeout has passed.
+  Publisher(Publication Document, Clock Time, Millis Timeout);
 
-  /// The first step.
+  /// Returns the first step.
   [[nodiscard]] PublisherSteps start();
-  /// The manifest's object version and text; version 0 when there is none.
+  /// Processes the result of a read of the manifest: the object's version and
+  /// text, with version 0 if there is no manifest.
   [[nodiscard]] PublisherSteps onManifest(std::uint64_t ObjectVersion,
                                           const std::string &Text);
-  [[nodiscard]] PublisherSteps onManifestUnread(const std::string &Reason);
-  /// An index part; nothing when it could not be read.
+  /// Records that the manifest could not be read.
+  [[nodiscard]] PublisherSteps onManifestReadFailed(const std::string &Reason);
+  /// Processes the text of an index part, or nullopt if it could not be read.
   [[nodiscard]] PublisherSteps
   onIndexPart(const PartId &Id, const std::optional<std::string> &Text);
-  /// The part exists now.
+  /// Records that the part exists.
   [[nodiscard]] PublisherSteps onPartStored(const PartId &Id);
-  /// Nobody knows whether the part was stored.
-  [[nodiscard]] PublisherSteps onPartLost(const PartId &Id,
-                                          const std::string &Reason);
-  /// The manifest was replaced.
+  /// Records that it is unknown whether the part was stored.
+  [[nodiscard]] PublisherSteps onPartUncertain(const PartId &Id,
+                                               const std::string &Reason);
+  /// Records that the manifest was replaced.
   [[nodiscard]] PublisherSteps onManifestStored();
-  /// The manifest's object had another version.
+  /// Records that the manifest's object had another version.
   [[nodiscard]] PublisherSteps onManifestConflict();
-  /// Nobody knows whether the manifest was replaced.
-  [[nodiscard]] PublisherSteps onManifestLost();
-  /// The platform refuses the request itself.
+  /// Records that it is unknown whether the manifest was replaced.
+  [[nodiscard]] PublisherSteps onManifestUncertain();
+  /// Records that the platform rejected the request itself.
   [[nodiscard]] PublisherSteps onRefused(const std::string &Reason);
 
 private:
-  [[nodiscard]] PublisherSteps judge(std::uint64_t ObjectVersion,
-                                     const std::optional<Manifest> &There);
-  [[nodiscard]] PublisherSteps compare();
+  [[nodiscard]] PublisherSteps
+  resolveSentWrite(std::uint64_t ObjectVersion,
+                   const std::optional<Manifest> &Current);
+  [[nodiscard]] PublisherSteps readReplacedIndex();
   [[nodiscard]] PublisherSteps storeParts();
   [[nodiscard]] PublisherSteps storeManifest();
-  [[nodiscard]] PublisherSteps readAgain(const std::string &Reason);
+  [[nodiscard]] PublisherSteps retryRead(const std::string &Reason);
   [[nodiscard]] PublisherSteps giveUp(const std::string &Reason) const;
-  [[nodiscard]] Manifest next() const;
-  [[nodiscard]] bool late() const;
+  [[nodiscard]] Manifest nextManifest() const;
+  [[nodiscard]] bool isPastDeadline() const;
 
-  Publication What_;
+  Publication Document_;
   Clock Clock_;
   TimePoint Deadline_;
   IndexParts Index_;
-  /// What was there when this write began.
+  /// The manifest that this write replaces, and the version of its object.
   Manifest Base_;
-  std::uint64_t BaseObject_ = 0;
-  /// The parts of the index parts that change, as they stand in the base.
-  std::set<PartId> OldParts_;
+  std::uint64_t BaseObjectVersion_ = 0;
+  /// The parts that the base lists in the index parts that this write replaces.
+  std::set<PartId> BaseParts_;
   /// The parts that the base does not have.
-  std::set<PartId> NewParts_;
-  std::set<PartId> IndexToRead_;
-  bool OldKnown_ = true;
-  std::map<PartId, std::string> ToStore_;
-  /// The manifest was sent and has not been answered for sure.
-  bool Sent_ = false;
-  bool Lost_ = false;
-  bool Conflicted_ = false;
+  std::set<PartId> AddedParts_;
+  std::set<PartId> IndexPartsToRead_;
+  /// False if an index part of the base could not be read; the manifest then
+  /// carries no delta.
+  bool BasePartsKnown_ = true;
+  std::map<PartId, std::string> PartsToStore_;
+  /// Whether the manifest was sent. From then on, a manifest that is read
+  /// serves to determine whether the write took effect.
+  bool ManifestSent_ = false;
+  /// Whether the answer to a write of the manifest was lost.
+  bool AnswerLost_ = false;
+  bool ConflictSeen_ = false;
 };
 
 } // namespace medlarmoor::config
--- a/src/medlarmoor/config/publisher_action.hpp
+++ b/src/medlarmoor/config/publisher_action.hpp
@@ -12,53 +12,55 @@
 
 namespace medlarmoor::config {
 
-/// Read the manifest of the environment.
-struct ReadPublished {};
-/// Read an index part of the environment.
+/// Reads the manifest of the environment.
+struct ReadCurrentManifest {};
+/// Reads an index part of the environment.
 struct ReadIndexPart {
   PartId Id_;
 };
-/// Create a part; one that exists already is as good.
+/// Creates a part. A part that already exists counts as created.
 struct StorePart {
   PartId Id_;
   std::string Text_;
 };
-/// Replace the manifest if its object has this version; 0: if there is none.
+/// Replaces the manifest if its object has version IfVersion_, or creates it if
+/// IfVersion_ is 0 and there is no manifest.
 struct StoreManifest {
   std::string Text_;
   std::uint64_t IfVersion_ = 0;
 };
 
-/// The document is accepted with this version.
+/// The document was accepted as version Version_.
 struct Published {
   ConfigVersion Version_;
-  /// The version that was accepted after it meanwhile, or the same.
+  /// The newest accepted version that is known. It is higher than Version_ if
+  /// other writes were accepted later.
   ConfigVersion Newest_;
 };
-/// The document is what is there already; nothing was written.
+/// The current document already has the same contents; nothing was written.
 struct Unchanged {
   ConfigVersion Version_;
 };
-/// Another write came first; this one took no effect.
-struct Overtaken {
-  /// The version that is there now, 0 when it could not be read.
+/// Another write was accepted first; this one had no effect.
+struct VersionConflict {
+  /// The current version, 0 if it could not be read or there is none.
   ConfigVersion Version_;
 };
-/// The platform did not take the write; it had no effect.
+/// The write had no effect, for example because the platform rejected it.
 struct NotWritten {
   std::string Reason_;
 };
-/// The write may have taken effect or not.
+/// It is unknown whether the write took effect.
 struct Uncertain {
   std::string Reason_;
 };
 using PublishResult =
-    std::variant<Published, Unchanged, Overtaken, NotWritten, Uncertain>;
+    std::variant<Published, Unchanged, VersionConflict, NotWritten, Uncertain>;
 
-using PublisherAction = std::variant<ReadPublished, ReadIndexPart, StorePart,
-                                     StoreManifest, PublishResult>;
+using PublisherAction = std::variant<ReadCurrentManifest, ReadIndexPart,
+                                     StorePart, StoreManifest, PublishResult>;
 
-/// What to do next, after a delay.
+/// An action to perform once the delay After_ has passed.
 struct PublisherStep {
   PublisherAction Action_;
   Millis After_{0};
--- a/src/medlarmoor/config/pull_plan.cpp
+++ b/src/medlarmoor/config/pull_plan.cpp
@@ -6,11 +6,13 @@
 
 namespace {
 
-constexpr std::int64_t LeastDelayMs = 200;
-constexpr std::int64_t GreatestDelayMs = 600;
-constexpr Millis FirstRetry{100};
-constexpr Millis LongestRetry{3200};
-constexpr std::uint32_t GreatestShift = 5;
+/// Bounds of the random delay before a pull that a heartbeat causes.
+constexpr std::int64_t MinDelayMs = 200;
+constexpr std::int64_t MaxDelayMs = 600;
+/// Bounds of the exponential backoff after a failed pull.
+constexpr Millis MinRetryDelay{100};
+constexpr Millis MaxRetryDelay{3200};
+constexpr std::uint32_t MaxBackoffShift = 5;
 
 } // namespace
 
@@ -18,77 +20,79 @@
     : Clock_(std::move(Time)), Random_(Source) {}
 
 void PullPlan::onMembers(const std::vector<EntryName> &Live) {
-  std::erase_if(Heard_, [&Live](const auto &Each) {
-    return std::find(Live.begin(), Live.end(), Each.first) == Live.end();
+  std::erase_if(MemberVersions_, [&Live](const auto &Known) {
+    return std::find(Live.begin(), Live.end(), Known.first) == Live.end();
   });
 }
 
-void PullPlan::onHeard(const EntryName &From, ConfigVersion Version,
-                       bool IsNotice) {
-  Heard_[From] = Version;
+void PullPlan::onMemberVersion(const EntryName &From, ConfigVersion Version,
+                               bool IsNotice) {
+  MemberVersions_[From] = Version;
   if (IsNotice)
-    Notified_ = From;
+    NotifiedBy_ = From;
 }
 
-void PullPlan::onDone(const EntryName &From, PullResult Result) {
-  Asked_.reset();
+void PullPlan::onPullEnd(const EntryName &From, PullResult Result) {
+  InFlightFrom_.reset();
   DueAt_.reset();
-  const bool WholeFailed = Whole_ && Result == PullResult::DidNotFit;
-  Whole_ = Result == PullResult::DidNotFit && !WholeFailed;
-  if (Result == PullResult::Done)
+  const bool SnapshotMismatch =
+      PullSnapshot_ && Result == PullResult::BaseMismatch;
+  PullSnapshot_ = Result == PullResult::BaseMismatch && !SnapshotMismatch;
+  if (Result == PullResult::Completed)
     Failures_ = 0;
-  if (Result != PullResult::Failed && !WholeFailed)
+  if (Result != PullResult::Failed && !SnapshotMismatch)
     return;
-  Heard_.erase(From);
+  MemberVersions_.erase(From);
   const Millis Delay =
-      FirstRetry * (1U << std::min(Failures_++, GreatestShift));
-  DueAt_ = Clock_.now() + std::min(Delay, LongestRetry);
+      MinRetryDelay * (1U << std::min(Failures_++, MaxBackoffShift));
+  DueAt_ = Clock_.now() + std::min(Delay, MaxRetryDelay);
 }
 
 std::vector<EntryName> PullPlan::holders(ConfigVersion Version) const {
-  std::vector<EntryName> Out;
-  for (const auto &[Name, Has] : Heard_)
-    if (Has == Version)
-      Out.push_back(Name);
-  return Out;
+  std::vector<EntryName> Members;
+  for (const auto &[Name, Held] : MemberVersions_)
+    if (Held == Version)
+      Members.push_back(Name);
+  return Members;
 }
 
-bool PullPlan::isDue(ConfigVersion Have) {
+bool PullPlan::isDue(ConfigVersion HeldVersion) {
   if (DueAt_)
     return Clock_.now() >= *DueAt_;
-  if (Have == ConfigVersion(0) || Whole_)
+  if (HeldVersion == ConfigVersion(0) || PullSnapshot_)
     return true;
-  std::uniform_int_distribution<std::int64_t> Delay(LeastDelayMs,
-                                                    GreatestDelayMs);
+  std::uniform_int_distribution<std::int64_t> Delay(MinDelayMs, MaxDelayMs);
   DueAt_ = Clock_.now() + Millis(Delay(Random_));
   return false;
 }
 
-std::optional<Pull> PullPlan::next(ConfigVersion Have) {
-  if (Asked_)
+std::optional<Pull> PullPlan::next(ConfigVersion HeldVersion) {
+  if (InFlightFrom_)
     return std::nullopt;
-  const ConfigVersion Asking = Whole_ ? ConfigVersion(0) : Have;
-  if (Notified_) {
-    const auto Notifier = Heard_.find(*Notified_);
-    const bool Newer = Notifier != Heard_.end() && Notifier->second > Have;
-    Asked_ = Newer ? Notified_ : std::nullopt;
-    Notified_.reset();
-    if (Asked_)
-      return Pull{*Asked_, Asking};
+  const ConfigVersion BaseVersion =
+      PullSnapshot_ ? ConfigVersion(0) : HeldVersion;
+  if (NotifiedBy_) {
+    const auto Notifier = MemberVersions_.find(*NotifiedBy_);
+    const bool Newer =
+        Notifier != MemberVersions_.end() && Notifier->second > HeldVersion;
+    InFlightFrom_ = Newer ? NotifiedBy_ : std::nullopt;
+    NotifiedBy_.reset();
+    if (InFlightFrom_)
+      return Pull{*InFlightFrom_, BaseVersion};
   }
-  ConfigVersion Best = Have;
-  for (const auto &[Name, Has] : Heard_)
-    Best = std::max(Best, Has);
-  if (Best == Have) {
+  ConfigVersion Newest = HeldVersion;
+  for (const auto &[Name, Held] : MemberVersions_)
+    Newest = std::max(Newest, Held);
+  if (Newest == HeldVersion) {
     DueAt_.reset();
     return std::nullopt;
   }
-  if (!isDue(Have))
+  if (!isDue(HeldVersion))
     return std::nullopt;
-  const std::vector<EntryName> From = holders(Best);
+  const std::vector<EntryName> From = holders(Newest);
   std::uniform_int_distribution<std::size_t> Choice(0, From.size() - 1);
-  Asked_ = From[Choice(Random_)];
-  return Pull{*Asked_, Asking};
+  InFlightFrom_ = From[Choice(Random_)];
+  return Pull{*InFlightFrom_, BaseVersion};
 }
 
 } // namespace medlarmoor::config
--- a/src/medlarmoor/config/pull_plan.hpp
+++ b/src/medlarmoor/config/pull_plan.hpp
@@ -12,50 +12,55 @@
 
 namespace medlarmoor::config {
 
-/// How a pull ended.
+/// The result of a pull.
 enum class PullResult : unsigned char {
   /// The answer was adopted, or there was nothing newer.
-  Done,
-  /// The answer was a change from a version that is not held here.
-  DidNotFit,
-  /// No usable answer came.
+  Completed,
+  /// The answer was a delta from a version that is not held here.
+  BaseMismatch,
+  /// There was no usable answer.
   Failed,
 };
 
-/// Decides from whom to pull a newer document, and when: at once after a
-/// notice, after a random delay when only a heartbeat tells of it, so that the
-/// pushed notices come first and the pulls spread. One pull at a time.
+/// Decides from which neighbour to pull a newer document, and when. A notice
+/// starts a pull at once. A version known from a heartbeat only is pulled after
+/// a random delay, so that the pushed notices arrive first and the pulls spread
+/// over time. One pull is in flight at a time.
 class PullPlan {
 public:
   PullPlan(Clock Time, Random Source);
 
-  /// Forgets what those not in Live have told.
+  /// Forgets the versions of all members that are not in Live.
   void onMembers(const std::vector<EntryName> &Live);
-  /// A neighbour has Version in force. A notice is pulled at once.
-  void onHeard(const EntryName &From, ConfigVersion Version, bool IsNotice);
-  /// The pull from From ended.
-  void onDone(const EntryName &From, PullResult Result);
-  /// The pull to begin now, for an entry that holds Have.
-  [[nodiscard]] std::optional<Pull> next(ConfigVersion Have);
-
-  /// The version that each neighbour was last heard to have in force.
-  [[nodiscard]] const std::map<EntryName, ConfigVersion> &heard() const {
-    return Heard_;
+  /// Records that a neighbour has Version in force. After a notice, next()
+  /// pulls a newer version from that neighbour without delay.
+  void onMemberVersion(const EntryName &From, ConfigVersion Version,
+                       bool IsNotice);
+  /// Records the end of the pull from From.
+  void onPullEnd(const EntryName &From, PullResult Result);
+  /// Returns the pull to start now, if any, for an entry that holds
+  /// HeldVersion.
+  [[nodiscard]] std::optional<Pull> next(ConfigVersion HeldVersion);
+
+  /// Returns the version that each neighbour last reported to have in force.
+  [[nodiscard]] const std::map<EntryName, ConfigVersion> &
+  memberVersions() const {
+    return MemberVersions_;
   }
 
 private:
   [[nodiscard]] std::vector<EntryName> holders(ConfigVersion Version) const;
-  [[nodiscard]] bool isDue(ConfigVersion Have);
+  [[nodiscard]] bool isDue(ConfigVersion HeldVersion);
 
   Clock Clock_;
   Random Random_;
-  std::map<EntryName, ConfigVersion> Heard_;
-  std::optional<EntryName> Notified_;
-  std::optional<EntryName> Asked_;
+  std::map<EntryName, ConfigVersion> MemberVersions_;
+  std::optional<EntryName> NotifiedBy_;
+  std::optional<EntryName> InFlightFrom_;
   std::optional<TimePoint> DueAt_;
   std::uint32_t Failures_ = 0;
-  /// The next pull asks for the whole document.
-  bool Whole_ = false;
+  /// The next pull requests a full snapshot.
+  bool PullSnapshot_ = false;
 };
 
 } // namespace medlarmoor::config
--- a/src/medlarmoor/config/push_tree.cpp
+++ b/src/medlarmoor/config/push_tree.cpp
@@ -8,15 +8,17 @@
 
 namespace {
 
-constexpr std::uint64_t OrderSeed = 0x6d65646c61726d6fULL;
+/// Equal at all members, so that they compute the same order.
+constexpr std::uint64_t HashSeed = 0x6d65646c61726d6fULL;
 
 } // namespace
 
-PushTree::PushTree(std::vector<EntryName> Live, const std::set<EntryName> &Last)
+PushTree::PushTree(std::vector<EntryName> Live,
+                   const std::set<EntryName> &Unreachable)
     : Order_(std::move(Live)) {
-  const auto Rank = [&Last](const EntryName &Each) {
-    return std::tuple(Last.count(Each), hashText(Each.value(), OrderSeed),
-                      Each);
+  const auto Rank = [&Unreachable](const EntryName &Candidate) {
+    return std::tuple(Unreachable.count(Candidate),
+                      hashText(Candidate.value(), HashSeed), Candidate);
   };
   std::sort(Order_.begin(), Order_.end(),
             [&Rank](const EntryName &A, const EntryName &B) {
@@ -24,8 +26,8 @@
             });
 }
 
-bool PushTree::watches(const EntryName &Member) const {
-  const auto End = Order_.begin() + std::min(Order_.size(), Watchers);
+bool PushTree::isWatcher(const EntryName &Member) const {
+  const auto End = Order_.begin() + std::min(Order_.size(), WatcherCount);
   return std::find(Order_.begin(), End, Member) != End;
 }
 
@@ -35,19 +37,19 @@
 
 std::vector<EntryName> PushTree::children(const EntryName &Member) const {
   const auto At = std::find(Order_.begin(), Order_.end(), Member);
-  std::vector<EntryName> Out;
+  std::vector<EntryName> Children;
   if (At == Order_.end())
-    return Out;
-  const std::size_t Own = At - Order_.begin();
-  if (Own < Watchers)
-    for (std::size_t I = 0; I < std::min(Watchers, Order_.size()); ++I)
-      if (I != Own)
-        Out.push_back(Order_[I]);
-  const std::size_t First = Watchers + Own * PushFanOut;
-  for (std::size_t I = First; I < First + PushFanOut; ++I)
+    return Children;
+  const std::size_t Position = At - Order_.begin();
+  if (Position < WatcherCount)
+    for (std::size_t I = 0; I < std::min(WatcherCount, Order_.size()); ++I)
+      if (I != Position)
+        Children.push_back(Order_[I]);
+  const std::size_t FirstChild = WatcherCount + Position * PushFanOut;
+  for (std::size_t I = FirstChild; I < FirstChild + PushFanOut; ++I)
     if (I < Order_.size())
-      Out.push_back(Order_[I]);
-  return Out;
+      Children.push_back(Order_[I]);
+  return Children;
 }
 
 } // namespace medlarmoor::config
--- a/src/medlarmoor/config/push_tree.hpp
+++ b/src/medlarmoor/config/push_tree.hpp
@@ -10,26 +10,29 @@
 
 namespace medlarmoor::config {
 
-/// Members of a failure domain that watch the platform for all of them.
-inline constexpr std::size_t Watchers = 2;
-/// Members that one member tells of a new version.
+/// Number of members that watch the platform for their whole failure domain.
+inline constexpr std::size_t WatcherCount = 2;
+/// Number of members that one member notifies of a new version.
 inline constexpr std::size_t PushFanOut = 3;
 
-/// The order of the live members of one failure domain by rendezvous hashing,
-/// equal at all members with equal views. The first ones watch the platform;
-/// below them the members form a tree in which each tells a few others, so
-/// that no member serves more than a few pulls a change.
+/// Orders the live members of one failure domain by rendezvous hashing. Members
+/// with equal views compute the same order. The first members watch the
+/// platform. The others form a tree below them in which each member notifies a
+/// few others, so that no member serves more than a few pulls per change.
 class PushTree {
 public:
   PushTree() = default;
-  /// The members in Last can't reach the platform; they come last.
-  PushTree(std::vector<EntryName> Live, const std::set<EntryName> &Last);
-
-  /// The member watches the platform.
-  [[nodiscard]] bool watches(const EntryName &Member) const;
-  /// The first of the order, who reports for all; nothing without members.
+  /// Builds the order from the live members. Those in Unreachable can't reach
+  /// the platform and are ordered after all others.
+  PushTree(std::vector<EntryName> Live, const std::set<EntryName> &Unreachable);
+
+  /// Returns true if the member watches the platform.
+  [[nodiscard]] bool isWatcher(const EntryName &Member) const;
+  /// Returns the first member of the order, which reports the status of all
+  /// members, or nullopt if there are no members.
   [[nodiscard]] std::optional<EntryName> leader() const;
-  /// Whom the member tells of a new version.
+  /// Returns the members that Member notifies of a new version; none if Member
+  /// is not in the order.
   [[nodiscard]] std::vector<EntryName> children(const EntryName &Member) const;
 
 private:
--- a/src/medlarmoor/config/read_edge_settings.cpp
+++ b/src/medlarmoor/config/read_edge_settings.cpp
@@ -8,71 +8,73 @@
 
 namespace {
 
-void readListen(TableReader In, EdgeSettings &Out) {
-  In.endpoint("packets", Out.Packets_);
-  In.endpoint("readiness", Out.Readiness_);
-  In.text("readiness_path", Out.ReadinessPath_, Presence::Optional);
-  if (!Out.ReadinessPath_.starts_with('/'))
-    In.report("readiness_path", "'readiness_path' does not begin with '/'");
-  In.endpoint("peers", Out.Peers_);
-  In.endpoint("gossip", Out.Gossip_);
-  In.endpoint("metrics", Out.Metrics_);
-  In.finish();
-  if (Out.Readiness_ == Out.Metrics_ && Out.Metrics_ != Endpoint())
-    In.report("metrics", "'metrics' and 'readiness' share an address");
+void readListen(TableReader Listen, EdgeSettings &Settings) {
+  Listen.endpoint("packets", Settings.Packets_);
+  Listen.endpoint("readiness", Settings.Readiness_);
+  Listen.text("readiness_path", Settings.ReadinessPath_, Presence::Optional);
+  if (!Settings.ReadinessPath_.starts_with('/'))
+    Listen.report("readiness_path", "'readiness_path' does not begin with '/'");
+  Listen.endpoint("peers", Settings.Peers_);
+  Listen.endpoint("gossip", Settings.Gossip_);
+  Listen.endpoint("metrics", Settings.Metrics_);
+  Listen.finish();
+  if (Settings.Readiness_ == Settings.Metrics_ &&
+      Settings.Metrics_ != Endpoint())
+    Listen.report("metrics", "'metrics' and 'readiness' share an address");
 }
 
-/// A duration in seconds, which may have a fraction.
-void readSeconds(TableReader &In, const char *Key, Millis &Out) {
-  constexpr double Longest = 3600;
-  std::chrono::duration<double> Value = Out;
+/// Reads a duration in seconds, which may have a fraction.
+void readSeconds(TableReader &Table, const char *Key, Millis &Target) {
+  constexpr double MaxSeconds = 3600;
+  std::chrono::duration<double> Value = Target;
   double Count = Value.count();
-  In.number(Key, Count, 0.001, Longest);
-  Out =
+  Table.number(Key, Count, 0.001, MaxSeconds);
+  Target =
       std::chrono::duration_cast<Millis>(std::chrono::duration<double>(Count));
 }
 
-void readBounds(TableReader In, EdgeSettings &Out) {
-  readSeconds(In, "grace_s", Out.Grace_);
-  readSeconds(In, "flow_age_limit_s", Out.FlowAge_);
-  In.duration("apply_limit_ms", Out.ApplyLimit_);
-  In.duration("drain_limit_ms", Out.DrainLimit_);
-  In.finish();
+void readBounds(TableReader Bounds, EdgeSettings &Settings) {
+  readSeconds(Bounds, "grace_s", Settings.GracePeriod_);
+  readSeconds(Bounds, "flow_age_limit_s", Settings.MaxFlowAge_);
+  Bounds.duration("apply_limit_ms", Settings.ApplyLimit_);
+  Bounds.duration("drain_limit_ms", Settings.DrainLimit_);
+  Bounds.finish();
 }
 
 } // namespace
 
 std::optional<EdgeSettings> readEdgeSettings(std::string_view Text,
                                              const std::string &File,
-                                             Findings &Out) {
-  const std::size_t Before = Out.items().size();
-  const std::optional<toml::table> Root = internal::parseToml(Text, File, Out);
+                                             Findings &Errors) {
+  const std::size_t ErrorsBefore = Errors.items().size();
+  const std::optional<toml::table> Root =
+      internal::parseToml(Text, File, Errors);
   if (!Root)
     return std::nullopt;
-  EdgeSettings Read;
-  TableReader In(*Root, "settings", File, Out);
-  In.name("name", Read.Name_);
-  In.name("domain", Read.Domain_);
-  In.address("address", Read.Address_);
-  In.endpoint("store", Read.Store_);
-  In.endpoints("seeds", Read.Seeds_, Presence::Optional);
-  In.logLevel(Read.LogLevel_);
-  if (const toml::table *Table = In.table("listen"))
-    readListen({*Table, "listen", File, Out}, Read);
-  if (const toml::table *Table = In.table("bounds"))
-    readBounds({*Table, "bounds", File, Out}, Read);
-  In.finish();
-  if (Out.items().size() != Before)
+  EdgeSettings Settings;
+  TableReader Reader(*Root, "settings", File, Errors);
+  Reader.name("name", Settings.Name_);
+  Reader.name("domain", Settings.Domain_);
+  Reader.address("address", Settings.Address_);
+  Reader.endpoint("store", Settings.Store_);
+  Reader.endpoints("seeds", Settings.Seeds_, Presence::Optional);
+  Reader.logLevel(Settings.LogLevel_);
+  if (const toml::table *Table = Reader.table("listen"))
+    readListen({*Table, "listen", File, Errors}, Settings);
+  if (const toml::table *Table = Reader.table("bounds"))
+    readBounds({*Table, "bounds", File, Errors}, Settings);
+  Reader.finish();
+  if (Errors.items().size() != ErrorsBefore)
     return std::nullopt;
-  return Read;
+  return Settings;
 }
 
 std::optional<EdgeSettings> readEdgeSettingsFile(const std::string &File,
-                                                 Findings &Out) {
-  const std::optional<std::string> Text = internal::readFile(File, Out);
+                                                 Findings &Errors) {
+  const std::optional<std::string> Text = internal::readFile(File, Errors);
   if (!Text)
     return std::nullopt;
-  return readEdgeSettings(*Text, File, Out);
+  return readEdgeSettings(*Text, File, Errors);
 }
 
 } // namespace medlarmoor::config
--- a/src/medlarmoor/config/read_edge_settings.hpp
+++ b/src/medlarmoor/config/read_edge_settings.hpp
@@ -10,15 +10,17 @@
 
 namespace medlarmoor::config {
 
-/// Reads the settings of an edge instance from TOML (the layout is that of
-/// examples/edge.toml). Nothing, with all findings at once, when anything is
-/// wrong; File names the text in them.
+/// Parses the settings of an edge instance from TOML in the layout of
+/// examples/edge.toml. If the text has any error, adds a finding for each one
+/// to Errors and returns nullopt. File is the file name in the findings.
 [[nodiscard]] std::optional<EdgeSettings>
-readEdgeSettings(std::string_view Text, const std::string &File, Findings &Out);
+readEdgeSettings(std::string_view Text, const std::string &File,
+                 Findings &Errors);
 
-/// Reads the file; a file that can't be read is a finding.
+/// Reads File and parses it like readEdgeSettings(). A file that can't be read
+/// is reported as a finding.
 [[nodiscard]] std::optional<EdgeSettings>
-readEdgeSettingsFile(const std::string &File, Findings &Out);
+readEdgeSettingsFile(const std::string &File, Findings &Errors);
 
 } // namespace medlarmoor::config
 
--- a/src/medlarmoor/config/read_environment.cpp
+++ b/src/medlarmoor/config/read_environment.cpp
@@ -11,135 +11,141 @@
 
 namespace {
 
-constexpr double LeastWeight = 0.001;
-constexpr double GreatestWeight = 1000;
-constexpr double LeastEpsilon = 0.01;
-constexpr double GreatestEpsilon = 10;
-constexpr double GreatestQueue = 1000;
-constexpr std::int64_t GreatestSlots = 65536;
-constexpr std::int64_t GreatestConnections = 10'000'000;
-constexpr std::int64_t GreatestBody = 64LL * 1024 * 1024;
-
-/// Reads one document and remembers where each name and address first stood.
-class Reader {
+constexpr double MinWeight = 0.001;
+constexpr double MaxWeight = 1000;
+constexpr double MinEpsilon = 0.01;
+constexpr double MaxEpsilon = 10;
+constexpr double MaxQueuePerSlot = 1000;
+constexpr std::int64_t MaxSlots = 65536;
+constexpr std::int64_t MaxConnections = 10'000'000;
+constexpr std::int64_t MaxBodyBytes = 64LL * 1024 * 1024;
+
+/// Reads one document and records the place of the first use of each name and
+/// address.
+class EnvironmentReader {
 public:
-  Reader(const std::string &File, Findings &Out) : File_(File), Out_(Out) {}
+  EnvironmentReader(const std::string &File, Findings &Errors)
+      : File_(File), Errors_(Errors) {}
 
   Environment read(const toml::table &Root) {
-    Environment Read;
-    TableReader In(Root, "document", File_, Out_);
-    In.name("name", Read.Name_);
-    for (const toml::table *Each : In.tables("domain", Presence::Required))
-      Read.Domains_.push_back(readDomain(*Each));
-    for (const toml::table *Each : In.tables("service", Presence::Required))
-      Read.Services_.push_back(readService(*Each));
-    In.finish();
-    return Read;
+    Environment Document;
+    TableReader Reader(Root, "document", File_, Errors_);
+    Reader.name("name", Document.Name_);
+    for (const toml::table *Table : Reader.tables("domain", Presence::Required))
+      Document.Domains_.push_back(readDomain(*Table));
+    for (const toml::table *Table :
+         Reader.tables("service", Presence::Required))
+      Document.Services_.push_back(readService(*Table));
+    Reader.finish();
+    return Document;
   }
 
 private:
   using Places = std::map<std::string, Place>;
 
-  /// Reports Value when it was seen before; What names its kind.
-  void unique(Places &Seen, const std::string &Value, const Place &Where,
-              const char *What) {
+  /// Reports Value if FirstUses has it already, and adds it otherwise. Kind is
+  /// what findings call the value, for example "upstream".
+  void checkUnique(Places &FirstUses, const std::string &Value,
+                   const Place &Where, const char *Kind) {
     if (Value.empty())
       return;
-    const auto [At, New] = Seen.try_emplace(Value, Where);
-    if (!New)
-      Out_.add(Where, std::string("duplicate ") + What + " '" + Value + "'",
-               "first at line " + std::to_string(At->second.Line_));
+    const auto [FirstUse, Added] = FirstUses.try_emplace(Value, Where);
+    if (!Added)
+      Errors_.add(Where, std::string("duplicate ") + Kind + " '" + Value + "'",
+                  "first at line " + std::to_string(FirstUse->second.Line_));
   }
 
   template <typename Tag>
-  void readName(TableReader &In, Strong<std::string, Tag> &Out, Places &Seen,
-                const char *What) {
+  void readName(TableReader &Reader, Strong<std::string, Tag> &Target,
+                Places &FirstUses, const char *Kind) {
     std::string Value;
-    In.name("name", Value);
-    unique(Seen, Value, In.place("name"), What);
-    Out = Strong<std::string, Tag>(Value);
+    Reader.name("name", Value);
+    checkUnique(FirstUses, Value, Reader.place("name"), Kind);
+    Target = Strong<std::string, Tag>(Value);
   }
 
   FailureDomain readDomain(const toml::table &Table) {
-    FailureDomain Out;
-    TableReader In(Table, "domain", File_, Out_);
-    readName(In, Out.Name_, Domains_, "domain");
+    FailureDomain Domain;
+    TableReader Reader(Table, "domain", File_, Errors_);
+    readName(Reader, Domain.Name_, Domains_, "domain");
     std::string Region;
-    In.name("region", Region);
-    Out.Region_ = RegionName(Region);
-    In.finish();
-    return Out;
+    Reader.name("region", Region);
+    Domain.Region_ = RegionName(Region);
+    Reader.finish();
+    return Domain;
   }
 
   Service readService(const toml::table &Table) {
-    Service Out;
-    TableReader In(Table, "service", File_, Out_);
-    readName(In, Out.Name_, Services_, "service");
-    In.endpoints("addresses", Out.Addresses_);
-    for (const Endpoint &Each : Out.Addresses_)
-      unique(Addresses_, Each.text(), In.place("addresses"), "address");
-    if (const toml::table *Policy = In.table("policy"))
-      Out.Policy_ = readPolicy(*Policy);
-    const auto Upstreams = In.tables("upstream", Presence::Optional);
+    Service Parsed;
+    TableReader Reader(Table, "service", File_, Errors_);
+    readName(Reader, Parsed.Name_, Services_, "service");
+    Reader.endpoints("addresses", Parsed.Addresses_);
+    for (const Endpoint &Address : Parsed.Addresses_)
+      checkUnique(Addresses_, Address.text(), Reader.place("addresses"),
+                  "address");
+    if (const toml::table *Policy = Reader.table("policy"))
+      Parsed.Policy_ = readPolicy(*Policy);
+    const auto Upstreams = Reader.tables("upstream", Presence::Optional);
     if (Upstreams.empty())
-      In.report("name", "service '" + Out.Name_.value() + "' has no upstreams",
-                "add [[service.upstream]]");
-    for (const toml::table *Each : Upstreams)
-      Out.Upstreams_.push_back(readUpstream(*Each));
-    In.finish();
-    return Out;
+      Reader.report("name",
+                    "service '" + Parsed.Name_.value() + "' has no upstreams",
+                    "add [[service.upstream]]");
+    for (const toml::table *Entry : Upstreams)
+      Parsed.Upstreams_.push_back(readUpstream(*Entry));
+    Reader.finish();
+    return Parsed;
   }
 
   ServicePolicy readPolicy(const toml::table &Table) {
-    ServicePolicy Out;
-    TableReader In(Table, "policy", File_, Out_);
-    In.number("epsilon", Out.Epsilon_, LeastEpsilon, GreatestEpsilon);
-    In.duration("longest_deadline_ms", Out.LongestDeadline_);
-    In.whole("body_bytes", Out.BodyBytes_, 0, GreatestBody);
-    In.number("queue_per_slot", Out.QueuePerSlot_, 0, GreatestQueue);
-    In.number("retry_budget", Out.RetryBudget_, 0, 1);
-    In.finish();
-    return Out;
+    ServicePolicy Policy;
+    TableReader Reader(Table, "policy", File_, Errors_);
+    Reader.number("epsilon", Policy.Epsilon_, MinEpsilon, MaxEpsilon);
+    Reader.duration("longest_deadline_ms", Policy.LongestDeadline_);
+    Reader.integerAs("body_bytes", Policy.MaxBodyBytes_, 0, MaxBodyBytes);
+    Reader.number("queue_per_slot", Policy.QueuePerSlot_, 0, MaxQueuePerSlot);
+    Reader.number("retry_budget", Policy.RetryBudget_, 0, 1);
+    Reader.finish();
+    return Policy;
   }
 
   Upstream readUpstream(const toml::table &Table) {
-    Upstream Out;
-    TableReader In(Table, "upstream", File_, Out_);
-    readName(In, Out.Name_, Upstreams_, "upstream");
-    readPlace(In, Out);
-    In.endpoint("packets", Out.Packets_);
-    In.endpoint("requests", Out.Requests_);
-    if (Out.Packets_.port() != 0)
-      unique(PacketEndpoints_, Out.Packets_.text(), In.place("packets"),
-             "address");
-    if (Out.Requests_.port() != 0)
-      unique(RequestEndpoints_, Out.Requests_.text(), In.place("requests"),
-             "address");
-    In.whole("slots", Out.Slots_, 1, GreatestSlots);
-    In.whole("connections", Out.Connections_, 1, GreatestConnections);
-    In.number("weight", Out.Weight_, LeastWeight, GreatestWeight);
-    In.flag("drain", Out.Drain_);
-    In.finish();
-    return Out;
+    Upstream Parsed;
+    TableReader Reader(Table, "upstream", File_, Errors_);
+    readName(Reader, Parsed.Name_, Upstreams_, "upstream");
+    readUpstreamDomain(Reader, Parsed);
+    Reader.endpoint("packets", Parsed.Packets_);
+    Reader.endpoint("requests", Parsed.Requests_);
+    if (Parsed.Packets_.port() != 0)
+      checkUnique(PacketEndpoints_, Parsed.Packets_.text(),
+                  Reader.place("packets"), "address");
+    if (Parsed.Requests_.port() != 0)
+      checkUnique(RequestEndpoints_, Parsed.Requests_.text(),
+                  Reader.place("requests"), "address");
+    Reader.integerAs("slots", Parsed.Slots_, 1, MaxSlots);
+    Reader.integerAs("connections", Parsed.Connections_, 1, MaxConnections);
+    Reader.number("weight", Parsed.Weight_, MinWeight, MaxWeight);
+    Reader.flag("drain", Parsed.Drain_);
+    Reader.finish();
+    return Parsed;
   }
 
-  void readPlace(TableReader &In, Upstream &Out) {
+  void readUpstreamDomain(TableReader &Reader, Upstream &Target) {
     std::string Domain;
-    In.name("domain", Domain);
-    Out.Domain_ = DomainName(Domain);
+    Reader.name("domain", Domain);
+    Target.Domain_ = DomainName(Domain);
     if (Domain.empty() || Domains_.count(Domain) != 0)
       return;
     std::vector<std::string> Known;
-    for (const auto &[Name, Where] : Domains_)
+    for (const auto &[Name, FirstUse] : Domains_)
       Known.push_back(Name);
-    const std::string Near = internal::nearest(Domain, Known);
-    In.report("domain", "unknown domain '" + Domain + "'",
-              Near.empty() ? "add it as [[domain]]"
-                           : "did you mean '" + Near + "'?");
+    const std::string Suggestion = internal::nearest(Domain, Known);
+    Reader.report("domain", "unknown domain '" + Domain + "'",
+                  Suggestion.empty() ? "add it as [[domain]]"
+                                     : "did you mean '" + Suggestion + "'?");
   }
 
   const std::string &File_;
-  Findings &Out_;
+  Findings &Errors_;
   Places Domains_;
   Places Services_;
   Places Upstreams_;
@@ -150,24 +156,26 @@
 
 } // namespace
 
-std::optional<Environment>
-readEnvironment(std::string_view Text, const std::string &File, Findings &Out) {
-  const std::size_t Before = Out.items().size();
-  const std::optional<toml::table> Root = internal::parseToml(Text, File, Out);
+std::optional<Environment> readEnvironment(std::string_view Text,
+                                           const std::string &File,
+                                           Findings &Errors) {
+  const std::size_t ErrorsBefore = Errors.items().size();
+  const std::optional<toml::table> Root =
+      internal::parseToml(Text, File, Errors);
   if (!Root)
     return std::nullopt;
-  Environment Read = Reader(File, Out).read(*Root);
-  if (Out.items().size() != Before)
+  Environment Document = EnvironmentReader(File, Errors).read(*Root);
+  if (Errors.items().size() != ErrorsBefore)
     return std::nullopt;
-  return Read;
+  return Document;
 }
 
 std::optional<Environment> readEnvironmentFile(const std::string &File,
-                                               Findings &Out) {
-  const std::optional<std::string> Text = internal::readFile(File, Out);
+                                               Findings &Errors) {
+  const std::optional<std::string> Text = internal::readFile(File, Errors);
   if (!Text)
     return std::nullopt;
-  return readEnvironment(*Text, File, Out);
+  return readEnvironment(*Text, File, Errors);
 }
 
 } // namespace medlarmoor::config
--- a/src/medlarmoor/config/read_environment.hpp
+++ b/src/medlarmoor/config/read_environment.hpp
@@ -10,18 +10,21 @@
 
 namespace medlarmoor::config {
 
-/// Reads and checks an environment document in TOML (the layout is that of
-/// examples/muscat.toml). Nothing, with all findings at once, when anything is
-/// wrong; File names the text in them.
+/// Parses and validates an environment document from TOML in the layout of
+/// examples/muscat.toml. If the text has any error, adds a finding for each one
+/// to Errors and returns nullopt. File is the file name in the findings.
 [[nodiscard]] std::optional<Environment>
-readEnvironment(std::string_view Text, const std::string &File, Findings &Out);
+readEnvironment(std::string_view Text, const std::string &File,
+                Findings &Errors);
 
-/// Reads the file; a file that can't be read is a finding.
+/// Reads File and parses it like readEnvironment(). A file that can't be read
+/// is reported as a finding.
 [[nodiscard]] std::optional<Environment>
-readEnvironmentFile(const std::string &File, Findings &Out);
+readEnvironmentFile(const std::string &File, Findings &Errors);
 
-/// The text that readEnvironment() reads back to the same document.
-[[nodiscard]] std::string writeEnvironment(const Environment &Each);
+/// Returns the document as TOML text that readEnvironment() parses back to the
+/// same document.
+[[nodiscard]] std::string writeEnvironment(const Environment &Document);
 
 } // namespace medlarmoor::config
 
--- a/src/medlarmoor/config/read_settings.cpp
+++ b/src/medlarmoor/config/read_settings.cpp
@@ -13,36 +13,37 @@
 
 namespace {
 
-constexpr std::size_t ShortestSecret = 16;
-constexpr std::int64_t GreatestPort = 65535;
-constexpr std::int64_t GreatestKeyId = 255;
-constexpr std::int64_t GreatestCount = 100'000'000;
+constexpr std::size_t MinSecretBytes = 16;
+constexpr std::int64_t MaxPort = 65535;
+constexpr std::int64_t MaxKeyId = 255;
+constexpr std::int64_t MaxCount = 100'000'000;
 
 std::optional<std::vector<std::byte>> fromHex(std::string_view Text) {
   if (Text.size() % 2 != 0)
     return std::nullopt;
-  std::vector<std::byte> Out;
+  std::vector<std::byte> Bytes;
   for (std::size_t I = 0; I < Text.size(); I += 2) {
     const char *First = Text.data() + I;
     unsigned Value = 0;
     const auto [End, Error] = std::from_chars(First, First + 2, Value, 16);
     if (Error != std::errc() || End != First + 2)
       return std::nullopt;
-    Out.push_back(static_cast<std::byte>(Value));
+    Bytes.push_back(static_cast<std::byte>(Value));
   }
-  return Out;
+  return Bytes;
 }
 
 std::string toHex(const std::vector<std::byte> &Bytes) {
   constexpr std::string_view Digits = "0123456789abcdef";
-  std::string Out;
-  for (const std::byte Each : Bytes) {
-    Out += Digits[std::to_integer<unsigned>(Each) >> 4U];
-    Out += Digits[std::to_integer<unsigned>(Each) & 15U];
+  std::string Text;
+  for (const std::byte Byte : Bytes) {
+    Text += Digits[std::to_integer<unsigned>(Byte) >> 4U];
+    Text += Digits[std::to_integer<unsigned>(Byte) & 15U];
   }
-  return Out;
+  return Text;
 }
 
+/// A key of the settings table "ports" and the port that it sets.
 struct NamedPort {
   const char *Key_;
   std::uint16_t Ports::*Port_;
@@ -55,155 +56,162 @@
                               NamedPort{"config", &Ports::Config_},
                               NamedPort{"admin", &Ports::Admin_}};
 
-void readPorts(TableReader In, Ports &Out) {
-  std::set<std::uint16_t> Seen;
-  for (const NamedPort &Each : PortKeys) {
-    In.whole(Each.Key_, Out.*Each.Port_, 1, GreatestPort);
-    if (!Seen.insert(Out.*Each.Port_).second)
-      In.report(Each.Key_,
-                "port " + std::to_string(Out.*Each.Port_) + " is used twice");
+void readPorts(TableReader Reader, Ports &Target) {
+  std::set<std::uint16_t> UsedPorts;
+  for (const NamedPort &Named : PortKeys) {
+    Reader.integerAs(Named.Key_, Target.*Named.Port_, 1, MaxPort);
+    if (!UsedPorts.insert(Target.*Named.Port_).second)
+      Reader.report(Named.Key_, "port " + std::to_string(Target.*Named.Port_) +
+                                    " is used twice");
   }
-  In.finish();
+  Reader.finish();
 }
 
-SharedKey readKey(TableReader In) {
-  SharedKey Out;
+SharedKey readKey(TableReader Reader) {
+  SharedKey Key;
   std::string Secret;
-  In.whole("id", Out.Id_, 0, GreatestKeyId);
-  In.text("secret", Secret, Presence::Required);
+  Reader.integerAs("id", Key.Id_, 0, MaxKeyId);
+  Reader.text("secret", Secret, Presence::Required);
   const auto Bytes = fromHex(Secret);
   if (!Bytes)
-    In.report("secret", "'secret' is not hexadecimal");
-  else if (Bytes->size() < ShortestSecret && !Secret.empty())
-    In.report("secret", "'secret' is short", "at least 32 hexadecimal digits");
+    Reader.report("secret", "'secret' is not hexadecimal");
+  else if (Bytes->size() < MinSecretBytes && !Secret.empty())
+    Reader.report("secret", "'secret' is too short",
+                  "at least 32 hexadecimal digits");
   else if (Secret.empty())
-    In.report("secret", "'secret' is empty", "at least 32 hexadecimal digits");
+    Reader.report("secret", "'secret' is empty",
+                  "at least 32 hexadecimal digits");
   else
-    Out.Secret_ = *Bytes;
-  In.finish();
-  return Out;
+    Key.Secret_ = *Bytes;
+  Reader.finish();
+  return Key;
 }
 
-void readFlow(TableReader In, FlowSettings &Out) {
-  In.whole("flows", Out.Flows_, 1, GreatestCount);
-  In.duration("idle_ms", Out.Idle_);
-  In.whole("replication_bytes", Out.ReplicationBytes_, 0, GreatestCount);
-  In.finish();
+void readFlow(TableReader Reader, FlowSettings &Target) {
+  Reader.integerAs("flows", Target.MaxFlows_, 1, MaxCount);
+  Reader.duration("idle_ms", Target.IdleTimeout_);
+  Reader.integerAs("replication_bytes", Target.ReplicationBytesPerSecond_, 0,
+                   MaxCount);
+  Reader.finish();
 }
 
-void readRequests(TableReader In, RequestSettings &Out) {
-  In.whole("ledger_keys", Out.LedgerKeys_, 1, GreatestCount);
-  In.duration("horizon_ms", Out.Horizon_);
-  In.finish();
+void readRequests(TableReader Reader, RequestSettings &Target) {
+  Reader.integerAs("ledger_keys", Target.MaxLedgerKeys_, 1, MaxCount);
+  Reader.duration("horizon_ms", Target.Horizon_);
+  Reader.finish();
 }
 
-void readMembership(TableReader In, MembershipSettings &Out) {
-  In.duration("heartbeat_ms", Out.Heartbeat_);
-  In.duration("lease_ms", Out.Lease_);
-  In.duration("list_period_ms", Out.ListPeriod_);
-  if (Out.Lease_ < 2 * Out.Heartbeat_)
-    In.report("lease_ms", "'lease_ms' is shorter than two heartbeats",
-              "one lost heartbeat would end the lease");
-  In.finish();
+void readMembership(TableReader Reader, MembershipSettings &Target) {
+  Reader.duration("heartbeat_ms", Target.HeartbeatPeriod_);
+  Reader.duration("lease_ms", Target.Lease_);
+  Reader.duration("list_period_ms", Target.ListPeriod_);
+  if (Target.Lease_ < 2 * Target.HeartbeatPeriod_)
+    Reader.report("lease_ms", "'lease_ms' is shorter than two heartbeats",
+                  "one lost heartbeat would end the lease");
+  Reader.finish();
 }
 
-void readNeighbours(TableReader &In, const std::string &File, Settings &Out,
-                    Findings &Found) {
-  for (const toml::table *Each : In.tables("neighbours", Presence::Optional)) {
-    TableReader Entry(*Each, "neighbour", File, Found);
-    Neighbour Read;
-    Entry.name("name", Read.Name_);
-    Entry.address("address", Read.Address_);
+void readNeighbours(TableReader &Reader, const std::string &File,
+                    Settings &Target, Findings &Errors) {
+  for (const toml::table *Table :
+       Reader.tables("neighbours", Presence::Optional)) {
+    TableReader Entry(*Table, "neighbour", File, Errors);
+    Neighbour Listed;
+    Entry.name("name", Listed.Name_);
+    Entry.address("address", Listed.Address_);
     Entry.finish();
-    Out.Neighbours_.push_back(Read);
+    Target.Neighbours_.push_back(Listed);
   }
 }
 
-void readKeys(TableReader &In, const std::string &File, Settings &Out,
-              Findings &Found) {
+void readKeys(TableReader &Reader, const std::string &File, Settings &Target,
+              Findings &Errors) {
   std::set<std::uint8_t> Ids;
-  for (const toml::table *Each : In.tables("keys", Presence::Required)) {
-    TableReader Key(*Each, "key", File, Found);
-    Out.Keys_.push_back(readKey(Key));
-    if (!Ids.insert(Out.Keys_.back().Id_).second)
+  for (const toml::table *Table : Reader.tables("keys", Presence::Required)) {
+    TableReader Key(*Table, "key", File, Errors);
+    Target.Keys_.push_back(readKey(Key));
+    if (!Ids.insert(Target.Keys_.back().Id_).second)
       Key.report("id", "two keys have the id " +
-                           std::to_string(Out.Keys_.back().Id_));
+                           std::to_string(Target.Keys_.back().Id_));
   }
 }
 
 } // namespace
 
-std::optional<Settings> readSettings(std::string_view Text,
-                                     const std::string &File, Findings &Out) {
-  const std::size_t Before = Out.items().size();
-  const std::optional<toml::table> Root = internal::parseToml(Text, File, Out);
+std::optional<Settings>
+readSettings(std::string_view Text, const std::string &File, Findings &Errors) {
+  const std::size_t ErrorsBefore = Errors.items().size();
+  const std::optional<toml::table> Root =
+      internal::parseToml(Text, File, Errors);
   if (!Root)
     return std::nullopt;
-  Settings Read;
-  TableReader In(*Root, "settings", File, Out);
-  In.name("name", Read.Name_);
-  In.name("domain", Read.Domain_);
-  In.address("address", Read.Address_);
-  Read.Advertise_ = Read.Address_;
-  In.address("advertise", Read.Advertise_, Presence::Optional);
-  In.endpoint("platform", Read.Platform_);
-  In.name("environment", Read.Environment_);
-  In.flag("doors", Read.Doors_);
-  In.logLevel(Read.LogLevel_);
-  readKeys(In, File, Read, Out);
-  readNeighbours(In, File, Read, Out);
-  if (const toml::table *Table = In.table("ports"))
-    readPorts({*Table, "ports", File, Out}, Read.Ports_);
-  if (const toml::table *Table = In.table("flow"))
-    readFlow({*Table, "flow", File, Out}, Read.Flow_);
-  if (const toml::table *Table = In.table("requests"))
-    readRequests({*Table, "requests", File, Out}, Read.Requests_);
-  if (const toml::table *Table = In.table("membership"))
-    readMembership({*Table, "membership", File, Out}, Read.Membership_);
-  In.finish();
-  if (Out.items().size() != Before)
+  Settings Parsed;
+  TableReader Reader(*Root, "settings", File, Errors);
+  Reader.name("name", Parsed.Name_);
+  Reader.name("domain", Parsed.Domain_);
+  Reader.address("address", Parsed.Address_);
+  Parsed.AdvertisedAddress_ = Parsed.Address_;
+  Reader.address("advertise", Parsed.AdvertisedAddress_, Presence::Optional);
+  Reader.endpoint("platform", Parsed.Platform_);
+  Reader.name("environment", Parsed.Environment_);
+  Reader.flag("doors", Parsed.ListenersEnabled_);
+  Reader.logLevel(Parsed.LogLevel_);
+  readKeys(Reader, File, Parsed, Errors);
+  readNeighbours(Reader, File, Parsed, Errors);
+  if (const toml::table *Table = Reader.table("ports"))
+    readPorts({*Table, "ports", File, Errors}, Parsed.Ports_);
+  if (const toml::table *Table = Reader.table("flow"))
+    readFlow({*Table, "flow", File, Errors}, Parsed.Flow_);
+  if (const toml::table *Table = Reader.table("requests"))
+    readRequests({*Table, "requests", File, Errors}, Parsed.Requests_);
+  if (const toml::table *Table = Reader.table("membership"))
+    readMembership({*Table, "membership", File, Errors}, Parsed.Membership_);
+  Reader.finish();
+  if (Errors.items().size() != ErrorsBefore)
     return std::nullopt;
-  return Read;
+  return Parsed;
 }
 
 std::optional<Settings> readSettingsFile(const std::string &File,
-                                         Findings &Out) {
-  const std::optional<std::string> Text = internal::readFile(File, Out);
+                                         Findings &Errors) {
+  const std::optional<std::string> Text = internal::readFile(File, Errors);
   if (!Text)
     return std::nullopt;
-  return readSettings(*Text, File, Out);
+  return readSettings(*Text, File, Errors);
 }
 
-std::string writeSettings(const Settings &Each) {
-  std::ostringstream Out;
-  Out << "name = \"" << Each.Name_.value() << "\"\n"
-      << "domain = \"" << Each.Domain_.value() << "\"\n"
-      << "address = \"" << Each.Address_.text() << "\"\n"
-      << "platform = \"" << Each.Platform_.text() << "\"\n"
-      << "environment = \"" << Each.Environment_ << "\"\n"
-      << "doors = " << (Each.Doors_ ? "true" : "false") << "\n"
-      << "log_level = \"" << Each.LogLevel_ << "\"\n";
-  if (Each.Advertise_ != Ipv4())
-    Out << "advertise = \"" << Each.Advertise_.text() << "\"\n";
-  for (const SharedKey &Key : Each.Keys_)
-    Out << "\n[[keys]]\nid = " << unsigned{Key.Id_} << "\nsecret = \""
-        << toHex(Key.Secret_) << "\"\n";
-  for (const Neighbour &Other : Each.Neighbours_)
-    Out << "\n[[neighbours]]\nname = \"" << Other.Name_.value()
-        << "\"\naddress = \"" << Other.Address_.text() << "\"\n";
-  Out << "\n[ports]\n";
-  for (const NamedPort &Port : PortKeys)
-    Out << Port.Key_ << " = " << Each.Ports_.*Port.Port_ << "\n";
-  Out << "\n[flow]\nflows = " << Each.Flow_.Flows_
-      << "\nidle_ms = " << Each.Flow_.Idle_.count()
-      << "\nreplication_bytes = " << Each.Flow_.ReplicationBytes_ << "\n";
-  Out << "\n[requests]\nledger_keys = " << Each.Requests_.LedgerKeys_
-      << "\nhorizon_ms = " << Each.Requests_.Horizon_.count() << "\n";
-  Out << "\n[membership]\nheartbeat_ms = "
-      << Each.Membership_.Heartbeat_.count()
-      << "\nlease_ms = " << Each.Membership_.Lease_.count()
-      << "\nlist_period_ms = " << Each.Membership_.ListPeriod_.count() << "\n";
-  return Out.str();
+std::string writeSettings(const Settings &Source) {
+  std::ostringstream Stream;
+  Stream << "name = \"" << Source.Name_.value() << "\"\n"
+         << "domain = \"" << Source.Domain_.value() << "\"\n"
+         << "address = \"" << Source.Address_.text() << "\"\n"
+         << "platform = \"" << Source.Platform_.text() << "\"\n"
+         << "environment = \"" << Source.Environment_ << "\"\n"
+         << "doors = " << (Source.ListenersEnabled_ ? "true" : "false") << "\n"
+         << "log_level = \"" << Source.LogLevel_ << "\"\n";
+  if (Source.AdvertisedAddress_ != Ipv4())
+    Stream << "advertise = \"" << Source.AdvertisedAddress_.text() << "\"\n";
+  for (const SharedKey &Key : Source.Keys_)
+    Stream << "\n[[keys]]\nid = " << unsigned{Key.Id_} << "\nsecret = \""
+           << toHex(Key.Secret_) << "\"\n";
+  for (const Neighbour &Listed : Source.Neighbours_)
+    Stream << "\n[[neighbours]]\nname = \"" << Listed.Name_.value()
+           << "\"\naddress = \"" << Listed.Address_.text() << "\"\n";
+  Stream << "\n[ports]\n";
+  for (const NamedPort &Named : PortKeys)
+    Stream << Named.Key_ << " = " << Source.Ports_.*Named.Port_ << "\n";
+  Stream << "\n[flow]\nflows = " << Source.Flow_.MaxFlows_
+         << "\nidle_ms = " << Source.Flow_.IdleTimeout_.count()
+         << "\nreplication_bytes = " << Source.Flow_.ReplicationBytesPerSecond_
+         << "\n";
+  Stream << "\n[requests]\nledger_keys = " << Source.Requests_.MaxLedgerKeys_
+         << "\nhorizon_ms = " << Source.Requests_.Horizon_.count() << "\n";
+  Stream << "\n[membership]\nheartbeat_ms = "
+         << Source.Membership_.HeartbeatPeriod_.count()
+         << "\nlease_ms = " << Source.Membership_.Lease_.count()
+         << "\nlist_period_ms = " << Source.Membership_.ListPeriod_.count()
+         << "\n";
+  return Stream.str();
 }
 
 } // namespace medlarmoor::config
--- a/src/medlarmoor/config/read_settings.hpp
+++ b/src/medlarmoor/config/read_settings.hpp
@@ -10,18 +10,20 @@
 
 namespace medlarmoor::config {
 
-/// Reads the settings of an entry from TOML (the layout is that of
-/// examples/entry.toml). Nothing, with all findings at once, when anything is
-/// wrong; File names the text in them.
+/// Parses the settings of an entry from TOML in the layout of
+/// examples/entry.toml. If the text has any error, adds a finding for each one
+/// to Errors and returns nullopt. File is the file name in the findings.
 [[nodiscard]] std::optional<Settings>
-readSettings(std::string_view Text, const std::string &File, Findings &Out);
+readSettings(std::string_view Text, const std::string &File, Findings &Errors);
 
-/// Reads the file; a file that can't be read is a finding.
+/// Reads File and parses it like readSettings(). A file that can't be read is
+/// reported as a finding.
 [[nodiscard]] std::optional<Settings> readSettingsFile(const std::string &File,
-                                                       Findings &Out);
+                                                       Findings &Errors);
 
-/// The text that readSettings() reads back to the same settings.
-[[nodiscard]] std::string writeSettings(const Settings &Each);
+/// Returns the settings as TOML text that readSettings() parses back to the
+/// same settings.
+[[nodiscard]] std::string writeSettings(const Settings &Source);
 
 } // namespace medlarmoor::config
 
--- a/src/medlarmoor/config/replica.cpp
+++ b/src/medlarmoor/config/replica.cpp
@@ -7,18 +7,18 @@
 
 namespace {
 
-/// Adoptions whose deltas can still be given to others.
-constexpr std::size_t StepsKept = 256;
+/// Number of adoptions whose deltas can still be sent to other members.
+constexpr std::size_t MaxAdoptions = 256;
 
 std::vector<PartId> without(const PartSet &All, const PartSet &Some) {
-  std::vector<PartId> Out;
-  for (const auto &[Id, Each] : All)
+  std::vector<PartId> PartIds;
+  for (const auto &[Id, Part] : All)
     if (Some.count(Id) == 0)
-      Out.push_back(Id);
-  return Out;
+      PartIds.push_back(Id);
+  return PartIds;
 }
 
-/// Both sets hold the same ids.
+/// Returns true if both hold the same ids.
 bool matches(const IndexParts &Index, const std::vector<PartId> &Ids) {
   if (Index.size() != Ids.size())
     return false;
@@ -27,7 +27,7 @@
   });
 }
 
-std::string number(ConfigVersion Version) {
+std::string toText(ConfigVersion Version) {
   return std::to_string(Version.value());
 }
 
@@ -38,198 +38,208 @@
 
 ConfigVersion Replica::version() const noexcept { return Manifest_.Version_; }
 
-bool Replica::isNews(const Manifest &Offered) {
-  Reason_.clear();
-  if (Offered.Version_ == Rejected_)
-    Reason_ = "version " + number(Rejected_) + " was rejected";
+bool Replica::checkNewer(const Manifest &Offered) {
+  LastReason_.clear();
+  if (Offered.Version_ == RejectedVersion_)
+    LastReason_ = "version " + toText(RejectedVersion_) + " was rejected";
   else if (Offered.Version_ < version())
-    Reason_ = "version " + number(Offered.Version_) + " is older";
+    LastReason_ = "version " + toText(Offered.Version_) + " is older";
   else if (Offered.Version_ == version() && Offered.Token_ != Manifest_.Token_)
-    Reason_ = "two documents have version " + number(version());
+    LastReason_ = "two different documents have version " + toText(version());
   else if (Offered.Version_ == version())
-    Reason_ = "version " + number(version()) + " is in force";
-  return Reason_.empty();
+    LastReason_ = "version " + toText(version()) + " is in force";
+  return LastReason_.empty();
 }
 
 bool Replica::adopt(const Manifest &Offered) {
-  if (!isNews(Offered))
+  if (!checkNewer(Offered))
     return false;
   if (!Offered.Delta_) {
-    Reason_ = "no delta";
+    LastReason_ = "the manifest has no delta";
     return false;
   }
   const Delta &Change = *Offered.Delta_;
-  const bool Whole = Change.From_ == ConfigVersion(0);
-  if (!Whole && Change.From_ != version()) {
-    Reason_ = "delta from version " + number(Change.From_);
+  const bool IsSnapshot = Change.BaseVersion_ == ConfigVersion(0);
+  if (!IsSnapshot && Change.BaseVersion_ != version()) {
+    LastReason_ =
+        "the delta starts from version " + toText(Change.BaseVersion_);
     return false;
   }
-  PartSet Parts = Whole ? PartSet() : Parts_;
+  PartSet Parts = IsSnapshot ? PartSet() : Parts_;
   for (const PartId &Id : Change.Removed_)
     Parts.erase(Id);
-  for (const auto &[Id, Each] : Change.Added_)
-    Parts.insert_or_assign(Id, Each);
+  for (const auto &[Id, Part] : Change.Added_)
+    Parts.insert_or_assign(Id, Part);
   return replace(Offered, std::move(Parts));
 }
 
-bool Replica::aim(const Manifest &Offered) {
+bool Replica::setTarget(const Manifest &Offered) {
   if (adopt(Offered))
     return true;
-  if (!isNews(Offered))
+  if (!checkNewer(Offered))
     return false;
-  if (Aim_ && Offered.Version_ <= Aim_->Version_) {
-    Reason_ = "version " + number(Aim_->Version_) + " is on its way";
+  if (Target_ && Offered.Version_ <= Target_->Version_) {
+    LastReason_ =
+        "version " + toText(Target_->Version_) + " is already being fetched";
     return false;
   }
-  Aim_ = Offered;
-  Aim_->Delta_.reset();
+  Target_ = Offered;
+  Target_->Delta_.reset();
   if (Offered.Delta_)
-    Fetched_.insert(Offered.Delta_->Added_.begin(),
-                    Offered.Delta_->Added_.end());
-  findMissing();
-  adoptWhenWhole();
+    FetchedParts_.insert(Offered.Delta_->Added_.begin(),
+                         Offered.Delta_->Added_.end());
+  updateMissing();
+  adoptIfComplete();
   return true;
 }
 
-/// The part ids that the index parts of the version aimed at list; nothing
-/// while an index part is missing.
-std::optional<std::vector<PartId>> Replica::listed() const {
-  std::vector<PartId> Out;
+/// Returns the part ids that the index parts of the target version list, or
+/// nullopt while an index part is missing.
+std::optional<std::vector<PartId>> Replica::targetPartIds() const {
+  std::vector<PartId> PartIds;
   std::string Reason;
-  for (const PartId &Id : Aim_->Index_) {
+  for (const PartId &Id : Target_->Index_) {
     const auto Held = Index_.find(Id);
-    const auto Got = FetchedIndex_.find(Id);
-    if (Held == Index_.end() && Got == FetchedIndex_.end())
+    const auto Fetched = FetchedIndex_.find(Id);
+    if (Held == Index_.end() && Fetched == FetchedIndex_.end())
       return std::nullopt;
-    const std::string &Text = Held != Index_.end() ? Held->second : Got->second;
+    const std::string &Text =
+        Held != Index_.end() ? Held->second : Fetched->second;
     const auto Ids = readIndex(Id, Text, Reason);
     if (!Ids)
       return std::nullopt;
-    Out.insert(Out.end(), Ids->begin(), Ids->end());
+    PartIds.insert(PartIds.end(), Ids->begin(), Ids->end());
   }
-  return Out;
+  return PartIds;
 }
 
-/// Index parts come first; what they list is known once all are there.
-void Replica::findMissing() {
-  Missing_.clear();
-  for (const PartId &Id : Aim_->Index_)
+/// Lists the missing index parts first. The parts that they name are known only
+/// once all index parts are present.
+void Replica::updateMissing() {
+  MissingParts_.clear();
+  for (const PartId &Id : Target_->Index_)
     if (Index_.count(Id) == 0 && FetchedIndex_.count(Id) == 0)
-      Missing_.insert(Id);
-  if (!Missing_.empty())
+      MissingParts_.insert(Id);
+  if (!MissingParts_.empty())
     return;
-  const std::optional<std::vector<PartId>> Ids = listed();
+  const std::optional<std::vector<PartId>> Ids = targetPartIds();
   if (!Ids)
     return;
   for (const PartId &Id : *Ids)
-    if (Parts_.count(Id) == 0 && Fetched_.count(Id) == 0)
-      Missing_.insert(Id);
+    if (Parts_.count(Id) == 0 && FetchedParts_.count(Id) == 0)
+      MissingParts_.insert(Id);
 }
 
-bool Replica::put(const PartId &Id, const std::string &Text) {
-  Reason_.clear();
-  if (!Aim_ || Missing_.count(Id) == 0)
+bool Replica::addPart(const PartId &Id, const std::string &Text) {
+  LastReason_.clear();
+  if (!Target_ || MissingParts_.count(Id) == 0)
     return false;
-  const std::vector<PartId> &Index = Aim_->Index_;
+  const std::vector<PartId> &Index = Target_->Index_;
   const bool IsIndex = std::find(Index.begin(), Index.end(), Id) != Index.end();
   if (IsIndex) {
-    if (!readIndex(Id, Text, Reason_))
+    if (!readIndex(Id, Text, LastReason_))
       return false;
     FetchedIndex_.emplace(Id, Text);
   } else {
-    PartPtr Read = readPart(Id, Text, Reason_);
+    PartPtr Read = readPart(Id, Text, LastReason_);
     if (!Read)
       return false;
-    Fetched_.emplace(Id, std::move(Read));
+    FetchedParts_.emplace(Id, std::move(Read));
   }
-  Missing_.erase(Id);
-  if (IsIndex && Missing_.empty())
-    findMissing();
-  return adoptWhenWhole();
+  MissingParts_.erase(Id);
+  if (IsIndex && MissingParts_.empty())
+    updateMissing();
+  return adoptIfComplete();
 }
 
-bool Replica::adoptWhenWhole() {
-  if (!Missing_.empty())
+bool Replica::adoptIfComplete() {
+  if (!MissingParts_.empty())
     return false;
-  const auto Ids = listed();
+  const auto Ids = targetPartIds();
   if (!Ids)
     return false;
   PartSet Parts;
   for (const PartId &Id : *Ids) {
     const auto Held = Parts_.find(Id);
-    const auto Got = Fetched_.find(Id);
-    if (Held == Parts_.end() && Got == Fetched_.end())
+    const auto Fetched = FetchedParts_.find(Id);
+    if (Held == Parts_.end() && Fetched == FetchedParts_.end())
       return false;
-    Parts.emplace(Id, Held != Parts_.end() ? Held->second : Got->second);
+    Parts.emplace(Id, Held != Parts_.end() ? Held->second : Fetched->second);
   }
-  const Manifest Next = *Aim_;
+  const Manifest Next = *Target_;
   return replace(Next, std::move(Parts));
 }
 
 bool Replica::replace(const Manifest &Next, PartSet Parts) {
   IndexParts Index = makeIndex(idsOf(Parts));
   if (!matches(Index, Next.Index_)) {
-    Reason_ = "parts do not make up version " + number(Next.Version_);
+    LastReason_ =
+        "the parts do not match the index of version " + toText(Next.Version_);
     return false;
   }
-  std::optional<Environment> Joined = joinParts(Environment_, Parts, Reason_);
+  std::optional<Environment> Joined =
+      joinParts(Environment_, Parts, LastReason_);
   if (!Joined) {
-    Rejected_ = Next.Version_;
-    if (Aim_ && Aim_->Version_ == Rejected_)
-      dropAim();
+    RejectedVersion_ = Next.Version_;
+    if (Target_ && Target_->Version_ == RejectedVersion_)
+      dropTarget();
     return false;
   }
-  remember(Parts);
+  recordAdoption(Parts);
   Manifest_ = Next;
   Manifest_.Delta_.reset();
   Parts_ = std::move(Parts);
   Index_ = std::move(Index);
-  InForce_ = std::make_shared<InForce>(
-      InForce{Next.Version_, std::move(*Joined), digestOf(Parts_)});
-  if (Aim_ && Aim_->Version_ <= version())
-    dropAim();
-  else if (Aim_)
-    findMissing();
+  InForce_ = std::make_shared<ActiveConfig>(
+      ActiveConfig{Next.Version_, std::move(*Joined), digestOf(Parts_)});
+  if (Target_ && Target_->Version_ <= version())
+    dropTarget();
+  else if (Target_)
+    updateMissing();
   return true;
 }
 
-void Replica::dropAim() {
-  Aim_.reset();
-  Missing_.clear();
-  Fetched_.clear();
+void Replica::dropTarget() {
+  Target_.reset();
+  MissingParts_.clear();
+  FetchedParts_.clear();
   FetchedIndex_.clear();
 }
 
-void Replica::remember(const PartSet &Next) {
-  Steps_.push_back({version(), without(Next, Parts_), without(Parts_, Next)});
-  if (Steps_.size() > StepsKept)
-    Steps_.pop_front();
+void Replica::recordAdoption(const PartSet &Next) {
+  Adoptions_.push_back(
+      {version(), without(Next, Parts_), without(Parts_, Next)});
+  if (Adoptions_.size() > MaxAdoptions)
+    Adoptions_.pop_front();
 }
 
-std::optional<Manifest> Replica::answer(ConfigVersion Have) const {
-  if (!InForce_ || Have >= version())
+std::optional<Manifest>
+Replica::manifestSince(ConfigVersion HeldVersion) const {
+  if (!InForce_ || HeldVersion >= version())
     return std::nullopt;
-  Manifest Out = Manifest_;
-  Out.Delta_ = Delta{ConfigVersion(0), Parts_, {}};
+  Manifest Answer = Manifest_;
+  Answer.Delta_ = Delta{ConfigVersion(0), Parts_, {}};
   const auto First =
-      std::find_if(Steps_.begin(), Steps_.end(),
-                   [Have](const Step &Each) { return Each.From_ == Have; });
-  if (Have == ConfigVersion(0) || First == Steps_.end())
-    return Out;
+      std::find_if(Adoptions_.begin(), Adoptions_.end(),
+                   [HeldVersion](const Adoption &Recorded) {
+                     return Recorded.PreviousVersion_ == HeldVersion;
+                   });
+  if (HeldVersion == ConfigVersion(0) || First == Adoptions_.end())
+    return Answer;
   std::set<PartId> Added;
   std::set<PartId> Removed;
-  for (auto At = First; At != Steps_.end(); ++At) {
+  for (auto At = First; At != Adoptions_.end(); ++At) {
     Added.insert(At->Added_.begin(), At->Added_.end());
     Removed.insert(At->Removed_.begin(), At->Removed_.end());
   }
-  Out.Delta_ = Delta{Have, {}, {}};
+  Answer.Delta_ = Delta{HeldVersion, {}, {}};
   for (const PartId &Id : Added)
     if (const auto At = Parts_.find(Id); At != Parts_.end())
-      Out.Delta_->Added_.emplace(Id, At->second);
+      Answer.Delta_->Added_.emplace(Id, At->second);
   for (const PartId &Id : Removed)
     if (Parts_.count(Id) == 0)
-      Out.Delta_->Removed_.push_back(Id);
-  return Out;
+      Answer.Delta_->Removed_.push_back(Id);
+  return Answer;
 }
 
 } // namespace medlarmoor::config
--- a/src/medlarmoor/config/replica.hpp
+++ b/src/medlarmoor/config/replica.hpp
@@ -1,7 +1,7 @@
 #ifndef MEDLARMOOR_CONFIG_REPLICA_HPP
 #define MEDLARMOOR_CONFIG_REPLICA_HPP
 
-#include <medlarmoor/config/in_force.hpp>
+#include <medlarmoor/config/active_config.hpp>
 #include <medlarmoor/config/manifest.hpp>
 #include <medlarmoor/config/parts.hpp>
 
@@ -14,77 +14,84 @@
 
 namespace medlarmoor::config {
 
-/// The copy of a document that one entry holds. It moves to higher versions
-/// only, and only when it has a version whole: every part is checked against
-/// the id that names it, and all ids against the index that the manifest names.
+/// The replica of a document at one entry. It moves to higher versions only,
+/// and only once a version is complete: every part is checked against the id
+/// that names it, and all ids against the index that the manifest names.
 class Replica {
 public:
-  /// Environment is the name that the documents get.
+  /// Environment is the name given to the documents.
   explicit Replica(std::string Environment);
 
-  /// Takes a manifest with a delta. True when that made its version be in
-  /// force; false, with lastReason(), when it is not newer or does not fit.
+  /// Applies a manifest with a delta. Returns true if its version is now in
+  /// force; returns false and sets lastReason() if it is not newer or its delta
+  /// does not apply.
   [[nodiscard]] bool adopt(const Manifest &Offered);
-  /// Takes a manifest whose parts may have to be fetched. True when its version
-  /// is in force now or is what missing() is about.
-  bool aim(const Manifest &Offered);
-  /// The index parts and parts to fetch for the version aimed at.
-  [[nodiscard]] const std::set<PartId> &missing() const noexcept {
-    return Missing_;
+  /// Accepts a manifest whose parts may have to be fetched. Returns true if its
+  /// version is now in force or is the target whose parts missingParts() lists.
+  bool setTarget(const Manifest &Offered);
+  /// Returns the index parts and parts to fetch for the target version.
+  [[nodiscard]] const std::set<PartId> &missingParts() const noexcept {
+    return MissingParts_;
   }
-  /// Takes a fetched part; true when that made the version aimed at be in
-  /// force. Contents that their id does not name are dropped.
-  [[nodiscard]] bool put(const PartId &Id, const std::string &Text);
+  /// Adds a fetched part. Returns true if this brought the target version into
+  /// force. Contents that do not match their id are dropped.
+  [[nodiscard]] bool addPart(const PartId &Id, const std::string &Text);
 
-  /// The version in force, 0 when none is.
+  /// Returns the version in force, 0 if there is none.
   [[nodiscard]] ConfigVersion version() const noexcept;
-  /// The token of the version in force.
+  /// Returns the token of the version in force.
   [[nodiscard]] const std::string &token() const noexcept {
     return Manifest_.Token_;
   }
-  /// The parts of the version in force.
+  /// Returns the parts of the version in force.
   [[nodiscard]] const PartSet &parts() const noexcept { return Parts_; }
   /// What is in force, or null.
-  [[nodiscard]] const InForcePtr &inForce() const noexcept { return InForce_; }
-  /// The manifest in force with the delta that brings an entry with version
-  /// Have to it; nothing when Have is not older. The delta is the change alone
-  /// while this replica remembers the step from Have, and else the whole.
-  [[nodiscard]] std::optional<Manifest> answer(ConfigVersion Have) const;
-  /// Why adopt(), aim() or put() took nothing; empty when it took something.
+  [[nodiscard]] const ActiveConfigPtr &inForce() const noexcept {
+    return InForce_;
+  }
+  /// Returns the manifest in force with the delta from HeldVersion, or nullopt
+  /// if HeldVersion is not older. The delta holds only the changes while this
+  /// replica still has the history since HeldVersion, and otherwise the full
+  /// snapshot.
+  [[nodiscard]] std::optional<Manifest>
+  manifestSince(ConfigVersion HeldVersion) const;
+  /// Returns why adopt(), setTarget() or addPart() rejected its input; empty if
+  /// the input was accepted.
   [[nodiscard]] const std::string &lastReason() const noexcept {
-    return Reason_;
+    return LastReason_;
   }
 
 private:
-  /// One adoption: what it added and removed.
-  struct Step {
-    ConfigVersion From_;
+  /// The parts that one adoption added and removed.
+  struct Adoption {
+    ConfigVersion PreviousVersion_;
     std::vector<PartId> Added_;
     std::vector<PartId> Removed_;
   };
 
-  [[nodiscard]] bool isNews(const Manifest &Offered);
-  [[nodiscard]] std::optional<std::vector<PartId>> listed() const;
-  void findMissing();
-  void dropAim();
-  bool adoptWhenWhole();
+  [[nodiscard]] bool checkNewer(const Manifest &Offered);
+  [[nodiscard]] std::optional<std::vector<PartId>> targetPartIds() const;
+  void updateMissing();
+  void dropTarget();
+  bool adoptIfComplete();
   bool replace(const Manifest &Next, PartSet Parts);
-  void remember(const PartSet &Next);
+  void recordAdoption(const PartSet &Next);
 
   std::string Environment_;
-  std::string Reason_;
+  std::string LastReason_;
   Manifest Manifest_;
   PartSet Parts_;
   IndexParts Index_;
-  InForcePtr InForce_;
-  std::deque<Step> Steps_;
+  ActiveConfigPtr InForce_;
+  std::deque<Adoption> Adoptions_;
 
-  std::optional<Manifest> Aim_;
-  std::set<PartId> Missing_;
+  std::optional<Manifest> Target_;
+  std::set<PartId> MissingParts_;
   IndexParts FetchedIndex_;
-  PartSet Fetched_;
-  /// A version that is whole but does not join; it is never taken.
-  ConfigVersion Rejected_;
+  PartSet FetchedParts_;
+  /// A version whose parts are complete but can't be joined to a document. It
+  /// is never adopted.
+  ConfigVersion RejectedVersion_;
 };
 
 } // namespace medlarmoor::config
--- a/src/medlarmoor/config/service.hpp
+++ b/src/medlarmoor/config/service.hpp
@@ -11,7 +11,7 @@
 /// One service: the addresses that callers use and the upstreams behind them.
 struct Service {
   ServiceName Name_;
-  /// Destination address and port of the inner packets (TCP).
+  /// Destination addresses and ports of the inner packets (TCP).
   std::vector<Endpoint> Addresses_;
   ServicePolicy Policy_;
   std::vector<Upstream> Upstreams_;
--- a/src/medlarmoor/config/service_policy.hpp
+++ b/src/medlarmoor/config/service_policy.hpp
@@ -7,18 +7,21 @@
 
 namespace medlarmoor::config {
 
-/// How one service trades evenness against bytes, and bounds its requests.
+/// The policy of one service: how it trades even load against control traffic,
+/// and the limits of its requests.
 struct ServicePolicy {
-  /// A flow leaves its default upstream when that stands above (1 + Epsilon_)
-  /// times its fair share. Smaller is more even and costs more control bytes.
+  /// A flow is placed on another upstream if the load of its default upstream
+  /// exceeds (1 + Epsilon_) times the fair share. A smaller value spreads load
+  /// more evenly and costs more control bytes.
   double Epsilon_ = 0.25;
-  /// Longest deadline that a request may ask for.
+  /// The longest deadline that a request may set.
   Millis LongestDeadline_ = Seconds(30);
-  /// Largest request body in bytes.
-  std::uint64_t BodyBytes_ = 1024U * 1024U;
-  /// Requests that may wait in the queue, as a multiple of all slots.
+  /// The maximum size of a request body in bytes.
+  std::uint64_t MaxBodyBytes_ = 1024U * 1024U;
+  /// The maximum number of queued requests as a multiple of the total number of
+  /// slots.
   double QueuePerSlot_ = 4.0;
-  /// Retries allowed, as a share of successes.
+  /// The maximum number of retries as a fraction of the successful requests.
   double RetryBudget_ = 0.1;
 
   friend bool operator==(const ServicePolicy &,
--- a/src/medlarmoor/config/settings.hpp
+++ b/src/medlarmoor/config/settings.hpp
@@ -12,59 +12,60 @@
 
 namespace medlarmoor::config {
 
-/// Bounds of the flow door.
+/// Limits of the flow listener.
 struct FlowSettings {
-  /// Flows held in the table at most.
-  std::uint32_t Flows_ = 500'000;
-  /// A flow without packets for this long is forgotten.
-  Millis Idle_ = Seconds(300);
-  /// Bytes a second that replication of exceptions may use.
-  std::uint32_t ReplicationBytes_ = 3000;
+  /// The maximum number of flows in the table.
+  std::uint32_t MaxFlows_ = 500'000;
+  /// A flow without packets for this long is removed.
+  Millis IdleTimeout_ = Seconds(300);
+  /// The maximum rate of override replication in bytes per second.
+  std::uint32_t ReplicationBytesPerSecond_ = 3000;
 };
 
-/// Bounds of the request door.
+/// Limits of the request listener.
 struct RequestSettings {
-  /// Keys in the ledger at most.
-  std::uint32_t LedgerKeys_ = 100'000;
-  /// A key is remembered this long after its deadline.
+  /// The maximum number of keys in the ledger.
+  std::uint32_t MaxLedgerKeys_ = 100'000;
+  /// A key is retained in the ledger for this long after its deadline.
   Millis Horizon_ = Seconds(120);
 };
 
-/// Timing of membership inside a failure domain.
+/// Timing of the membership protocol within a failure domain.
 struct MembershipSettings {
-  Millis Heartbeat_ = Millis(250);
-  /// A member not heard of for this long is not live.
+  Millis HeartbeatPeriod_ = Millis(250);
+  /// A member without a heartbeat for this long is not live.
   Millis Lease_ = Millis(1000);
-  /// How often the platform's list of instances is read.
+  /// The interval between reads of the platform's list of instances.
   Millis ListPeriod_ = Seconds(2);
 };
 
-/// Another entry of the own failure domain.
+/// Another entry of the same failure domain.
 struct Neighbour {
   EntryName Name_;
   Ipv4 Address_;
 };
 
-/// What one entry process is told at start, read from a TOML file.
+/// The settings of one entry process, read from a TOML file at start.
 struct Settings {
   EntryName Name_;
   DomainName Domain_;
-  /// The address of this instance: it binds its ports here and connects from
-  /// here.
+  /// The address of this instance, on which it binds its ports and from which
+  /// it opens connections.
   Ipv4 Address_;
-  /// Where the other entries reach this instance: the address that the
-  /// platform's list gives it; Address_ unless the settings say otherwise.
-  Ipv4 Advertise_;
+  /// The address at which other entries reach this instance, as it appears in
+  /// the platform's list. Defaults to Address_.
+  Ipv4 AdvertisedAddress_;
   Ports Ports_;
   Endpoint Platform_;
   /// The environment whose document this entry serves.
   std::string Environment_;
-  /// The first key signs; all of them are accepted.
+  /// Messages are signed with the first key and accepted with any of them.
   std::vector<SharedKey> Keys_;
-  /// False: this process only takes part in configuration and membership.
-  bool Doors_ = true;
-  /// Entries to contact at start, for the case that the platform does not
-  /// answer then. Those that are gone do no harm.
+  /// If false, the process has no flow and request listeners and takes part in
+  /// configuration and membership only.
+  bool ListenersEnabled_ = true;
+  /// Entries to contact at start in case the platform does not answer. Entries
+  /// that no longer exist do no harm.
   std::vector<Neighbour> Neighbours_;
   std::string LogLevel_ = "INFO";
   FlowSettings Flow_;
--- a/src/medlarmoor/config/status_report.cpp
+++ b/src/medlarmoor/config/status_report.cpp
@@ -12,30 +12,33 @@
 
 namespace {
 
-constexpr std::uint64_t GreatestMs = 1ULL << 53U;
+/// Upper bound of the times that are accepted, in milliseconds.
+constexpr std::uint64_t MaxTimeMs = 1ULL << 53U;
 
-std::uint64_t millis(WallTime Time) {
+std::uint64_t toMillis(WallTime Time) {
   return static_cast<std::uint64_t>(Time.time_since_epoch().count());
 }
 
-WallTime toWall(std::uint64_t Ms) {
+WallTime toWallTime(std::uint64_t Ms) {
   return WallTime(Millis(static_cast<std::int64_t>(Ms)));
 }
 
-WallTime roundedUp(WallTime Time) { return std::chrono::ceil<Seconds>(Time); }
+WallTime roundUpToSecond(WallTime Time) {
+  return std::chrono::ceil<Seconds>(Time);
+}
 
-bool readGroup(const Json &In, StatusReport &Out) {
-  const auto Version = unsignedAt(In, "version");
-  const auto Since = unsignedAt(In, "sinceMs", GreatestMs);
-  const Json *Names = member(In, "entries");
+bool readGroup(const Json &Group, StatusReport &Report) {
+  const auto Version = unsignedAt(Group, "version");
+  const auto Since = unsignedAt(Group, "sinceMs", MaxTimeMs);
+  const Json *Names = member(Group, "entries");
   if (!Version || !Since || !Names || !Names->is_array())
     return false;
-  for (const Json &Each : *Names) {
-    if (!Each.is_string())
+  for (const Json &Name : *Names) {
+    if (!Name.is_string())
       return false;
-    Out.Entries_.insert_or_assign(
-        EntryName(Each.get<std::string>()),
-        EntryStatus{ConfigVersion(*Version), toWall(*Since)});
+    Report.Entries_.insert_or_assign(
+        EntryName(Name.get<std::string>()),
+        EntryStatus{ConfigVersion(*Version), toWallTime(*Since)});
   }
   return true;
 }
@@ -44,34 +47,34 @@
 
 std::string StatusReport::text() const {
   std::map<std::pair<ConfigVersion, WallTime>, Json> Groups;
-  for (const auto &[Name, Each] : Entries_) {
-    Json &Names = Groups[{Each.Version_, roundedUp(Each.Since_)}];
+  for (const auto &[Name, Status] : Entries_) {
+    Json &Names = Groups[{Status.Version_, roundUpToSecond(Status.Since_)}];
     if (Names.is_null())
       Names = Json::array();
     Names.push_back(Name.value());
   }
-  Json Out{{"writer", Writer_.value()},
-           {"writtenMs", millis(Written_)},
-           {"groups", Json::array()}};
+  Json Root{{"writer", Writer_.value()},
+            {"writtenMs", toMillis(WrittenAt_)},
+            {"groups", Json::array()}};
   for (auto &[Key, Names] : Groups)
-    Out["groups"].push_back({{"version", Key.first.value()},
-                             {"sinceMs", millis(Key.second)},
-                             {"entries", std::move(Names)}});
-  return internal::canonical(Out);
+    Root["groups"].push_back({{"version", Key.first.value()},
+                              {"sinceMs", toMillis(Key.second)},
+                              {"entries", std::move(Names)}});
+  return internal::canonical(Root);
 }
 
 std::optional<StatusReport> readStatusReport(const std::string &Text) {
-  const Json In = Json::parse(Text, nullptr, false);
-  const auto Writer = textAt(In, "writer");
-  const auto Written = unsignedAt(In, "writtenMs", GreatestMs);
-  const Json *Groups = member(In, "groups");
+  const Json Root = Json::parse(Text, nullptr, false);
+  const auto Writer = textAt(Root, "writer");
+  const auto Written = unsignedAt(Root, "writtenMs", MaxTimeMs);
+  const Json *Groups = member(Root, "groups");
   if (!Writer || !Written || !Groups || !Groups->is_array())
     return std::nullopt;
-  StatusReport Out{EntryName(*Writer), toWall(*Written), {}};
-  for (const Json &Each : *Groups)
-    if (!readGroup(Each, Out))
+  StatusReport Report{EntryName(*Writer), toWallTime(*Written), {}};
+  for (const Json &Group : *Groups)
+    if (!readGroup(Group, Report))
       return std::nullopt;
-  return Out;
+  return Report;
 }
 
 } // namespace medlarmoor::config
--- a/src/medlarmoor/config/status_report.hpp
+++ b/src/medlarmoor/config/status_report.hpp
@@ -10,7 +10,7 @@
 
 namespace medlarmoor::config {
 
-/// Which version an entry acts on and since when.
+/// The configuration version that an entry has in force, and since when.
 struct EntryStatus {
   ConfigVersion Version_;
   WallTime Since_;
@@ -18,20 +18,21 @@
   friend bool operator==(const EntryStatus &, const EntryStatus &) = default;
 };
 
-/// What the watcher of a failure domain writes to the platform about all
-/// entries of the domain.
+/// The status of all entries of a failure domain, which the leading watcher of
+/// the domain writes to the platform.
 struct StatusReport {
   EntryName Writer_;
-  WallTime Written_;
+  WallTime WrittenAt_;
   std::map<EntryName, EntryStatus> Entries_;
 
-  /// The JSON form. Entries that adopted one version within one second are
-  /// written as one group, so that a report grows with the names alone; the
-  /// time of the group is that of its last entry, rounded up.
+  /// Returns the JSON form. Entries that adopted the same version within the
+  /// same second are written as one group, so that the size of a report grows
+  /// with the names only. The time of a group is the adoption time of its last
+  /// entry, rounded up to a full second.
   [[nodiscard]] std::string text() const;
 };
 
-/// Reads a report; nothing when it is malformed.
+/// Parses a report. Returns nullopt if it is malformed.
 [[nodiscard]] std::optional<StatusReport>
 readStatusReport(const std::string &Text);
 
--- a/src/medlarmoor/config/upstream.hpp
+++ b/src/medlarmoor/config/upstream.hpp
@@ -8,21 +8,21 @@
 
 namespace medlarmoor::config {
 
-/// One upstream of a service, as the environment document describes it.
+/// An upstream of a service, as described by the environment document.
 struct Upstream {
   UpstreamName Name_;
   DomainName Domain_;
-  /// Where encapsulated packets go (UDP).
+  /// Receives encapsulated packets (UDP).
   Endpoint Packets_;
-  /// Where requests, health and load reports are served (HTTP).
+  /// Serves requests, health and load reports (HTTP).
   Endpoint Requests_;
-  /// Requests it runs at once.
+  /// The maximum number of concurrent requests.
   std::uint32_t Slots_ = 2;
-  /// Flows it holds at once.
+  /// The maximum number of concurrent flows.
   std::uint32_t Connections_ = 2000;
-  /// Share of new work relative to the others, above 0.
+  /// The share of new work relative to other upstreams; greater than 0.
   double Weight_ = 1.0;
-  /// Leaving: it gets no new work and finishes what it has.
+  /// A draining upstream receives no new work and completes the work in flight.
   bool Drain_ = false;
 
   friend bool operator==(const Upstream &, const Upstream &) = default;
--- a/src/medlarmoor/ctl/apply.cpp
+++ b/src/medlarmoor/ctl/apply.cpp
@@ -43,7 +43,7 @@
   return Out;
 }
 
-Outcome describe(const std::string &Name, const Overtaken &Each) {
+Outcome describe(const std::string &Name, const VersionConflict &Each) {
   const std::string There =
       Each.Version_ == ConfigVersion(0)
           ? std::string("another version")
--- a/src/medlarmoor/ctl/internal_changes.cpp
+++ b/src/medlarmoor/ctl/internal_changes.cpp
@@ -33,7 +33,7 @@
       {"addresses", text(Each.Addresses_)},
       {"epsilon", text(Policy.Epsilon_)},
       {"longest_deadline_ms", std::to_string(Policy.LongestDeadline_.count())},
-      {"body_bytes", std::to_string(Policy.BodyBytes_)},
+      {"body_bytes", std::to_string(Policy.MaxBodyBytes_)},
       {"queue_per_slot", text(Policy.QueuePerSlot_)},
       {"retry_budget", text(Policy.RetryBudget_)}};
 }
--- a/src/medlarmoor/ctl/internal_fleet.cpp
+++ b/src/medlarmoor/ctl/internal_fleet.cpp
@@ -37,14 +37,14 @@
     const auto Read = readStatusReport(Each.Value_);
     if (!Read)
       continue;
-    const bool Silent = Now - Read->Written_ >= SilentAfter;
+    const bool Silent = Now - Read->WrittenAt_ >= SilentAfter;
     for (const auto &[Name, Status] : Read->Entries_) {
       if (Whose == Environment)
         Out.Own_[Name] = {Name,
                           DomainName(Domain),
                           Silent ? EntryState::CutOff : EntryState::Reported,
                           Status,
-                          Read->Written_,
+                          Read->WrittenAt_,
                           false};
       else if (!Silent)
         Out.Others_.insert(Name);
--- a/src/medlarmoor/ctl/status.cpp
+++ b/src/medlarmoor/ctl/status.cpp
@@ -59,7 +59,7 @@
                std::to_string(Live) + " live entries\n";
 }
 
-void addDrains(Outcome &Out, const InForcePtr &Document) {
+void addDrains(Outcome &Out, const ActiveConfigPtr &Document) {
   Out.Json_["drains"] = ordered_json::array();
   if (!Document)
     return;
--- a/src/medlarmoor/daemon/channels.hpp
+++ b/src/medlarmoor/daemon/channels.hpp
@@ -19,9 +19,9 @@
 /// The bounded rings that join the threads of an entry. Each has one sending
 /// and one receiving thread, named by the member: SenderToReceiver.
 struct Channels {
-  Mailbox<config::InForcePtr> ConfigToFlow_{SnapshotsWaiting};
-  Mailbox<config::InForcePtr> ConfigToRequests_{SnapshotsWaiting};
-  Mailbox<config::InForcePtr> ConfigToControl_{SnapshotsWaiting};
+  Mailbox<config::ActiveConfigPtr> ConfigToFlow_{SnapshotsWaiting};
+  Mailbox<config::ActiveConfigPtr> ConfigToRequests_{SnapshotsWaiting};
+  Mailbox<config::ActiveConfigPtr> ConfigToControl_{SnapshotsWaiting};
 
   Mailbox<membership::ViewPtr> ControlViewToFlow_{SnapshotsWaiting};
   Mailbox<membership::ViewPtr> ControlViewToRequests_{SnapshotsWaiting};
--- a/src/medlarmoor/daemon/daemon.cpp
+++ b/src/medlarmoor/daemon/daemon.cpp
@@ -1,4 +1,4 @@
-#include <medlarmoor/config/in_force.hpp>
+#include <medlarmoor/config/active_config.hpp>
 #include <medlarmoor/core/findings.hpp>
 #include <medlarmoor/daemon/admin_thread.hpp>
 #include <medlarmoor/daemon/channels.hpp>
@@ -103,12 +103,12 @@
   };
   watchThread("control");
   watchThread("config");
-  if (Settings_.Doors_) {
+  if (Settings_.ListenersEnabled_) {
     watchThread("flow");
     watchThread("requests");
   }
   Begin(Config_);
-  if (Settings_.Doors_) {
+  if (Settings_.ListenersEnabled_) {
     Begin(Flows_);
     Begin(Requests_);
   }
@@ -128,14 +128,14 @@
 bool Daemon::Impl::leave() {
   const TimePoint Limit = Time_.now() + longestDeadline();
   Events_.info("leaving", {{"limit_ms", longestDeadline().count()}});
-  bool Complete = !Settings_.Doors_ || handOverFlows(Limit);
+  bool Complete = !Settings_.ListenersEnabled_ || handOverFlows(Limit);
   Control_.leave();
-  if (Settings_.Doors_) {
+  if (Settings_.ListenersEnabled_) {
     Requests_.leave();
-    Complete &= waitFor([this] { return Requests_.handedOver(); }, Limit);
+    Complete &= waitFor([this] { return Requests_.handoffComplete(); }, Limit);
     Complete &= waitFor([this] { return fabricQuiet(); }, Limit);
   }
-  Control_.farewell();
+  Control_.completeLeave();
   waitFor(
       [this] {
         return Control_.status().State_ == membership::EntryState::Stopped;
@@ -165,7 +165,7 @@
 
 void Daemon::Impl::stopThreads() {
   Admin_.stop();
-  if (Settings_.Doors_) {
+  if (Settings_.ListenersEnabled_) {
     Flows_.stop();
     Requests_.stop();
   }
@@ -191,7 +191,7 @@
   if (Path == "/readyz")
     return internal::readyPage(Control_.status(), Time_.now(),
                                Settings_.Membership_.Lease_,
-                               !Settings_.Doors_ || Flows_.ready());
+                               !Settings_.ListenersEnabled_ || Flows_.ready());
   if (Path == "/status")
     return internal::statusPage(Settings_, Control_.status());
   if (Path == "/explain")
@@ -201,16 +201,16 @@
 
 net::HttpResponse Daemon::Impl::explain(const net::HttpRequest &Request) {
   const auto Key = Request.query("key");
-  if (Key && Settings_.Doors_)
+  if (Key && Settings_.ListenersEnabled_)
     return net::jsonPage(Requests_.explain(*Key));
   const auto Flow = Request.query("flow");
-  if (Flow && Settings_.Doors_)
+  if (Flow && Settings_.ListenersEnabled_)
     return net::jsonPage(Flows_.explain(*Flow));
   return internal::errorPage(404, "no door of that kind");
 }
 
 Millis Daemon::Impl::longestDeadline() const {
-  const config::InForcePtr InForce = Control_.status().InForce_;
+  const config::ActiveConfigPtr InForce = Control_.status().InForce_;
   if (!InForce || InForce->Environment_.Services_.empty())
     return config::ServicePolicy().LongestDeadline_;
   Millis Longest{0};
--- a/src/medlarmoor/daemon/internal_admin_pages.cpp
+++ b/src/medlarmoor/daemon/internal_admin_pages.cpp
@@ -1,4 +1,4 @@
-#include <medlarmoor/config/in_force.hpp>
+#include <medlarmoor/config/active_config.hpp>
 #include <medlarmoor/config/settings.hpp>
 #include <medlarmoor/daemon/internal_admin_pages.hpp>
 #include <medlarmoor/membership/view.hpp>
--- a/src/medlarmoor/daemon/port_check.cpp
+++ b/src/medlarmoor/daemon/port_check.cpp
@@ -26,7 +26,7 @@
   std::vector<Asked> Out{{"control", SOCK_DGRAM, Ports.Control_},
                          {"config", SOCK_STREAM, Ports.Config_},
                          {"admin", SOCK_STREAM, Ports.Admin_}};
-  if (!Given.Doors_)
+  if (!Given.ListenersEnabled_)
     return Out;
   Out.push_back({"flow", SOCK_DGRAM, Ports.Flow_});
   Out.push_back({"peer", SOCK_DGRAM, Ports.Peer_});
--- a/src/medlarmoor/discovery/catalog.cpp
+++ b/src/medlarmoor/discovery/catalog.cpp
@@ -81,8 +81,8 @@
 }
 
 const CatalogEntry *Catalog::find(affinity::Tag Tag) const noexcept {
-  const auto Found = Owners_.find(Tag);
-  return Found == Owners_.end() ? nullptr : Found->second;
+  const auto Found = EntriesByTag_.find(Tag);
+  return Found == EntriesByTag_.end() ? nullptr : Found->second;
 }
 
 const std::vector<const CatalogEntry *> &
@@ -114,21 +114,21 @@
 }
 
 void Catalog::rebuild() {
-  Owners_.clear();
+  EntriesByTag_.clear();
   Candidates_.clear();
   for (const auto &[Name, Entry] : Entries_) {
-    // If two upstreams have the same tag, the one created first in the store
-    // owns it. All instances see the same order. The other receives no
-    // new flows.
-    const CatalogEntry *&Owner = Owners_[Entry->Tag_];
+    // If two upstreams have the same tag, EntriesByTag_ holds the one created
+    // first in the store. All instances see the same order. The other receives
+    // no new flows.
+    const CatalogEntry *&First = EntriesByTag_[Entry->Tag_];
     const auto CreationOrder = [](const CatalogEntry &Candidate) {
       return std::tie(Candidate.Upstream_.CreatedRevision_,
                       Candidate.Upstream_.Name_);
     };
-    if (!Owner || CreationOrder(*Entry) < CreationOrder(*Owner))
-      Owner = Entry.get();
+    if (!First || CreationOrder(*Entry) < CreationOrder(*First))
+      First = Entry.get();
   }
-  for (const auto &[Tag, Entry] : Owners_)
+  for (const auto &[Tag, Entry] : EntriesByTag_)
     if (Entry->acceptsNewFlows())
       Candidates_[Entry->Upstream_.Service_].push_back(Entry);
   for (auto &[Service, Entries] : Candidates_)
--- a/src/medlarmoor/discovery/catalog.hpp
+++ b/src/medlarmoor/discovery/catalog.hpp
@@ -22,22 +22,23 @@
   /// Applies changes that the store or a peer sent as of Revision.
   void apply(UpstreamChanges Changes, std::uint64_t Revision, TimePoint Now);
   /// Records that the store has been reachable again since RecoveredAt, after
-  /// an outage. An earlier time than one recorded before is ignored.
+  /// an outage. Has no effect if a later recovery has already been recorded.
   void storeRecovered(TimePoint RecoveredAt);
   /// Retires lapsed upstreams that did not register again in time, and evicts
   /// retired ones that no flow can use any more.
   void expire(TimePoint Now);
 
-  /// Returns the upstream that owns Tag, even if it is retired; null if there
-  /// is none.
+  /// Returns the upstream with the given tag, even if it is lapsed or retired;
+  /// null if there is none. Of several upstreams with one tag, only the one
+  /// that was created first in the store is returned.
   [[nodiscard]] const CatalogEntry *find(affinity::Tag Tag) const noexcept;
   /// Returns the upstreams of a service that accept new flows, ordered by name.
   [[nodiscard]] const std::vector<const CatalogEntry *> &
   candidates(const ServiceName &Service) const noexcept;
   /// Returns the number of upstreams that the store lists.
   [[nodiscard]] std::size_t listedCount() const noexcept;
-  /// Returns the changes after Revision, or a full snapshot if they are no
-  /// longer known one by one.
+  /// Returns the changes after Revision, or a full snapshot if the catalog no
+  /// longer has the individual changes since then.
   [[nodiscard]] UpstreamChanges changesSince(std::uint64_t Revision) const;
   /// Returns true once a full snapshot has been applied.
   [[nodiscard]] bool ready() const noexcept { return Ready_; }
@@ -45,24 +46,26 @@
 private:
   /// Adds or updates a listed upstream.
   void put(Upstream Listed, std::uint64_t Revision, TimePoint Now);
-  /// Marks an upstream that the store no longer lists as lapsed if it may
-  /// register again after an outage, otherwise as retired.
+  /// Changes the state of an upstream that the store has stopped listing: to
+  /// Lapsed if the upstream may register again after an outage, otherwise to
+  /// Retired.
   void unlist(CatalogEntry &Entry, std::uint64_t Revision, TimePoint Now);
   /// Calls unlist() for all listed upstreams that are missing from Listed.
   void unlistMissing(const std::vector<Upstream> &Listed,
                      std::uint64_t Revision, TimePoint Now);
-  /// Recomputes Owners_ and Candidates_ from Entries_.
+  /// Recomputes EntriesByTag_ and Candidates_ from Entries_.
   void rebuild();
   /// Returns true if upstreams may still register again after an outage.
   bool inReregistrationGrace(TimePoint Now) const noexcept;
 
   CatalogLimits Limits_;
   std::unordered_map<UpstreamName, std::unique_ptr<CatalogEntry>> Entries_;
-  std::unordered_map<affinity::Tag, const CatalogEntry *> Owners_;
+  std::unordered_map<affinity::Tag, const CatalogEntry *> EntriesByTag_;
   std::unordered_map<ServiceName, std::vector<const CatalogEntry *>>
       Candidates_;
   std::optional<TimePoint> StoreRecoveredAt_;
-  /// Changes up to this revision are not known one by one.
+  /// The individual changes up to this revision are not available, because a
+  /// full snapshot replaced them or because upstreams were evicted.
   std::uint64_t HistoryStart_ = 0;
   bool Ready_ = false;
 };
--- a/src/medlarmoor/discovery/catalog_limits.hpp
+++ b/src/medlarmoor/discovery/catalog_limits.hpp
@@ -7,10 +7,13 @@
 
 /// How long the catalog keeps upstreams that the store does not list.
 struct CatalogLimits {
-  /// Time within which running upstreams register again after an outage of the
-  /// store: the registration interval of the platform.
+  /// Time after an outage of the store during which an upstream that the store
+  /// stops listing may register again and keeps receiving new flows. Must not
+  /// be shorter than the interval at which the platform registers running
+  /// upstreams.
   Millis ReregistrationGrace_{2000};
-  /// Maximum age of a flow (setting flow_age_limit_s).
+  /// Maximum age of a flow (setting flow_age_limit_s). A retired upstream is
+  /// kept for this long, because its open flows may last until then.
   Millis MaxFlowAge_{60'000};
 };
 
--- a/src/medlarmoor/edge/decision_log.cpp
+++ b/src/medlarmoor/edge/decision_log.cpp
@@ -9,8 +9,9 @@
 
 namespace {
 
-/// Limits of log lines per second for each event. Rejections and moves are
-/// rarer than placements and explain more, so a larger share of them is logged.
+/// Maximum number of log lines per second for each event. Moves and rejections
+/// are rarer than placements and explain more, so a larger share of them is
+/// logged: moves have the same limit as placements, rejections a higher one.
 constexpr std::uint32_t PlacedPerSecond = 100;
 constexpr std::uint32_t MovedPerSecond = 100;
 constexpr std::uint32_t RejectedPerSecond = 200;
@@ -196,15 +197,15 @@
     break;
   }
   if (FailedLines_.take(Now))
-    Log_.info(
-        "request_failed",
-        {{"flow", Failure.Flow_.text()},
-         {"upstream", upstreamName(Failure.Upstream_)},
-         {"outcome", name(Failure.Outcome_)},
-         {"received_bytes", Failure.ReceivedBytes_},
-         {"elapsed_ms",
-          std::chrono::duration_cast<Millis>(Failure.Elapsed_).count()},
-         {"excess_percent", static_cast<int>(Failure.Excess_ * PercentScale)}});
+    Log_.info("request_failed",
+              {{"flow", Failure.Flow_.text()},
+               {"upstream", upstreamName(Failure.Upstream_)},
+               {"outcome", name(Failure.Outcome_)},
+               {"received_bytes", Failure.ReceivedBytes_},
+               {"elapsed_ms",
+                std::chrono::duration_cast<Millis>(Failure.Elapsed_).count()},
+               {"excess_percent",
+                static_cast<int>(Failure.ExcessFailureRate_ * PercentScale)}});
 }
 
 void DecisionLog::recordSuspect(affinity::Tag Upstream, Endpoint Peer,
--- a/src/medlarmoor/edge/edge_server.cpp
+++ b/src/medlarmoor/edge/edge_server.cpp
@@ -99,27 +99,28 @@
                        PacketCodec Packets, StoreCodec Store, Clock Time)
     : Settings_(std::move(Settings)), File_(std::move(File)),
       Time_(std::move(Time)), Log_("edge", Settings_.LogLevel_),
-      Catalog_({.MaxFlowAge_ = Settings_.FlowAge_}),
+      Catalog_({.MaxFlowAge_ = Settings_.MaxFlowAge_}),
       Forwarder_(Catalog_, Router_,
                  {Settings_.Domain_, placement::LeastLoaded{}, seededRandom()},
                  {}),
-      Readiness_(Settings_.Grace_),
+      Readiness_(Settings_.GracePeriod_),
       UpstreamReader_(
           "upstreams", Io_, Settings_.Store_, Settings_.Address_,
-          std::move(Store.Upstreams_), followerTiming(Settings_.freshness()),
+          std::move(Store.Upstreams_), followerTiming(Settings_.maxStaleness()),
           seededRandom(), Time_,
           {[this](auto Items) { handleUpstreamItems(std::move(Items), true); },
            [this](auto Items) { handleUpstreamItems(std::move(Items), false); },
-           [this] { PeerSync_.storeReturned(Time_.now()); }},
+           [this] { PeerSync_.storeRecovered(Time_.now()); }},
           Metrics_, Log_),
       RouteReader_("routes", Io_, Settings_.Store_, Settings_.Address_,
                    std::move(Store.Routes_),
-                   followerTiming(Settings_.freshness()), seededRandom(), Time_,
+                   followerTiming(Settings_.maxStaleness()), seededRandom(),
+                   Time_,
                    {[this](auto Items) { handleRouteItems(std::move(Items)); },
                     [this](auto Items) { handleRouteItems(std::move(Items)); },
-                    [this] { PeerSync_.storeReturned(Time_.now()); }},
+                    [this] { PeerSync_.storeRecovered(Time_.now()); }},
                    Metrics_, Log_),
-      PeerSync_(Io_, Settings_, electionTiming(Settings_.freshness()),
+      PeerSync_(Io_, Settings_, electionTiming(Settings_.maxStaleness()),
                 {UpstreamReader_.follower(), RouteReader_.follower(),
                  [this](std::uint64_t Revision) {
                    return Catalog_.changesSince(Revision);
@@ -133,8 +134,8 @@
                    UpstreamReader_.wake();
                    RouteReader_.wake();
                  },
-                 [this](TimePoint ReturnedAt) {
-                   Catalog_.storeRecovered(ReturnedAt);
+                 [this](TimePoint RecoveredAt) {
+                   Catalog_.storeRecovered(RecoveredAt);
                  },
                  [this] { return Forwarder_.takeSuspects(); },
                  [this](const placement::Suspect &Suspect, Endpoint Peer) {
@@ -198,9 +199,9 @@
   discovery::UpstreamChanges Changes;
   Changes.IsFullSnapshot_ = Complete;
   for (auto &Item : Items) {
-    if (!Item.Problem_.empty())
+    if (!Item.Error_.empty())
       Log_.warn("upstream_unreadable",
-                {{"name", Item.Name_}, {"reason", Item.Problem_}});
+                {{"name", Item.Name_}, {"reason", Item.Error_}});
     if (Item.Value_)
       Changes.Listed_.push_back(std::move(*Item.Value_));
     else if (!Complete)
@@ -241,7 +242,7 @@
   for (auto &Item : Items) {
     if (!Item.Value_) {
       Log_.warn("routes_unreadable",
-                {{"name", Item.Name_}, {"reason", Item.Problem_}});
+                {{"name", Item.Name_}, {"reason", Item.Error_}});
       continue;
     }
     const ConfigVersion Offered = Item.Value_->Version_;
@@ -271,7 +272,7 @@
   // An older state may lack a change that other instances have applied.
   const auto IsRecent = [&](const objects::Follower &Follower) {
     return Follower.currentAsOf() &&
-           Now - *Follower.currentAsOf() < Settings_.freshness();
+           Now - *Follower.currentAsOf() < Settings_.maxStaleness();
   };
   return {IsRecent(RouteReader_.follower()),
           IsRecent(UpstreamReader_.follower())};
@@ -317,7 +318,7 @@
     return;
   Readiness_.stop(Time_.now());
   Log_.info("stopping", {{"flows", Forwarder_.flows().size()},
-                         {"grace_ms", Settings_.Grace_.count()}});
+                         {"grace_ms", Settings_.GracePeriod_.count()}});
 }
 
 void EdgeServer::Impl::checkSettingsFile(TimePoint Now) {
@@ -345,10 +346,10 @@
   config::EdgeSettings Updated = Settings_;
   Updated.Seeds_ = Loaded->Seeds_;
   Updated.LogLevel_ = Loaded->LogLevel_;
-  Updated.Grace_ = Loaded->Grace_;
+  Updated.GracePeriod_ = Loaded->GracePeriod_;
   Log_.setLevel(Updated.LogLevel_);
   PeerSync_.setSeeds(Updated.gossipSeeds());
-  Readiness_.setGrace(Updated.Grace_);
+  Readiness_.setGrace(Updated.GracePeriod_);
   Log_.info("reloaded", {{"cause", Cause},
                          {"changed", Updated == Settings_ ? "no" : "yes"},
                          {"needs_restart", Updated == *Loaded ? "no" : "yes"}});
--- a/src/medlarmoor/edge/failed_request.hpp
+++ b/src/medlarmoor/edge/failed_request.hpp
@@ -10,7 +10,7 @@
 
 namespace medlarmoor::edge {
 
-/// A failed request, as inferred from the client's packets.
+/// A request that failed or is overdue, as inferred from the client's packets.
 struct FailedRequest {
   affinity::FlowKey Flow_;
   affinity::Tag Upstream_;
@@ -20,7 +20,7 @@
   /// Time since the client sent the request.
   Nanos Elapsed_{0};
   /// Excess failure rate of the upstream, 0 to 1; see FailureRates::excess().
-  double Excess_ = 0;
+  double ExcessFailureRate_ = 0;
 };
 
 } // namespace medlarmoor::edge
--- a/src/medlarmoor/edge/packet_codec.hpp
+++ b/src/medlarmoor/edge/packet_codec.hpp
@@ -12,7 +12,7 @@
 namespace medlarmoor::edge {
 
 /// Reads and writes packets in their wire format. Holds plain function pointers
-/// because each of them is called once per packet.
+/// to keep the calls cheap, because each of them may be called once per packet.
 struct PacketCodec {
   /// Size of a reset packet.
   static constexpr std::size_t ResetBytes = 31;
@@ -22,11 +22,14 @@
   std::optional<affinity::Packet> (*Read_)(std::span<const std::byte> Bytes);
   /// Writes the tag into a packet's header in place.
   void (*WriteTag_)(std::span<std::byte> Bytes, affinity::Tag Tag);
-  /// Writes the encapsulation header, which carries the upstream's identity,
-  /// into the bytes in front of a packet.
+  /// Writes the encapsulation header into the first 8 bytes of Headroom. They
+  /// are the free bytes in front of a packet (net::HeadroomBytes); Headroom
+  /// must have at least this size. Identity is discovery::Upstream::Identity_,
+  /// from which a later owner of the same address sees that the packet is not
+  /// for it. The tag, in contrast, is how an instance finds a flow's upstream.
   void (*WriteEncapsulation_)(std::span<std::byte> Headroom,
                               std::uint64_t Identity);
-  /// Returns the reset that closes the flow of a client's packet.
+  /// Returns the reset that rejects the flow that a client's SYN opens.
   Reset (*MakeReset_)(const affinity::Packet &Packet);
 };
 
