--- a/src/medlarmoor/edge/peer_sync.cpp
+++ b/src/medlarmoor/edge/peer_sync.cpp
@@ -28,8 +28,8 @@
 constexpr Millis FirstListTimeout{150};
 /// Time limit of a pull from a peer.
 constexpr Millis PullTimeout{400};
-/// How long a return of the store is announced.
-constexpr Millis StoreReturnAnnounceTime{5000};
+/// How long a recovery of the store is announced.
+constexpr Millis StoreRecoveryAnnounceTime{5000};
 constexpr std::size_t DatagramBytes = 4096;
 
 std::optional<std::uint64_t>
@@ -78,7 +78,7 @@
                                      Apply);
               }}},
       ReadStoreNow_(std::move(Owner.ReadStoreNow_)),
-      OnStoreReturned_(std::move(Owner.OnStoreReturned_)),
+      OnStoreRecovered_(std::move(Owner.OnStoreRecovered_)),
       TakeSuspects_(std::move(Owner.TakeSuspects_)),
       ReportSuspect_(std::move(Owner.ReportSuspect_)), Readable_(Io),
       TickTimer_(Io), Listener_(Io, Settings.Peers_,
@@ -125,12 +125,13 @@
                              const Function &Apply) {
   // A newer revision may have arrived by another path while the pull was in
   // flight.
-  if (!Received || Received->State_.Upto_ < Collection.Follower_.revision())
+  if (!Received || Received->State_.Revision_ < Collection.Follower_.revision())
     return bool(Received);
   // A peer has reached the store, although this instance's calls still fail.
-  if (Collection.Follower_.storeAway(Time_.now()))
-    recordStoreReturn(Time_.now());
-  Collection.Follower_.adopt(Received->State_.Upto_, Received->State_.Changed_,
+  if (Collection.Follower_.inOutage(Time_.now()))
+    recordStoreRecovery(Time_.now());
+  Collection.Follower_.adopt(Received->State_.Revision_,
+                             Received->State_.LastChange_,
                              Time_.now() - Received->State_.Age_);
   Apply(std::move(Received->Changes_));
   return true;
@@ -142,16 +143,16 @@
     announce(announceTargets(), Now);
 }
 
-void PeerSync::recordStoreReturn(TimePoint ReturnedAt) {
-  StoreReturnedAt_ =
-      std::max(StoreReturnedAt_.value_or(ReturnedAt), ReturnedAt);
-  OnStoreReturned_(ReturnedAt);
+void PeerSync::recordStoreRecovery(TimePoint RecoveredAt) {
+  StoreRecoveredAt_ =
+      std::max(StoreRecoveredAt_.value_or(RecoveredAt), RecoveredAt);
+  OnStoreRecovered_(RecoveredAt);
 }
 
 bool PeerSync::isReader(TimePoint Now) const {
   for (const SyncedCollection &Collection : Collections_)
     if (Collection.Follower_.deferring(Now) ||
-        !Election_.current(state(Collection, Now)))
+        !Election_.isCurrent(state(Collection, Now)))
       return false;
   return true;
 }
@@ -162,7 +163,7 @@
   if (!AsOf)
     return std::nullopt;
   return CollectionState{Collection.Follower_.revision(),
-                         Collection.Follower_.changed(),
+                         Collection.Follower_.lastChange(),
                          std::chrono::duration_cast<Millis>(Now - *AsOf)};
 }
 
@@ -170,12 +171,12 @@
   Announcement Message;
   Message.From_ = Settings_.Gossip_;
   Message.Domain_ = Settings_.Domain_;
-  Message.Reading_ = isReader(Now);
+  Message.IsReader_ = isReader(Now);
   Message.Upstreams_ = state(Collections_[0], Now);
   Message.Routes_ = state(Collections_[1], Now);
-  if (StoreReturnedAt_ && Now - *StoreReturnedAt_ < StoreReturnAnnounceTime)
-    Message.StoreReturned_ =
-        std::chrono::duration_cast<Millis>(Now - *StoreReturnedAt_);
+  if (StoreRecoveredAt_ && Now - *StoreRecoveredAt_ < StoreRecoveryAnnounceTime)
+    Message.StoreRecovered_ =
+        std::chrono::duration_cast<Millis>(Now - *StoreRecoveredAt_);
   return Message;
 }
 
@@ -215,9 +216,9 @@
               {{"peer", Lost.text()}, {"members", Members_.size()}});
   MembersGauge_.set(static_cast<std::int64_t>(Members_.size()));
   Announcement Message = makeAnnouncement(Now);
-  updateReaderRole(Message.Reading_, Now);
+  updateReaderRole(Message.IsReader_, Now);
   Message.Suspects_ = TakeSuspects_();
-  if (Message.Reading_ || !Message.Suspects_.empty())
+  if (Message.IsReader_ || !Message.Suspects_.empty())
     send(announceTargets(), Message);
   if (Now >= NextGossip_) {
     // Until both collections are loaded, an instance gossips at each tick.
@@ -271,9 +272,9 @@
 
 void PeerSync::handleAnnouncement(const Announcement &Message, TimePoint Now) {
   const bool IsNewPeer =
-      Members_.heard({Message.From_, Message.Domain_, Millis(0)}, Now);
+      Members_.observe({Message.From_, Message.Domain_, Millis(0)}, Now);
   for (const peers::Member &Sampled : Message.Members_)
-    Members_.heard(Sampled, Now);
+    Members_.observe(Sampled, Now);
   if (IsNewPeer) {
     Log_.info("peer_joined", {{"peer", Message.From_.text()},
                               {"domain", Message.Domain_.value()},
@@ -283,8 +284,8 @@
   }
   for (const placement::Suspect &Suspect : Message.Suspects_)
     ReportSuspect_(Suspect, Message.From_);
-  if (Message.StoreReturned_)
-    recordStoreReturn(Now - *Message.StoreReturned_);
+  if (Message.StoreRecovered_)
+    recordStoreRecovery(Now - *Message.StoreRecovered_);
   const bool Trusted =
       inScope(Message) && Election_.trusts(Message, isReader(Now));
   compareRevisions(Collections_[0], Message.Upstreams_, Message, Trusted, Now);
@@ -302,13 +303,13 @@
   // start at once, pulls of complete collections would overload the few peers
   // that have them.
   if (!Follower.currentAsOf() &&
-      (Follower.answered() || Now - StartedAt_ < FirstListTimeout))
+      (Follower.storeAnswers() || Now - StartedAt_ < FirstListTimeout))
     return;
-  if (!Follower.currentAsOf() || Announced->Changed_ > Follower.revision())
+  if (!Follower.currentAsOf() || Announced->LastChange_ > Follower.revision())
     return pull(Collection, {Message.From_.address(), Settings_.Peers_.port()});
   // A peer that is behind this instance is not relied on.
-  if (Trusted && Announced->Upto_ >= Follower.changed())
-    Follower.defer(Announced->Upto_, Now - Announced->Age_,
+  if (Trusted && Announced->Revision_ >= Follower.lastChange())
+    Follower.defer(Announced->Revision_, Now - Announced->Age_,
                    Election_.deferUntil(Now, Members_.rank()));
 }
 
--- a/src/medlarmoor/edge/peer_sync.hpp
+++ b/src/medlarmoor/edge/peer_sync.hpp
@@ -46,9 +46,9 @@
     std::function<void(const routing::RouteChanges &)> ApplyRoutes_;
     /// Reads the store at once because a pull from a peer has failed.
     std::function<void()> ReadStoreNow_;
-    /// Called when the store has returned from an outage, with the time of the
-    /// return.
-    std::function<void(TimePoint)> OnStoreReturned_;
+    /// Called when the store has recovered from an outage, with the time of the
+    /// recovery.
+    std::function<void(TimePoint)> OnStoreRecovered_;
     /// Returns the upstreams at which this instance's requests have begun to
     /// fail since the last call.
     std::function<std::vector<placement::Suspect>()> TakeSuspects_;
@@ -77,8 +77,8 @@
   }
   /// Announces at once a change that this instance has read from the store.
   void announceChange();
-  /// Records that this instance saw the store return from an outage.
-  void storeReturned(TimePoint Now) { recordStoreReturn(Now); }
+  /// Records that this instance saw the store recover from an outage.
+  void storeRecovered(TimePoint Now) { recordStoreRecovery(Now); }
 
 private:
   /// A collection that is exchanged with peers.
@@ -100,9 +100,9 @@
   bool applySnapshot(SyncedCollection &Collection,
                      std::optional<Snapshot<Changes>> Received,
                      const Function &Apply);
-  /// Records that this instance or a peer saw the store return at
-  /// ReturnedAt.
-  void recordStoreReturn(TimePoint ReturnedAt);
+  /// Records that this instance or a peer saw the store recover at
+  /// RecoveredAt.
+  void recordStoreRecovery(TimePoint RecoveredAt);
   /// Returns true if this instance reads both collections from the store itself
   /// and is current.
   [[nodiscard]] bool isReader(TimePoint Now) const;
@@ -144,10 +144,10 @@
   peers::ReaderElection Election_;
   std::array<SyncedCollection, 2> Collections_;
   std::function<void()> ReadStoreNow_;
-  std::function<void(TimePoint)> OnStoreReturned_;
+  std::function<void(TimePoint)> OnStoreRecovered_;
   std::function<std::vector<placement::Suspect>()> TakeSuspects_;
   std::function<void(const placement::Suspect &, Endpoint)> ReportSuspect_;
-  std::optional<TimePoint> StoreReturnedAt_;
+  std::optional<TimePoint> StoreRecoveredAt_;
   TimePoint StartedAt_{};
   TimePoint NextGossip_{};
   net::UdpSocket Socket_;
--- a/src/medlarmoor/edge/readiness.hpp
+++ b/src/medlarmoor/edge/readiness.hpp
@@ -7,27 +7,30 @@
 
 namespace medlarmoor::edge {
 
-/// Decides when routers may send traffic and when a stopping instance may exit.
+/// Decides when the network's routers may send traffic to this instance, and
+/// when the instance may exit after a stop signal.
 class Readiness {
 public:
-  /// Grace is the time between the stop signal and the kill.
+  /// Grace is the time between the stop signal and the forced termination of
+  /// the process.
   explicit Readiness(Millis Grace);
 
-  /// Replaces the time between the stop signal and the kill.
+  /// Replaces the time between the stop signal and the forced termination.
   void setGrace(Millis Grace) noexcept { Grace_ = Grace; }
   /// Records the stop signal. Later calls have no effect.
   void stop(TimePoint Now);
   /// Records that a packet was received.
   void recordPacket(TimePoint Now) noexcept { LastPacket_ = Now; }
 
-  /// Returns true if routers may send new flows.
+  /// Returns true if the network's routers may send new flows to this instance.
   [[nodiscard]] bool ready(bool RoutesKnown,
                            bool UpstreamsKnown) const noexcept {
     return RoutesKnown && UpstreamsKnown && !StoppedAt_;
   }
   [[nodiscard]] bool stopping() const noexcept { return bool(StoppedAt_); }
-  /// Returns true if a stopping instance may exit: routers no longer send to
-  /// it, or the kill is near.
+  /// Returns true if a stopping instance may exit: the network's routers no
+  /// longer send packets to it, or the forced termination at the end of the
+  /// grace period is near.
   [[nodiscard]] bool mayExit(TimePoint Now) const noexcept;
 
 private:
--- a/src/medlarmoor/edge/snapshot_codec.cpp
+++ b/src/medlarmoor/edge/snapshot_codec.cpp
@@ -71,8 +71,8 @@
 }
 
 Json packState(const peers::CollectionState &State) {
-  return {{"upto", State.Upto_},
-          {"changed", State.Changed_},
+  return {{"upto", State.Revision_},
+          {"changed", State.LastChange_},
           {"age_ms", State.Age_.count()}};
 }
 
--- a/src/medlarmoor/flow/chooser.cpp
+++ b/src/medlarmoor/flow/chooser.cpp
@@ -34,7 +34,7 @@
 };
 
 bool usable(const UpstreamState &Candidate) {
-  return Candidate.InNewestTable_ && Candidate.Lifecycle_.takesNew();
+  return Candidate.InNewestTable_ && Candidate.Lifecycle_.takesNewWork();
 }
 
 Load loadOf(const ServiceState &Service) {
--- a/src/medlarmoor/flow/connection_tracker.cpp
+++ b/src/medlarmoor/flow/connection_tracker.cpp
@@ -10,9 +10,11 @@
 
 } // namespace
 
-ConnectionTracker::ConnectionTracker(DomainName Domain, std::size_t MaxFlows)
-    : Services_(std::move(Domain)), Table_(MaxFlows + MaxFlows / SpareDivisor),
-      Limit_(MaxFlows) {}
+ConnectionTracker::ConnectionTracker(DomainName Domain,
+                                     std::size_t MaxOpenFlows)
+    : Services_(std::move(Domain)),
+      Table_(MaxOpenFlows + MaxOpenFlows / SpareDivisor),
+      MaxOpenFlows_(MaxOpenFlows) {}
 
 bool ConnectionTracker::isOverride(const FlowRecord &Record) noexcept {
   const FlowId Id = Record.id();
@@ -22,7 +24,7 @@
 
 FlowRecord *ConnectionTracker::open(FlowId Id, UpstreamIndex Upstream,
                                     Rule ChosenBy) {
-  if (Open_ >= Limit_)
+  if (Open_ >= MaxOpenFlows_)
     return nullptr;
   FlowRecord *Record = Table_.insert(Id);
   if (Record == nullptr)
@@ -37,10 +39,10 @@
 }
 
 FlowRecord *ConnectionTracker::storeReplica(FlowId Id, UpstreamIndex Upstream,
-                                            Stamp At) {
+                                            Stamp ReceivedAt) {
   FlowRecord *Record = Table_.find(Id);
   if (Record != nullptr) {
-    release(*Record);
+    removeFromCounts(*Record);
     const std::uint64_t Key = Record->Key_;
     *Record = FlowRecord();
     Record->Key_ = Key;
@@ -51,7 +53,7 @@
     return nullptr;
   Record->Upstream_ = Upstream;
   Record->Rule_ = Rule::Replicated;
-  Record->LastPacketAt_ = At;
+  Record->LastPacketAt_ = ReceivedAt;
   Record->ConfigVersion_ =
       static_cast<std::uint32_t>(Services_.version().value());
   Record->set(FlowRecord::Replica);
@@ -80,18 +82,18 @@
 }
 
 void ConnectionTracker::erase(FlowRecord *Record) noexcept {
-  release(*Record);
+  removeFromCounts(*Record);
   Table_.erase(Record);
 }
 
-void ConnectionTracker::release(const FlowRecord &Record) noexcept {
+void ConnectionTracker::removeFromCounts(const FlowRecord &Record) noexcept {
   if (Record.open())
     count(Record, -1);
   --upstreamOf(Record).Records_;
 }
 
 void ConnectionTracker::clear() noexcept {
-  Table_.forEach([this](FlowRecord &Record) { release(Record); });
+  Table_.forEach([this](FlowRecord &Record) { removeFromCounts(Record); });
   Table_.clear();
 }
 
--- a/src/medlarmoor/flow/consistent_table.cpp
+++ b/src/medlarmoor/flow/consistent_table.cpp
@@ -8,7 +8,9 @@
 
 namespace {
 
-constexpr std::size_t SlotsPerUpstream = 100;
+/// Minimum number of slots per share, on average over the shares. The size of
+/// the table is rounded up to a power of two, and weights divide the slots.
+constexpr std::size_t MinSlotsPerShare = 100;
 /// Marks a slot that has no upstream yet.
 constexpr UpstreamIndex Empty = 0xFFFF;
 
@@ -32,7 +34,8 @@
   std::size_t Step_;
 };
 
-/// Returns the shares in an order that is the same in every process.
+/// Returns the shares ordered by seed. If all seeds differ, the order is the
+/// same in every process.
 std::vector<TableShare> sorted(std::span<const TableShare> Shares) {
   std::vector<TableShare> Ordered(Shares.begin(), Shares.end());
   std::sort(Ordered.begin(), Ordered.end(),
@@ -47,7 +50,7 @@
 ConsistentTable::ConsistentTable(std::span<const TableShare> Shares) {
   if (Shares.empty())
     return;
-  const std::size_t Size = std::bit_ceil(Shares.size() * SlotsPerUpstream);
+  const std::size_t Size = std::bit_ceil(Shares.size() * MinSlotsPerShare);
   Shift_ = FlowHashBits - static_cast<unsigned>(std::bit_width(Size) - 1);
   Slots_.assign(Size, Empty);
   const std::vector<TableShare> Ordered = sorted(Shares);
--- a/src/medlarmoor/flow/consistent_table.hpp
+++ b/src/medlarmoor/flow/consistent_table.hpp
@@ -18,9 +18,10 @@
   double Weight_ = 1.0;
 };
 
-/// Maps flow hashes to upstreams by weight. Equal shares yield an equal table
-/// in every process, whatever was in force before. Adding or removing a share
-/// moves few slots of the others.
+/// Maps flow hashes to upstreams by weight, with a weighted variant of Maglev
+/// hashing. Equal shares with distinct seeds yield an equal table in every
+/// process, whatever was in force before. Adding or removing a share moves few
+/// slots of the others.
 class ConsistentTable {
 public:
   ConsistentTable() = default;
--- a/src/medlarmoor/flow/decision.hpp
+++ b/src/medlarmoor/flow/decision.hpp
@@ -23,15 +23,17 @@
 
 /// Why a flow was refused.
 enum class RefuseReason : unsigned char {
-  /// All upstreams of the service hold as many flows as they may.
+  /// Every upstream of the service that accepts new flows has reached its
+  /// connection limit, or this entry may not use the connections that are left
+  /// at present; see hasRoom().
   ServiceFull,
-  /// The flow table holds as many flows as it may.
+  /// This entry has reached its limit of open flows, or its flow table is full.
   TableFull,
-  /// No upstream of the service accepts new flows.
+  /// The service's newest table is empty: it has no upstream, or all of them
+  /// are draining or gone.
   NoneReady,
 };
 
-/// Number of enumerators of RefuseReason.
 inline constexpr std::size_t RefuseReasonCount = 3;
 
 /// Returns the reason as a metric label.
@@ -41,7 +43,8 @@
   return Names[static_cast<std::size_t>(Reason)];
 }
 
-/// Answer the first packet with a TCP reset; it was never forwarded.
+/// Answer the flow's first packet with a TCP reset instead of forwarding it to
+/// an upstream.
 struct Refuse {
   RefuseReason Reason_;
   Packet FirstPacket_;
--- a/src/medlarmoor/flow/director.cpp
+++ b/src/medlarmoor/flow/director.cpp
@@ -28,18 +28,21 @@
 /// last heartbeat may be one period old when a pause begins, and the next one
 /// is due one period after the pause.
 Nanos longestPause(const config::MembershipSettings &Timing) {
-  return std::max(Timing.Lease_ - 2 * Timing.Heartbeat_, Timing.Heartbeat_);
+  return std::max(Timing.Lease_ - 2 * Timing.HeartbeatPeriod_,
+                  Timing.HeartbeatPeriod_);
 }
 
 } // namespace
 
 Director::Director(const config::Settings &Settings, Clock Time,
                    Random Generator)
-    : Clock_(std::move(Time)), Random_(Generator), Idle_(Settings.Flow_.Idle_),
+    : Clock_(std::move(Time)), Random_(Generator),
+      Idle_(Settings.Flow_.IdleTimeout_),
       LongestPause_(longestPause(Settings.Membership_)),
-      Tracker_(Settings.Domain_, Settings.Flow_.Flows_),
+      Tracker_(Settings.Domain_, Settings.Flow_.MaxFlows_),
       Homes_(Settings.Name_, Settings.Membership_.Lease_),
-      Replicator_(Tracker_, Homes_, Random_, Settings.Flow_.ReplicationBytes_),
+      Replicator_(Tracker_, Homes_, Random_,
+                  Settings.Flow_.ReplicationBytesPerSecond_),
       Now_(Clock_.now()), Stamp_(toStamp(Now_)) {}
 
 void Director::readClock() {
@@ -95,9 +98,9 @@
   return route(Input.Id_, Own ? nullptr : Record, Input.Packet_, Via);
 }
 
-/// Returns true if this entry decides about a first packet of a flow that it
-/// has a record of: if it is the flow's home, or if the packet retransmits one
-/// that this entry has just forwarded.
+/// Returns true if this entry decides about a first packet of the recorded
+/// flow: it is the flow's home, or the packet retransmits one that it has just
+/// forwarded.
 bool Director::ownsFirstPacket(FlowId Id, const FlowRecord &Record) {
   const bool Recent =
       secondsBetween(Record.LastPacketAt_, Stamp_) <= RetransmissionSeconds &&
@@ -136,13 +139,13 @@
   const bool Established = Record.has(FlowRecord::Established);
   const bool Closed = Record.has(FlowRecord::Closing);
   const bool Drained = Upstream.Lifecycle_.phase() != LifecyclePhase::Silent &&
-                       !Upstream.Lifecycle_.takesNew() &&
+                       !Upstream.Lifecycle_.takesNewWork() &&
                        Now_ - Upstream.DrainedAt_ > DrainSettles;
   if (!Established)
     onStalled(Record);
   const bool Silent = Upstream.Lifecycle_.phase() == LifecyclePhase::Silent;
   const bool Stays = !Upstream.AddressReused_ && !Closed &&
-                     (Established ? Recent || Upstream.Lifecycle_.takesNew()
+                     (Established ? Recent || Upstream.Lifecycle_.takesNewWork()
                                   : !Drained && !Silent);
   if (Stays) {
     Record.LastPacketAt_ = Stamp_;
@@ -160,9 +163,9 @@
   return Result;
 }
 
-/// Decides about a packet of a flow that this entry has no record of its own
-/// for, or a first packet that it does not own: finds the flow's home and
-/// forwards the packet there, or decides itself. Replica may be null.
+/// Finds the flow's home and forwards the packet there, or decides locally.
+/// Called for packets that no record of an own flow decides. Replica is this
+/// entry's replica of the flow, or null.
 Decision Director::route(FlowId Id, FlowRecord *Replica, const Packet &Received,
                          const Arrival &Via) {
   const std::uint64_t Seed = Tracker_.serviceOf(Id).seed();
@@ -244,7 +247,7 @@
     return Received.opensFlow() ? openFlow(Id, Received)
                                 : continueFlow(Id, Received);
   if (Received.opensFlow() &&
-      !Tracker_.upstreamOf(*Replica).Lifecycle_.takesNew()) {
+      !Tracker_.upstreamOf(*Replica).Lifecycle_.takesNewWork()) {
     Tracker_.erase(Replica);
     return openFlow(Id, Received);
   }
@@ -346,7 +349,7 @@
   return Share;
 }
 
-void Director::adopt(const config::InForce &Document) {
+void Director::adopt(const config::ActiveConfig &Document) {
   if (!Tracker_.services().adopt(Document, Now_))
     return;
   Replicator_.adoptConfiguration(Now_);
--- a/src/medlarmoor/flow/director.hpp
+++ b/src/medlarmoor/flow/director.hpp
@@ -1,7 +1,7 @@
 #ifndef MEDLARMOOR_FLOW_DIRECTOR_HPP
 #define MEDLARMOOR_FLOW_DIRECTOR_HPP
 
-#include <medlarmoor/config/in_force.hpp>
+#include <medlarmoor/config/active_config.hpp>
 #include <medlarmoor/config/settings.hpp>
 #include <medlarmoor/core/clock.hpp>
 #include <medlarmoor/core/random.hpp>
@@ -52,7 +52,7 @@
   [[nodiscard]] Decision decide(const PreparedPacket &Input,
                                 const PeerHeader &Header, Ipv4 From);
 
-  void adopt(const config::InForce &Document);
+  void adopt(const config::ActiveConfig &Document);
   void adopt(const membership::View &Members);
   void receive(const wire::Incoming &Message);
   /// Expires records, replicates overrides and claims flows that are due.
@@ -125,9 +125,13 @@
   HomeTracker Homes_;
   Replicator Replicator_;
   TimePoint Now_;
+  /// Now_ as a stamp.
   Stamp Stamp_ = 0;
+  /// Low 16 bits of the id of the latest view.
   std::uint16_t ViewTag_ = 0;
+  /// When the fast sweep ends.
   TimePoint FastUntil_;
+  /// When replaced tables were last removed.
   TimePoint RetiredAt_;
 };
 
--- a/src/medlarmoor/flow/director_sweep.cpp
+++ b/src/medlarmoor/flow/director_sweep.cpp
@@ -52,7 +52,7 @@
   if (expired(Record)) {
     if (Record.has(FlowRecord::Replicated))
       Replicator_.queueEnded(Record);
-    Tracker_.release(Record);
+    Tracker_.removeFromCounts(Record);
     return true;
   }
   if (Homes_.leaving())
@@ -78,7 +78,7 @@
     Record.LastPacketAt_ = Stamp_;
     return false;
   }
-  Tracker_.release(Record);
+  Tracker_.removeFromCounts(Record);
   return true;
 }
 
--- a/src/medlarmoor/flow/encapsulation.hpp
+++ b/src/medlarmoor/flow/encapsulation.hpp
@@ -13,28 +13,31 @@
 
 /// Size of the GUE header in front of an IPv4 packet.
 inline constexpr std::size_t GueBytes = 4;
-/// Size of the GUE header between entries, including its one private word.
+/// Size of the GUE header between entries, including 4 bytes of private data.
 inline constexpr std::size_t PeerGueBytes = 8;
 /// Maximum number of times that a packet is forwarded between entries: to its
-/// home, from there to the previous home, and further while several changes of
-/// the view overlap.
+/// home (the entry that decides about the flow), from there to the previous
+/// home, and further while several changes of the view (the members that an
+/// entry knows) overlap.
 inline constexpr std::uint8_t MaxHops = 6;
 
-/// Why an entry forwards a packet to another. Sent as a number.
+/// Why an entry forwards a packet to another. The values are part of the wire
+/// format.
 enum class PeerIntent : unsigned char {
   /// The sender considers the receiver the home of the flow.
   ToHome = 0,
-  /// The sender is the home in its view, but the receiver has not handed off
-  /// to it yet.
+  /// The sender is the home in its view, but the receiver, a previous home, has
+  /// not handed off the flow to it yet.
   ToPrevious = 1,
   /// The sender has handed off the flow to the receiver.
   HandedOff = 2,
-  /// The receiver would be the home in the sender's view, but the sender has
-  /// not handed off to it. The flow's former home, which has left, may have.
+  /// The receiver is the home in the sender's view, but the sender has not
+  /// handed off its flows to it. The flow's former home, which has left, may
+  /// have handed off the flow to the receiver.
   ToContender = 3,
 };
 
-/// The private word of the GUE header between entries.
+/// The private data of the GUE header between entries.
 struct PeerHeader {
   /// Number of times that the packet has been forwarded between entries,
   /// including this one.
--- a/src/medlarmoor/flow/flow_thread.cpp
+++ b/src/medlarmoor/flow/flow_thread.cpp
@@ -37,7 +37,7 @@
 } // namespace
 
 FlowThread::FlowThread(const config::Settings &Settings,
-                       Mailbox<config::InForcePtr> &FromConfig,
+                       Mailbox<config::ActiveConfigPtr> &FromConfig,
                        Mailbox<membership::ViewPtr> &Views,
                        Mailbox<wire::Incoming> &FromControl,
                        Mailbox<wire::Outgoing> &ToControl, Clock Time,
--- a/src/medlarmoor/flow/flow_thread.hpp
+++ b/src/medlarmoor/flow/flow_thread.hpp
@@ -1,7 +1,7 @@
 #ifndef MEDLARMOOR_FLOW_FLOW_THREAD_HPP
 #define MEDLARMOOR_FLOW_FLOW_THREAD_HPP
 
-#include <medlarmoor/config/in_force.hpp>
+#include <medlarmoor/config/active_config.hpp>
 #include <medlarmoor/config/settings.hpp>
 #include <medlarmoor/core/clock.hpp>
 #include <medlarmoor/core/mailbox.hpp>
@@ -29,7 +29,7 @@
 class FlowThread {
 public:
   FlowThread(const config::Settings &Settings,
-             Mailbox<config::InForcePtr> &FromConfig,
+             Mailbox<config::ActiveConfigPtr> &FromConfig,
              Mailbox<membership::ViewPtr> &Views,
              Mailbox<wire::Incoming> &FromControl,
              Mailbox<wire::Outgoing> &ToControl, Clock Time,
@@ -93,7 +93,7 @@
   void flush();
 
   const config::Settings &Settings_;
-  Mailbox<config::InForcePtr> &FromConfig_;
+  Mailbox<config::ActiveConfigPtr> &FromConfig_;
   Mailbox<membership::ViewPtr> &Views_;
   Mailbox<wire::Incoming> &FromControl_;
   Mailbox<wire::Outgoing> &ToControl_;
--- a/src/medlarmoor/flow/service_registry.cpp
+++ b/src/medlarmoor/flow/service_registry.cpp
@@ -7,7 +7,8 @@
 ServiceRegistry::ServiceRegistry(DomainName Domain)
     : Domain_(std::move(Domain)) {}
 
-bool ServiceRegistry::adopt(const config::InForce &Document, TimePoint Now) {
+bool ServiceRegistry::adopt(const config::ActiveConfig &Document,
+                            TimePoint Now) {
   if (Version_ && Document.Version_ <= *Version_)
     return false;
   Version_ = Document.Version_;
--- a/src/medlarmoor/flow/service_registry.hpp
+++ b/src/medlarmoor/flow/service_registry.hpp
@@ -1,7 +1,7 @@
 #ifndef MEDLARMOOR_FLOW_SERVICE_REGISTRY_HPP
 #define MEDLARMOOR_FLOW_SERVICE_REGISTRY_HPP
 
-#include <medlarmoor/config/in_force.hpp>
+#include <medlarmoor/config/active_config.hpp>
 #include <medlarmoor/flow/service_state.hpp>
 
 #include <boost/unordered/unordered_flat_map.hpp>
@@ -20,7 +20,7 @@
 
   /// Adopts a document whose version is higher than the current one. Returns
   /// false and changes nothing for any other document.
-  bool adopt(const config::InForce &Document, TimePoint Now);
+  bool adopt(const config::ActiveConfig &Document, TimePoint Now);
   /// Removes tables that were replaced longer than Retention ago.
   void retire(TimePoint Now, Nanos Retention);
 
--- a/src/medlarmoor/membership/action.hpp
+++ b/src/medlarmoor/membership/action.hpp
@@ -11,28 +11,30 @@
 
 namespace medlarmoor::membership {
 
-/// Sign the message once and send it to each address.
+/// Signs Message_ once and sends it to each address.
 struct Send {
   std::vector<Ipv4> To_;
   wire::Message Message_;
 };
 
-/// Hand the view to the other threads.
+/// Passes the view to the other threads.
 struct Publish {
   ViewPtr View_;
 };
 
-/// Read the platform's list of instances and report the outcome.
+/// Reads the platform's list of instances and passes the result to
+/// Mesh::onList().
 struct ReadList {};
 
-/// The process did not run for longer than its lease: sign as the new
-/// incarnation from now on and drop what waits in the socket.
-struct Renew {
+/// Signs with a new incarnation from now on and discards the datagrams that
+/// wait in the socket. Requested when the process did not run for longer than
+/// its lease, or when another entry knows a higher incarnation of it.
+struct ChangeIncarnation {
   Incarnation Run_;
 };
 
-/// What the mesh asks its thread to do.
-using Action = std::variant<Send, Publish, ReadList, Renew>;
+/// A request of the mesh to the thread that runs it.
+using Action = std::variant<Send, Publish, ReadList, ChangeIncarnation>;
 using Actions = std::vector<Action>;
 
 } // namespace medlarmoor::membership
--- a/src/medlarmoor/membership/control_mailboxes.hpp
+++ b/src/medlarmoor/membership/control_mailboxes.hpp
@@ -9,9 +9,9 @@
 
 namespace medlarmoor::membership {
 
-/// The mailboxes through which the control thread is joined to the others.
+/// The mailboxes between the control thread and the other threads.
 struct ControlMailboxes {
-  Mailbox<config::InForcePtr> &FromConfig_;
+  Mailbox<config::ActiveConfigPtr> &FromConfig_;
   Mailbox<wire::Outgoing> &FromFlow_;
   Mailbox<wire::Outgoing> &ConfigMessages_;
   Mailbox<ViewPtr> &ViewsToFlow_;
--- a/src/medlarmoor/membership/control_status.hpp
+++ b/src/medlarmoor/membership/control_status.hpp
@@ -11,17 +11,17 @@
 
 namespace medlarmoor::membership {
 
-/// What the control thread knew at its last tick.
+/// The status of the control thread at its last tick.
 struct ControlStatus {
   EntryState State_ = EntryState::Starting;
   Incarnation Run_;
-  /// Null before the first tick.
+  /// The view; null before the first tick.
   ViewPtr View_;
-  /// The document in force; null for none.
-  config::InForcePtr InForce_;
+  /// The configuration document in force; null if there is none.
+  config::ActiveConfigPtr InForce_;
   std::size_t ListDisagreements_ = 0;
   TimePoint TickedAt_;
-  /// The own lease was valid at that tick.
+  /// True if the lease of this entry was valid at that tick.
   bool LeaseValid_ = false;
 };
 
--- a/src/medlarmoor/membership/control_thread.cpp
+++ b/src/medlarmoor/membership/control_thread.cpp
@@ -1,4 +1,4 @@
-#include <medlarmoor/config/in_force.hpp>
+#include <medlarmoor/config/active_config.hpp>
 #include <medlarmoor/config/settings.hpp>
 #include <medlarmoor/core/overloaded.hpp>
 #include <medlarmoor/membership/control_thread.hpp>
@@ -29,23 +29,23 @@
 namespace asio = boost::asio;
 using Error = boost::system::error_code;
 
-constexpr std::size_t DatagramBytes = 65'536;
-/// IP and UDP header, counted as control bytes.
+constexpr std::size_t MaxDatagramBytes = 65'536;
+/// Length of the IPv4 and UDP headers, which count as control bytes.
 constexpr std::uint64_t HeaderBytes = 28;
 constexpr Millis ListTimeout{1000};
-/// Datagrams read in one go before timers get their turn.
+/// The maximum number of datagrams that are read in a row before timers run.
 constexpr int ReadBurst = 512;
 
-Random seeded() {
+Random randomlySeeded() {
   std::random_device Device;
   return Random((std::uint64_t{Device()} << 32U) | Device());
 }
 
 std::vector<ListedInstance> seeds(const config::Settings &Settings) {
-  std::vector<ListedInstance> Out;
-  for (const config::Neighbour &Each : Settings.Neighbours_)
-    Out.push_back({Each.Name_, Each.Address_});
-  return Out;
+  std::vector<ListedInstance> Seeds;
+  for (const config::Neighbour &Neighbour : Settings.Neighbours_)
+    Seeds.push_back({Neighbour.Name_, Neighbour.Address_});
+  return Seeds;
 }
 
 } // namespace
@@ -58,7 +58,7 @@
   bool start();
   void stop();
   void leave();
-  void farewell();
+  void completeLeave();
   ControlStatus status() const;
   const std::string &reason() const noexcept { return Reason_; }
 
@@ -68,27 +68,27 @@
   void onTick();
   void watchSocket();
   void drainSocket();
-  template <typename T, typename Take>
-  void watchMailbox(asio::posix::stream_descriptor &Wake, Mailbox<T> &From,
-                    Take Handle);
+  template <typename T, typename Handler>
+  void watchMailbox(asio::posix::stream_descriptor &Descriptor,
+                    Mailbox<T> &From, Handler Handle);
   void onDatagram(std::span<const std::byte> Bytes);
-  void route(wire::Incoming Each);
-  void perform(const Actions &Asked);
-  void send(const Send &Each);
-  void sendFor(const wire::Outgoing &Each);
-  void sendTo(std::span<const Ipv4> To, const wire::Message &Each);
-  void dropWaiting();
+  void route(wire::Incoming Received);
+  void perform(const Actions &Requested);
+  void send(const Send &Command);
+  void sendOutgoing(const wire::Outgoing &Outgoing);
+  void sendTo(std::span<const Ipv4> Targets, const wire::Message &Message);
+  void discardWaiting();
   void publish(const ViewPtr &Next);
   void pushViews();
   void readList();
-  void onConfig(const config::InForcePtr &Next);
-  void note();
+  void onConfig(const config::ActiveConfigPtr &Next);
+  void updateStatus();
 
   const config::Settings &Settings_;
   ControlMailboxes Mailboxes_;
   Clock Time_;
   telemetry::EventLog &Events_;
-  Random Source_ = seeded();
+  Random Source_ = randomlySeeded();
   Mesh Mesh_;
   wire::Sealer Sealer_;
 
@@ -96,18 +96,18 @@
   asio::steady_timer Timer_{Io_};
   net::HttpClient Http_;
   net::UdpSocket Socket_;
-  asio::posix::stream_descriptor SocketWake_{Io_};
-  asio::posix::stream_descriptor ConfigWake_{Io_};
-  asio::posix::stream_descriptor FlowWake_{Io_};
-  asio::posix::stream_descriptor NoticeWake_{Io_};
+  asio::posix::stream_descriptor SocketDescriptor_{Io_};
+  asio::posix::stream_descriptor ConfigDescriptor_{Io_};
+  asio::posix::stream_descriptor FlowDescriptor_{Io_};
+  asio::posix::stream_descriptor NoticeDescriptor_{Io_};
   std::thread Thread_;
   std::string Reason_;
-  std::vector<std::byte> Buffer_ = std::vector<std::byte>(DatagramBytes);
+  std::vector<std::byte> Buffer_ = std::vector<std::byte>(MaxDatagramBytes);
 
-  std::array<bool, 3> ViewDue_{};
-  EntryState LastState_ = EntryState::Starting;
-  config::InForcePtr InForce_;
-  internal::ControlMeters Count_;
+  std::array<bool, 3> ViewPending_{};
+  EntryState LoggedState_ = EntryState::Starting;
+  config::ActiveConfigPtr InForce_;
+  internal::ControlMeters Meters_;
   TimePoint TickDue_;
 
   mutable std::mutex StatusLock_;
@@ -119,22 +119,22 @@
                           telemetry::Registry &Metrics,
                           telemetry::EventLog &Events)
     : Settings_(Settings), Mailboxes_(Mailboxes), Time_(Time), Events_(Events),
-      Mesh_(Settings.Name_, Settings.Advertise_, Settings.Membership_,
+      Mesh_(Settings.Name_, Settings.AdvertisedAddress_, Settings.Membership_,
             wire::drawIncarnation(Time.wallNow(), Source_), Time,
             Random(Source_()), seeds(Settings)),
       Sealer_(Settings.Name_, Mesh_.incarnation(),
               wire::KeyRing(Settings.Keys_), Time),
-      Http_(Io_, Settings.Address_), Count_(Metrics), TickDue_(Time.now()) {}
+      Http_(Io_, Settings.Address_), Meters_(Metrics), TickDue_(Time.now()) {}
 
 bool ControlThread::Impl::start() {
   if (!Socket_.open({Settings_.Address_, Settings_.Ports_.Control_})) {
     Reason_ = Socket_.lastReason();
     return false;
   }
-  SocketWake_.assign(Socket_.descriptor());
-  ConfigWake_.assign(Mailboxes_.FromConfig_.descriptor());
-  FlowWake_.assign(Mailboxes_.FromFlow_.descriptor());
-  NoticeWake_.assign(Mailboxes_.ConfigMessages_.descriptor());
+  SocketDescriptor_.assign(Socket_.descriptor());
+  ConfigDescriptor_.assign(Mailboxes_.FromConfig_.descriptor());
+  FlowDescriptor_.assign(Mailboxes_.FromFlow_.descriptor());
+  NoticeDescriptor_.assign(Mailboxes_.ConfigMessages_.descriptor());
   Thread_ = std::thread([this] { run(); });
   return true;
 }
@@ -143,20 +143,23 @@
   Io_.stop();
   if (Thread_.joinable())
     Thread_.join();
-  // The descriptors belong to the socket and to the mailboxes.
-  for (auto *Wake : {&SocketWake_, &ConfigWake_, &FlowWake_, &NoticeWake_})
-    if (Wake->is_open())
-      Wake->release();
+  // The socket and the mailboxes own the descriptors.
+  for (auto *Descriptor : {&SocketDescriptor_, &ConfigDescriptor_,
+                           &FlowDescriptor_, &NoticeDescriptor_})
+    if (Descriptor->is_open())
+      Descriptor->release();
 }
 
 void ControlThread::Impl::run() {
   watchSocket();
-  watchMailbox(ConfigWake_, Mailboxes_.FromConfig_,
-               [this](const config::InForcePtr &Next) { onConfig(Next); });
-  watchMailbox(FlowWake_, Mailboxes_.FromFlow_,
-               [this](const wire::Outgoing &Each) { sendFor(Each); });
-  watchMailbox(NoticeWake_, Mailboxes_.ConfigMessages_,
-               [this](const wire::Outgoing &Each) { sendFor(Each); });
+  watchMailbox(ConfigDescriptor_, Mailboxes_.FromConfig_,
+               [this](const config::ActiveConfigPtr &Next) { onConfig(Next); });
+  watchMailbox(
+      FlowDescriptor_, Mailboxes_.FromFlow_,
+      [this](const wire::Outgoing &Message) { sendOutgoing(Message); });
+  watchMailbox(
+      NoticeDescriptor_, Mailboxes_.ConfigMessages_,
+      [this](const wire::Outgoing &Message) { sendOutgoing(Message); });
   onTick();
   Io_.run();
 }
@@ -164,31 +167,32 @@
 void ControlThread::Impl::scheduleTick() {
   TickDue_ = Time_.now() + TickPeriod;
   Timer_.expires_after(TickPeriod);
-  Timer_.async_wait([this](Error Failed) {
-    if (!Failed)
+  Timer_.async_wait([this](Error Failure) {
+    if (!Failure)
       onTick();
   });
 }
 
 void ControlThread::Impl::onTick() {
-  Count_.TickDelay_.record(Time_.now() - TickDue_);
-  // What has arrived counts before silence is judged.
+  Meters_.TickDelay_.record(Time_.now() - TickDue_);
+  // Handles the datagrams that have arrived before the mesh detects silent
+  // peers.
   drainSocket();
   perform(Mesh_.tick());
   pushViews();
-  note();
-  Count_.Ticks_.add();
+  updateStatus();
+  Meters_.Ticks_.add();
   scheduleTick();
 }
 
 void ControlThread::Impl::watchSocket() {
-  SocketWake_.async_wait(asio::posix::stream_descriptor::wait_read,
-                         [this](Error Failed) {
-                           if (Failed)
-                             return;
-                           drainSocket();
-                           watchSocket();
-                         });
+  SocketDescriptor_.async_wait(asio::posix::stream_descriptor::wait_read,
+                               [this](Error Failure) {
+                                 if (Failure)
+                                   return;
+                                 drainSocket();
+                                 watchSocket();
+                               });
 }
 
 void ControlThread::Impl::drainSocket() {
@@ -196,97 +200,100 @@
     const auto Datagram = Socket_.receive(Buffer_);
     if (!Datagram)
       return;
-    Count_.BytesIn_.add(Datagram->Bytes_.size() + HeaderBytes);
+    Meters_.BytesReceived_.add(Datagram->Bytes_.size() + HeaderBytes);
     onDatagram(Datagram->Bytes_);
   }
 }
 
-template <typename T, typename Take>
-void ControlThread::Impl::watchMailbox(asio::posix::stream_descriptor &Wake,
-                                       Mailbox<T> &From, Take Handle) {
-  Wake.async_wait(asio::posix::stream_descriptor::wait_read,
-                  [this, &Wake, &From, Handle](Error Failed) {
-                    if (Failed)
-                      return;
-                    From.clearWake();
-                    while (const auto Each = From.pop())
-                      Handle(*Each);
-                    watchMailbox(Wake, From, Handle);
-                  });
+template <typename T, typename Handler>
+void ControlThread::Impl::watchMailbox(
+    asio::posix::stream_descriptor &Descriptor, Mailbox<T> &From,
+    Handler Handle) {
+  Descriptor.async_wait(asio::posix::stream_descriptor::wait_read,
+                        [this, &Descriptor, &From, Handle](Error Failure) {
+                          if (Failure)
+                            return;
+                          From.clearWake();
+                          while (const auto Item = From.pop())
+                            Handle(*Item);
+                          watchMailbox(Descriptor, From, Handle);
+                        });
 }
 
 void ControlThread::Impl::onDatagram(std::span<const std::byte> Bytes) {
   auto Opened = Sealer_.open(Bytes);
   if (!Opened) {
-    Count_.refused(Sealer_.lastReason()).add();
+    Meters_.refused(Sealer_.lastReason()).add();
     if (!Sealer_.staleSender().value().empty())
       perform(Mesh_.onStaleRun(Sealer_.staleSender()));
     return;
   }
-  Count_.Received_.add();
+  Meters_.MessagesReceived_.add();
   perform(Mesh_.onMessage(*Opened));
   route(std::move(*Opened));
 }
 
-void ControlThread::Impl::route(wire::Incoming Each) {
-  Mailbox<wire::Incoming> *To = nullptr;
-  if (std::holds_alternative<wire::FlowUpdate>(Each.Message_))
-    To = &Mailboxes_.ToFlow_;
-  else if (std::holds_alternative<wire::Heartbeat>(Each.Message_) ||
-           std::holds_alternative<wire::ConfigNotice>(Each.Message_))
-    To = &Mailboxes_.ToConfig_;
-  if (To && !To->push(std::move(Each)))
-    Count_.MailboxFull_.add();
+void ControlThread::Impl::route(wire::Incoming Received) {
+  Mailbox<wire::Incoming> *Receiver = nullptr;
+  if (std::holds_alternative<wire::FlowUpdate>(Received.Message_))
+    Receiver = &Mailboxes_.ToFlow_;
+  else if (std::holds_alternative<wire::Heartbeat>(Received.Message_) ||
+           std::holds_alternative<wire::ConfigNotice>(Received.Message_))
+    Receiver = &Mailboxes_.ToConfig_;
+  if (Receiver && !Receiver->push(std::move(Received)))
+    Meters_.MailboxFull_.add();
 }
 
-void ControlThread::Impl::perform(const Actions &Asked) {
-  for (const Action &Each : Asked)
-    std::visit(Overloaded{[this](const Send &What) { send(What); },
-                          [this](const Publish &What) { publish(What.View_); },
-                          [this](const ReadList &) { readList(); },
-                          [this](const Renew &What) {
-                            Sealer_.renew(What.Run_);
-                            Count_.Renewals_.add();
-                            Events_.warn("lease_lapsed",
-                                         {{"incarnation", What.Run_.value()}});
-                            dropWaiting();
-                          }},
-               Each);
+void ControlThread::Impl::perform(const Actions &Requested) {
+  for (const Action &Next : Requested)
+    std::visit(
+        Overloaded{[this](const Send &Command) { send(Command); },
+                   [this](const Publish &Command) { publish(Command.View_); },
+                   [this](const ReadList &) { readList(); },
+                   [this](const ChangeIncarnation &Command) {
+                     Sealer_.setIncarnation(Command.Run_);
+                     Meters_.LeaseLapses_.add();
+                     Events_.warn("lease_lapsed",
+                                  {{"incarnation", Command.Run_.value()}});
+                     discardWaiting();
+                   }},
+        Next);
 }
 
-void ControlThread::Impl::send(const Send &Each) {
-  sendTo(Each.To_, Each.Message_);
+void ControlThread::Impl::send(const Send &Command) {
+  sendTo(Command.To_, Command.Message_);
 }
 
-void ControlThread::Impl::sendFor(const wire::Outgoing &Each) {
-  if (Each.To_) {
-    if (const auto Address = Mesh_.address(*Each.To_))
-      sendTo(std::array{*Address}, Each.Message_);
+void ControlThread::Impl::sendOutgoing(const wire::Outgoing &Outgoing) {
+  if (Outgoing.To_) {
+    if (const auto Address = Mesh_.address(*Outgoing.To_))
+      sendTo(std::array{*Address}, Outgoing.Message_);
     return;
   }
-  // In a large domain the heartbeats carry the version to everybody.
-  if (std::holds_alternative<wire::ConfigNotice>(Each.Message_) &&
+  // In a large failure domain the heartbeats carry the version to all members.
+  if (std::holds_alternative<wire::ConfigNotice>(Outgoing.Message_) &&
       Mesh_.large())
     return;
-  sendTo(Mesh_.others(), Each.Message_);
+  sendTo(Mesh_.otherAddresses(), Outgoing.Message_);
 }
 
-void ControlThread::Impl::sendTo(std::span<const Ipv4> To,
-                                 const wire::Message &Each) {
-  if (To.empty())
+void ControlThread::Impl::sendTo(std::span<const Ipv4> Targets,
+                                 const wire::Message &Message) {
+  if (Targets.empty())
     return;
-  const std::vector<std::byte> Bytes = Sealer_.seal(Each);
-  for (const Ipv4 Address : To) {
+  const std::vector<std::byte> Bytes = Sealer_.seal(Message);
+  for (const Ipv4 Address : Targets) {
     Socket_.send({Address, Settings_.Ports_.Control_}, Bytes);
-    Count_.BytesOut_.add(Bytes.size() + HeaderBytes);
-    Count_.Sent_.add();
+    Meters_.BytesSent_.add(Bytes.size() + HeaderBytes);
+    Meters_.MessagesSent_.add();
   }
 }
 
-/// What arrived while the process did not run is too old to act on.
-void ControlThread::Impl::dropWaiting() {
+/// Discards the datagrams that arrived while the process did not run, because
+/// they are too old to act on.
+void ControlThread::Impl::discardWaiting() {
   while (const auto Datagram = Socket_.receive(Buffer_))
-    Count_.BytesIn_.add(Datagram->Bytes_.size() + HeaderBytes);
+    Meters_.BytesReceived_.add(Datagram->Bytes_.size() + HeaderBytes);
 }
 
 void ControlThread::Impl::publish(const ViewPtr &Next) {
@@ -294,55 +301,57 @@
                {{"view", Next->id().value()},
                 {"members", Next->members().size()},
                 {"self", Next->find(Settings_.Name_) ? "member" : "outside"}});
-  Count_.Members_.set(static_cast<std::int64_t>(Next->members().size()));
-  ViewDue_.fill(true);
+  Meters_.Members_.set(static_cast<std::int64_t>(Next->members().size()));
+  ViewPending_.fill(true);
   pushViews();
 }
 
-/// A mailbox that is full gets the newest view later.
+/// Pushes the current view to the threads that have not received it yet. A full
+/// mailbox receives the then newest view at a later tick.
 void ControlThread::Impl::pushViews() {
-  const std::array To{&Mailboxes_.ViewsToFlow_, &Mailboxes_.ViewsToRequests_,
-                      &Mailboxes_.ViewsToConfig_};
-  for (std::size_t I = 0; I < To.size(); ++I)
-    if (ViewDue_[I] && To[I]->push(Mesh_.view()))
-      ViewDue_[I] = false;
+  const std::array Receivers{&Mailboxes_.ViewsToFlow_,
+                             &Mailboxes_.ViewsToRequests_,
+                             &Mailboxes_.ViewsToConfig_};
+  for (std::size_t I = 0; I < Receivers.size(); ++I)
+    if (ViewPending_[I] && Receivers[I]->push(Mesh_.view()))
+      ViewPending_[I] = false;
 }
 
 void ControlThread::Impl::readList() {
-  Count_.ListReads_.add();
+  Meters_.ListReads_.add();
   net::HttpRequest Request;
   Request.Target_ = "/v1/instances?domain=" + Settings_.Domain_.value();
   Http_.send(Settings_.Platform_, std::move(Request), ListTimeout,
-             [this](std::optional<net::HttpResponse> Answer,
+             [this](std::optional<net::HttpResponse> Response,
                     const std::string &Reason) {
                std::optional<std::vector<ListedInstance>> List;
-               if (Answer && Answer->Status_ == 200)
-                 List = internal::parseInstances(Answer->Body_);
-               if (Answer)
-                 Count_.BytesIn_.add(Answer->Body_.size());
+               if (Response && Response->Status_ == 200)
+                 List = internal::parseInstances(Response->Body_);
+               if (Response)
+                 Meters_.BytesReceived_.add(Response->Body_.size());
                if (!List) {
-                 Count_.ListFailures_.add();
+                 Meters_.ListFailures_.add();
                  Events_.debug("list_unread", {{"reason", Reason}});
                }
                perform(Mesh_.onList(List));
              });
 }
 
-void ControlThread::Impl::onConfig(const config::InForcePtr &Next) {
+void ControlThread::Impl::onConfig(const config::ActiveConfigPtr &Next) {
   if (!Next)
     return;
   InForce_ = Next;
   Mesh_.setConfig(Next->Version_);
 }
 
-/// Keeps what other threads may ask for, and logs a change of state.
-void ControlThread::Impl::note() {
+/// Updates the status that other threads can read, and logs a change of state.
+void ControlThread::Impl::updateStatus() {
   const EntryState State = Mesh_.state();
-  if (State != LastState_)
+  if (State != LoggedState_)
     Events_.info("entry_state",
-                 {{"from", text(LastState_)}, {"to", text(State)}});
-  LastState_ = State;
-  Count_.Disagreements_.set(
+                 {{"from", text(LoggedState_)}, {"to", text(State)}});
+  LoggedState_ = State;
+  Meters_.Disagreements_.set(
       static_cast<std::int64_t>(Mesh_.listDisagreements()));
   const std::lock_guard Guard(StatusLock_);
   Status_ = {State,
@@ -357,14 +366,14 @@
 void ControlThread::Impl::leave() {
   asio::post(Io_, [this] {
     perform(Mesh_.leave());
-    note();
+    updateStatus();
   });
 }
 
-void ControlThread::Impl::farewell() {
+void ControlThread::Impl::completeLeave() {
   asio::post(Io_, [this] {
-    perform(Mesh_.farewell());
-    note();
+    perform(Mesh_.completeLeave());
+    updateStatus();
   });
 }
 
@@ -392,7 +401,7 @@
 
 void ControlThread::leave() { Impl_->leave(); }
 
-void ControlThread::farewell() { Impl_->farewell(); }
+void ControlThread::completeLeave() { Impl_->completeLeave(); }
 
 ControlStatus ControlThread::status() const { return Impl_->status(); }
 
--- a/src/medlarmoor/membership/control_thread.hpp
+++ b/src/medlarmoor/membership/control_thread.hpp
@@ -12,12 +12,13 @@
 
 namespace medlarmoor::membership {
 
-/// Carries the events and actions of the mesh: owns the UDP port of control
-/// messages, signs what the other threads send, hands verified messages to
-/// them by type, and reads the platform's list of instances.
+/// Runs the mesh: passes events to it and performs its actions. Owns the UDP
+/// port of control messages, signs and sends the messages of the other threads,
+/// routes verified messages to them by type, and reads the platform's list of
+/// instances.
 class ControlThread {
 public:
-  /// Settings must outlive the thread.
+  /// Settings, Metrics and Events must outlive the thread.
   ControlThread(const config::Settings &Settings, ControlMailboxes Mailboxes,
                 Clock Time, telemetry::Registry &Metrics,
                 telemetry::EventLog &Events);
@@ -25,17 +26,19 @@
   ControlThread(const ControlThread &) = delete;
   ControlThread &operator=(const ControlThread &) = delete;
 
-  /// Binds the port and starts the thread; false with lastReason().
+  /// Binds the port and starts the thread. Returns false and sets lastReason()
+  /// if the port cannot be bound.
   [[nodiscard]] bool start();
-  /// Stops the thread and waits for its end.
+  /// Stops the thread and joins it.
   void stop();
+  /// Returns why start() failed.
   [[nodiscard]] const std::string &lastReason() const noexcept;
 
-  /// Tells the others that this entry is leaving. From any thread.
+  /// Announces that this entry begins a planned stop. Thread-safe.
   void leave();
-  /// Tells the others that it has handed over. From any thread.
-  void farewell();
-  /// What the thread last knew. From any thread.
+  /// Announces that the handoff is complete and the entry stops. Thread-safe.
+  void completeLeave();
+  /// Returns the status that was last recorded. Thread-safe.
   [[nodiscard]] ControlStatus status() const;
 
 private:
--- a/src/medlarmoor/membership/entry_lifecycle.cpp
+++ b/src/medlarmoor/membership/entry_lifecycle.cpp
@@ -14,13 +14,14 @@
 using msm::front::Row;
 
 struct Contacted {};
-struct Learned {};
-struct Lapsed {};
-struct Woken {};
+struct MembersLearned {};
+struct LeaseLapsed {};
+struct Resumed {};
 struct Leave {};
-struct HandedOver {};
+struct HandoffComplete {};
 
-/// The front end of the state machine; Valid_ tells about the last event.
+/// The states and transitions. Valid_ is false if the last event was not valid
+/// in the state in which it arrived.
 struct Definition : msm::front::state_machine_def<Definition> {
   struct Starting : msm::front::state<> {};
   struct Joining : msm::front::state<> {};
@@ -32,17 +33,17 @@
 
   // clang-format off
   struct transition_table : mpl::vector<
-      //  from      event       to        action guard
-      Row<Starting, Contacted,  Joining,  none,  none>,
-      Row<Starting, Leave,      Leaving,  none,  none>,
-      Row<Joining,  Learned,    Live,     none,  none>,
-      Row<Joining,  Lapsed,     Paused,   none,  none>,
-      Row<Joining,  Leave,      Leaving,  none,  none>,
-      Row<Live,     Lapsed,     Paused,   none,  none>,
-      Row<Live,     Leave,      Leaving,  none,  none>,
-      Row<Paused,   Woken,      Joining,  none,  none>,
-      Row<Paused,   Leave,      Leaving,  none,  none>,
-      Row<Leaving,  HandedOver, Stopped,  none,  none>> {};
+      //  from      event            to        action guard
+      Row<Starting, Contacted,       Joining,  none,  none>,
+      Row<Starting, Leave,           Leaving,  none,  none>,
+      Row<Joining,  MembersLearned,  Live,     none,  none>,
+      Row<Joining,  LeaseLapsed,     Paused,   none,  none>,
+      Row<Joining,  Leave,           Leaving,  none,  none>,
+      Row<Live,     LeaseLapsed,     Paused,   none,  none>,
+      Row<Live,     Leave,           Leaving,  none,  none>,
+      Row<Paused,   Resumed,         Joining,  none,  none>,
+      Row<Paused,   Leave,           Leaving,  none,  none>,
+      Row<Leaving,  HandoffComplete, Stopped,  none,  none>> {};
   // clang-format on
 
   template <typename Machine, typename Event>
@@ -58,9 +59,9 @@
 struct EntryLifecycle::Impl {
   using Machine = msm::back::state_machine<Definition>;
 
-  template <typename Event> bool process(const Event &Each) {
+  template <typename Event> bool process(const Event &Received) {
     Machine_.Valid_ = true;
-    Machine_.process_event(Each);
+    Machine_.process_event(Received);
     return Machine_.Valid_;
   }
 
@@ -74,16 +75,20 @@
 EntryLifecycle::~EntryLifecycle() = default;
 
 EntryState EntryLifecycle::state() const noexcept {
-  // The states are numbered as they first appear as the source of a row, then
-  // as a target; the enumerators have the same order.
+  // Boost.MSM numbers the states in the order in which they first appear as the
+  // source of a row, then as a target. The enumerators have the same order.
   return static_cast<EntryState>(Impl_->Machine_.current_state()[0]);
 }
 
 bool EntryLifecycle::contacted() { return Impl_->process(Contacted{}); }
-bool EntryLifecycle::learned() { return Impl_->process(Learned{}); }
-bool EntryLifecycle::lapsed() { return Impl_->process(Lapsed{}); }
-bool EntryLifecycle::woken() { return Impl_->process(Woken{}); }
+bool EntryLifecycle::membersLearned() {
+  return Impl_->process(MembersLearned{});
+}
+bool EntryLifecycle::leaseLapsed() { return Impl_->process(LeaseLapsed{}); }
+bool EntryLifecycle::resumed() { return Impl_->process(Resumed{}); }
 bool EntryLifecycle::leave() { return Impl_->process(Leave{}); }
-bool EntryLifecycle::handedOver() { return Impl_->process(HandedOver{}); }
+bool EntryLifecycle::handoffComplete() {
+  return Impl_->process(HandoffComplete{});
+}
 
 } // namespace medlarmoor::membership
--- a/src/medlarmoor/membership/entry_lifecycle.hpp
+++ b/src/medlarmoor/membership/entry_lifecycle.hpp
@@ -7,8 +7,8 @@
 
 namespace medlarmoor::membership {
 
-/// The state machine of one entry. Each event tells whether it was valid in
-/// the present state; an event that was not changes nothing.
+/// The state machine of one entry. Each event function returns true if the
+/// event is valid in the current state; otherwise the state does not change.
 class EntryLifecycle {
 public:
   EntryLifecycle();
@@ -18,18 +18,18 @@
 
   [[nodiscard]] EntryState state() const noexcept;
 
-  /// The list of instances was read, or a neighbour was heard.
+  /// Reports that the list of instances was read or a neighbour was heard.
   bool contacted();
-  /// The members are known for long enough.
-  bool learned();
-  /// The own lease lapsed while the process did not run.
-  bool lapsed();
-  /// What the lapse made stale has been dropped.
-  bool woken();
-  /// A planned stop begins.
+  /// Reports that the members have been known for long enough.
+  bool membersLearned();
+  /// Reports that the lease of this entry lapsed while its process did not run.
+  bool leaseLapsed();
+  /// Reports that the state that became stale in the lapse was discarded.
+  bool resumed();
+  /// Begins a planned stop.
   bool leave();
-  /// All that was held has been handed over.
-  bool handedOver();
+  /// Reports that the handoff is complete.
+  bool handoffComplete();
 
 private:
   struct Impl;
--- a/src/medlarmoor/membership/entry_state.hpp
+++ b/src/medlarmoor/membership/entry_state.hpp
@@ -5,23 +5,24 @@
 
 namespace medlarmoor::membership {
 
-/// Where an entry stands between its start and its stop.
+/// The state of an entry between its start and its stop.
 enum class EntryState : unsigned char {
-  /// It knows neither the platform's list nor a neighbour.
+  /// The entry knows neither the platform's list nor a neighbour.
   Starting,
-  /// It learns the members; the others do not count it yet.
+  /// The entry learns the members; the others do not count it as a member
+  /// yet.
   Joining,
-  /// It homes flows and requests.
+  /// The entry is a home for flows and requests.
   Live,
-  /// It has found that its own lease lapsed while it did not run.
+  /// The entry found that its lease lapsed while its process did not run.
   Paused,
-  /// It hands over.
+  /// The entry hands off its flows and requests.
   Leaving,
-  /// It has said farewell.
+  /// The entry has sent its leave notice.
   Stopped,
 };
 
-/// The state in lower case, for logs and status.
+/// Returns the name of State in lower case, for logs and status pages.
 [[nodiscard]] constexpr std::string_view text(EntryState State) noexcept {
   switch (State) {
   case EntryState::Starting:
--- a/src/medlarmoor/membership/fwd.hpp
+++ b/src/medlarmoor/membership/fwd.hpp
@@ -5,9 +5,9 @@
 
 namespace medlarmoor::membership {
 
+enum class ApplyResult : unsigned char;
 enum class EntryState : unsigned char;
 enum class MemberState : unsigned char;
-enum class Verdict : unsigned char;
 struct ControlMailboxes;
 struct ControlStatus;
 struct ListedInstance;
@@ -15,10 +15,10 @@
 struct Peer;
 class ControlThread;
 class EntryLifecycle;
+class GossipQueue;
 class ListSchedule;
 class Mesh;
 class PeerTable;
-class GossipQueue;
 class View;
 using ViewPtr = std::shared_ptr<const View>;
 
--- a/src/medlarmoor/membership/gossip_queue.cpp
+++ b/src/medlarmoor/membership/gossip_queue.cpp
@@ -7,32 +7,34 @@
 
 namespace {
 
+/// Further messages that carry an update each time the number of members
+/// doubles.
 constexpr std::size_t MessagesPerDoubling = 2;
 
 } // namespace
 
 void GossipQueue::add(const EntryName &Name, std::size_t Members) {
-  Left_[Name] = MessagesPerDoubling * std::bit_width(Members + 1);
+  RemainingSends_[Name] = MessagesPerDoubling * std::bit_width(Members + 1);
 }
 
 std::vector<EntryName> GossipQueue::take(std::size_t Max,
                                          std::size_t Messages) {
-  std::vector<std::pair<std::size_t, EntryName>> Order;
-  Order.reserve(Left_.size());
-  for (const auto &[Name, Left] : Left_)
-    Order.emplace_back(Left, Name);
-  std::sort(Order.begin(), Order.end(), std::greater<>());
-  std::vector<EntryName> Out;
-  for (const auto &[Left, Name] : Order) {
-    if (Out.size() == Max)
+  std::vector<std::pair<std::size_t, EntryName>> Queued;
+  Queued.reserve(RemainingSends_.size());
+  for (const auto &[Name, Remaining] : RemainingSends_)
+    Queued.emplace_back(Remaining, Name);
+  std::sort(Queued.begin(), Queued.end(), std::greater<>());
+  std::vector<EntryName> Names;
+  for (const auto &[Remaining, Name] : Queued) {
+    if (Names.size() == Max)
       break;
-    Out.push_back(Name);
-    if (Left <= Messages)
-      Left_.erase(Name);
+    Names.push_back(Name);
+    if (Remaining <= Messages)
+      RemainingSends_.erase(Name);
     else
-      Left_[Name] = Left - Messages;
+      RemainingSends_[Name] = Remaining - Messages;
   }
-  return Out;
+  return Names;
 }
 
 } // namespace medlarmoor::membership
--- a/src/medlarmoor/membership/gossip_queue.hpp
+++ b/src/medlarmoor/membership/gossip_queue.hpp
@@ -9,21 +9,21 @@
 
 namespace medlarmoor::membership {
 
-/// The members about whom something new has to be passed on, with the number
-/// of messages that have yet to carry it.
+/// The members whose latest update still has to be gossiped, with the number of
+/// messages that remain to carry it.
 class GossipQueue {
 public:
-  /// Passes the news about Name on in further messages; Members is the size of
-  /// the failure domain, with whose logarithm the number of messages grows.
+  /// Schedules the latest update about Name for further messages. Their number
+  /// grows with the logarithm of Members, the size of the failure domain.
   void add(const EntryName &Name, std::size_t Members);
-  /// At most Max names, those first that were carried least, counted as
-  /// carried by Messages.
+  /// Returns at most Max names for a heartbeat that goes out in Messages copies
+  /// and counts these copies. Names with the most remaining sends come first.
   [[nodiscard]] std::vector<EntryName> take(std::size_t Max,
                                             std::size_t Messages);
-  [[nodiscard]] bool empty() const noexcept { return Left_.empty(); }
+  [[nodiscard]] bool empty() const noexcept { return RemainingSends_.empty(); }
 
 private:
-  std::map<EntryName, std::size_t> Left_;
+  std::map<EntryName, std::size_t> RemainingSends_;
 };
 
 } // namespace medlarmoor::membership
--- a/src/medlarmoor/membership/internal_control_meters.hpp
+++ b/src/medlarmoor/membership/internal_control_meters.hpp
@@ -10,44 +10,47 @@
 /// The metrics of the control thread.
 struct ControlMeters {
   explicit ControlMeters(telemetry::Registry &Metrics)
-      : All_(Metrics),
-        BytesOut_(Metrics.counter("medlarmoor_control_bytes_sent_total")),
-        BytesIn_(Metrics.counter("medlarmoor_control_bytes_received_total")),
-        Sent_(Metrics.counter("medlarmoor_control_messages_sent_total")),
-        Received_(
+      : Registry_(Metrics),
+        BytesSent_(Metrics.counter("medlarmoor_control_bytes_sent_total")),
+        BytesReceived_(
+            Metrics.counter("medlarmoor_control_bytes_received_total")),
+        MessagesSent_(
+            Metrics.counter("medlarmoor_control_messages_sent_total")),
+        MessagesReceived_(
             Metrics.counter("medlarmoor_control_messages_received_total")),
         MailboxFull_(Metrics.counter("medlarmoor_control_mailbox_full_total")),
         ListReads_(Metrics.counter("medlarmoor_membership_list_reads_total")),
         ListFailures_(
             Metrics.counter("medlarmoor_membership_list_failures_total")),
-        Renewals_(Metrics.counter("medlarmoor_membership_lease_lapses_total")),
+        LeaseLapses_(
+            Metrics.counter("medlarmoor_membership_lease_lapses_total")),
         Ticks_(Metrics.counter("medlarmoor_thread_ticks_total",
                                "thread=\"control\"")),
         Members_(Metrics.gauge("medlarmoor_membership_members")),
         Disagreements_(
             Metrics.gauge("medlarmoor_membership_list_disagreements")),
         TickDelay_(Metrics.histogram("medlarmoor_control_tick_delay_seconds")) {
-    // All reasons are there from the first scrape.
+    // Registers all reasons, so that the first scrape already shows them.
     for (const char *Reason : {"short", "version", "signature", "decode", "own",
                                "clock", "incarnation", "replay"})
       refused(Reason).add(0);
   }
 
-  /// Datagrams refused for that reason.
+  /// Returns the counter of datagrams refused for Reason.
   [[nodiscard]] telemetry::Counter &refused(const std::string &Reason) const {
-    return All_.counter("medlarmoor_control_refused_total",
-                        "reason=\"" + Reason + "\"");
+    return Registry_.counter("medlarmoor_control_refused_total",
+                             "reason=\"" + Reason + "\"");
   }
 
-  telemetry::Registry &All_;
-  telemetry::Counter &BytesOut_;
-  telemetry::Counter &BytesIn_;
-  telemetry::Counter &Sent_;
-  telemetry::Counter &Received_;
+  telemetry::Registry &Registry_;
+  telemetry::Counter &BytesSent_;
+  telemetry::Counter &BytesReceived_;
+  telemetry::Counter &MessagesSent_;
+  telemetry::Counter &MessagesReceived_;
   telemetry::Counter &MailboxFull_;
   telemetry::Counter &ListReads_;
   telemetry::Counter &ListFailures_;
-  telemetry::Counter &Renewals_;
+  telemetry::Counter &LeaseLapses_;
   telemetry::Counter &Ticks_;
   telemetry::Gauge &Members_;
   telemetry::Gauge &Disagreements_;
--- a/src/medlarmoor/membership/internal_list_reader.cpp
+++ b/src/medlarmoor/membership/internal_list_reader.cpp
@@ -8,38 +8,38 @@
 
 using Json = nlohmann::json;
 
-std::string textOf(const Json &Object, const char *Key) {
-  const auto At = Object.find(Key);
-  return At != Object.end() && At->is_string() ? At->get<std::string>()
-                                               : std::string();
+std::string stringField(const Json &Object, const char *Key) {
+  const auto Field = Object.find(Key);
+  return Field != Object.end() && Field->is_string() ? Field->get<std::string>()
+                                                     : std::string();
 }
 
-std::optional<ListedInstance> parseOne(const Json &Object) {
+std::optional<ListedInstance> parseInstance(const Json &Object) {
   if (!Object.is_object())
     return std::nullopt;
-  const std::string Name = textOf(Object, "name");
-  const auto Address = Ipv4::parse(textOf(Object, "address"));
+  const std::string Name = stringField(Object, "name");
+  const auto Address = Ipv4::parse(stringField(Object, "address"));
   if (Name.empty() || !Address)
     return std::nullopt;
   return ListedInstance{EntryName(Name), *Address,
-                        textOf(Object, "state") == "leaving"};
+                        stringField(Object, "state") == "leaving"};
 }
 
 } // namespace
 
 std::optional<std::vector<ListedInstance>>
 parseInstances(const std::string &Body) {
-  const Json Whole = Json::parse(Body, nullptr, /*allow_exceptions=*/false);
-  if (!Whole.is_object())
+  const Json Document = Json::parse(Body, nullptr, /*allow_exceptions=*/false);
+  if (!Document.is_object())
     return std::nullopt;
-  const auto Items = Whole.find("instances");
-  if (Items == Whole.end() || !Items->is_array())
+  const auto Items = Document.find("instances");
+  if (Items == Document.end() || !Items->is_array())
     return std::nullopt;
-  std::vector<ListedInstance> Out;
-  for (const Json &Each : *Items)
-    if (auto One = parseOne(Each))
-      Out.push_back(std::move(*One));
-  return Out;
+  std::vector<ListedInstance> Instances;
+  for (const Json &Item : *Items)
+    if (auto Instance = parseInstance(Item))
+      Instances.push_back(std::move(*Instance));
+  return Instances;
 }
 
 } // namespace medlarmoor::membership::internal
--- a/src/medlarmoor/membership/internal_list_reader.hpp
+++ b/src/medlarmoor/membership/internal_list_reader.hpp
@@ -9,8 +9,8 @@
 
 namespace medlarmoor::membership::internal {
 
-/// Reads the platform's answer to GET /v1/instances. Items that are malformed
-/// are left out; nothing when the whole is.
+/// Parses the platform's answer to GET /v1/instances. Skips malformed items and
+/// returns nothing if the document itself is malformed.
 [[nodiscard]] std::optional<std::vector<ListedInstance>>
 parseInstances(const std::string &Body);
 
--- a/src/medlarmoor/membership/list_schedule.hpp
+++ b/src/medlarmoor/membership/list_schedule.hpp
@@ -9,18 +9,21 @@
 
 namespace medlarmoor::membership {
 
-/// Decides when an entry reads the platform's list of instances: at start
-/// until it succeeded once, then often if it is one of the watchers of its
-/// failure domain and seldom otherwise, always with jitter. A long list is
-/// read less often, so that its bytes a second stay bounded.
+/// Decides when an entry reads the platform's list of instances. After the
+/// start it retries until the first success. From then on it reads often if it
+/// is one of the list watchers of its failure domain and rarely otherwise. All
+/// delays are jittered. A long list is read less often to bound the bytes per
+/// second.
 class ListSchedule {
 public:
-  /// Period is that of a watcher.
+  /// Period is the mean time between two reads of a watcher.
   explicit ListSchedule(Millis Period) : Period_(Period) {}
 
-  /// Whether to read now. A read that is not finished is not due again.
+  /// Returns true if the list has to be read now, and counts the read as in
+  /// flight. Returns false while a read is in flight.
   [[nodiscard]] bool due(TimePoint Now, bool Watcher, Random &Source);
-  /// The read that due() began has ended with that many instances, or failed.
+  /// Records the end of the read that due() began: the number of Instances on
+  /// the list, or nothing if the read failed.
   void finished(TimePoint Now, std::optional<std::size_t> Instances,
                 Random &Source);
 
@@ -29,9 +32,9 @@
 
   Millis Period_;
   std::size_t Instances_ = 0;
-  TimePoint Next_;
-  Millis Retry_{0};
-  bool Reading_ = false;
+  TimePoint NextRead_;
+  Millis RetryDelay_{0};
+  bool ReadInFlight_ = false;
   bool Succeeded_ = false;
 };
 
--- a/src/medlarmoor/membership/listed_instance.hpp
+++ b/src/medlarmoor/membership/listed_instance.hpp
@@ -6,11 +6,11 @@
 
 namespace medlarmoor::membership {
 
-/// One entry of the platform's list of instances of a failure domain.
+/// One instance on the platform's list for a failure domain.
 struct ListedInstance {
   EntryName Name_;
   Ipv4 Address_;
-  /// The platform says that it is leaving.
+  /// True if the platform reports that the instance is leaving.
   bool Leaving_ = false;
 
   friend bool operator==(const ListedInstance &,
--- a/src/medlarmoor/membership/member.hpp
+++ b/src/medlarmoor/membership/member.hpp
@@ -6,18 +6,19 @@
 
 namespace medlarmoor::membership {
 
-/// What a member does for the others.
+/// The role of a member towards the other members.
 enum class MemberState : unsigned char {
-  /// Takes flows and requests as home.
+  /// Is a home for flows and requests.
   Live,
-  /// Hands over and stops; homes nothing new but still forwards and answers.
+  /// Hands off and stops; is no home for new work but still forwards and
+  /// answers.
   Leaving,
 };
 
 /// One entry instance of the own failure domain.
 struct Member {
   EntryName Name_;
-  /// Where the others reach it.
+  /// The address at which other entries reach the member.
   Ipv4 Address_;
   MemberState State_ = MemberState::Live;
 
--- a/src/medlarmoor/membership/mesh.cpp
+++ b/src/medlarmoor/membership/mesh.cpp
@@ -10,17 +10,20 @@
 
 using wire::Phase;
 
-/// How long one that has gone is remembered, and tried now and then.
-constexpr Nanos GoneRemembered = Seconds(600);
-/// News in one heartbeat at most.
-constexpr std::size_t NewsPerBeat = 16;
-/// Contacts that are no peers yet which one heartbeat tries.
-constexpr std::size_t ContactsPerBeat = 4;
-/// Its two highest members read the platform's list for the domain.
+/// How long a gone peer is kept and occasionally contacted.
+constexpr Nanos GoneRetention = Seconds(600);
+/// The maximum number of member updates in one heartbeat.
+constexpr std::size_t UpdatesPerHeartbeat = 16;
+/// The number of inactive instances that an entry contacts with each heartbeat
+/// until it is live.
+constexpr std::size_t ContactsPerHeartbeat = 4;
+/// The first two home candidates of this key are the list watchers, which read
+/// the platform's list on behalf of the failure domain.
 const std::uint64_t ListWatchKey = hashText("platform list");
 
-/// Silence after which a peer is suspected; it has as long again to refute.
-Nanos suspectAfter(const config::MembershipSettings &Timing) {
+/// Returns the silence after which a peer is suspected. A suspect has the same
+/// time again to refute the suspicion.
+Nanos suspicionTimeout(const config::MembershipSettings &Timing) {
   return Timing.Lease_ / 2;
 }
 
@@ -30,264 +33,270 @@
            Incarnation Run, Clock Time, Random Source,
            std::vector<ListedInstance> Seeds)
     : Self_(std::move(Self)), Address_(Address), Timing_(Timing), Run_(Run),
-      Time_(std::move(Time)), Source_(Source), Peers_(MaxPeers, GoneRemembered),
+      Time_(std::move(Time)), Source_(Source), Peers_(MaxPeers, GoneRetention),
       Schedule_(Timing.ListPeriod_), Listed_(std::move(Seeds)),
       View_(std::make_shared<const View>(Self_, std::vector<Member>())),
-      LastBeat_(Time_.now()), NextBeat_(LastBeat_) {}
+      LastHeartbeat_(Time_.now()), NextHeartbeat_(LastHeartbeat_) {}
 
 Actions Mesh::tick() {
-  Actions Out;
-  checkLease(Out);
+  Actions NewActions;
+  checkLease(NewActions);
   const TimePoint Now = Time_.now();
-  advanceLifecycle(Out);
-  if (Now >= NextBeat_)
-    beat(Out);
-  judge(Out);
-  flushUrgent(Out);
-  readList(Out);
-  publish(Out);
-  return Out;
+  advanceLifecycle(NewActions);
+  if (Now >= NextHeartbeat_)
+    sendHeartbeat(NewActions);
+  detectFailures(NewActions);
+  sendUrgentUpdates(NewActions);
+  readList(NewActions);
+  publish(NewActions);
+  return NewActions;
 }
 
-Actions Mesh::onMessage(const wire::Incoming &Each) {
-  Actions Out;
-  checkLease(Out);
+Actions Mesh::onMessage(const wire::Incoming &Received) {
+  Actions NewActions;
+  checkLease(NewActions);
   if (state() == EntryState::Stopped)
-    return Out;
-  std::visit([&](const auto &Message) { receive(Each, Message, Out); },
-             Each.Message_);
-  publish(Out);
-  return Out;
+    return NewActions;
+  std::visit(
+      [&](const auto &Message) { receive(Received, Message, NewActions); },
+      Received.Message_);
+  publish(NewActions);
+  return NewActions;
 }
 
 Actions Mesh::onList(const std::optional<std::vector<ListedInstance>> &List) {
-  Actions Out;
-  checkLease(Out);
+  Actions NewActions;
+  checkLease(NewActions);
   Schedule_.finished(
       Time_.now(), List ? std::optional(List->size()) : std::nullopt, Source_);
   if (!List)
-    return Out;
+    return NewActions;
   Listed_ = *List;
   std::erase_if(Listed_,
-                [this](const auto &Each) { return Each.Name_ == Self_; });
+                [this](const auto &Listed) { return Listed.Name_ == Self_; });
   if (Lifecycle_.state() == EntryState::Starting && Lifecycle_.contacted())
-    JoinedAt_ = Time_.now();
-  return Out;
+    JoiningSince_ = Time_.now();
+  return NewActions;
 }
 
 Actions Mesh::onStaleRun(const EntryName &From) {
-  Actions Out;
+  Actions NewActions;
   const Peer *Known = Peers_.find(From);
   if (!Known)
-    return Out;
-  wire::Heartbeat Answer = heartbeat(0);
-  Answer.News_ = {Known->news()};
-  Out.emplace_back(Send{{Known->Address_}, std::move(Answer)});
-  return Out;
+    return NewActions;
+  wire::Heartbeat Reply = heartbeat(0);
+  Reply.Updates_ = {Known->toUpdate()};
+  NewActions.emplace_back(Send{{Known->Address_}, std::move(Reply)});
+  return NewActions;
 }
 
 void Mesh::setConfig(ConfigVersion Version) {
   if (Version <= Config_)
     return;
   Config_ = Version;
-  Urgent_ = true;
+  UrgentPending_ = true;
 }
 
 Actions Mesh::leave() {
-  Actions Out;
+  Actions NewActions;
   if (!Lifecycle_.leave())
-    return Out;
+    return NewActions;
   changePhase(Phase::Leaving);
-  flushUrgent(Out);
-  publish(Out);
-  return Out;
+  sendUrgentUpdates(NewActions);
+  publish(NewActions);
+  return NewActions;
 }
 
-Actions Mesh::farewell() {
-  Actions Out;
-  if (!Lifecycle_.handedOver())
-    return Out;
-  std::vector<EntryName> To = successors(activeNames(), Self_);
-  addRandom(To, activeNames(), UrgentTargets, Source_);
-  if (!To.empty())
-    Out.emplace_back(Send{addresses(To), wire::Farewell{}});
+Actions Mesh::completeLeave() {
+  Actions NewActions;
+  if (!Lifecycle_.handoffComplete())
+    return NewActions;
+  std::vector<EntryName> Targets = successors(activeNames(), Self_);
+  addRandom(Targets, activeNames(), UrgentTargets, Source_);
+  if (!Targets.empty())
+    NewActions.emplace_back(Send{addresses(Targets), wire::LeaveNotice{}});
   changePhase(Phase::Gone);
-  publish(Out);
-  return Out;
+  publish(NewActions);
+  return NewActions;
 }
 
 bool Mesh::leaseValid() const {
   return state() == EntryState::Live &&
-         Time_.now() - LastBeat_ <= Timing_.Lease_;
+         Time_.now() - LastHeartbeat_ <= Timing_.Lease_;
 }
 
 std::optional<Ipv4> Mesh::address(const EntryName &Name) const {
-  const Peer *Each = Peers_.find(Name);
-  if (!Each || !Each->active())
+  const Peer *Known = Peers_.find(Name);
+  if (!Known || !Known->active())
     return std::nullopt;
-  return Each->Address_;
+  return Known->Address_;
 }
 
-std::vector<Ipv4> Mesh::others() const {
-  std::vector<Ipv4> Out;
-  for (const Member &Each : View_->members())
-    if (Each.Name_ != Self_)
-      Out.push_back(Each.Address_);
-  return Out;
+std::vector<Ipv4> Mesh::otherAddresses() const {
+  std::vector<Ipv4> Addresses;
+  for (const Member &Other : View_->members())
+    if (Other.Name_ != Self_)
+      Addresses.push_back(Other.Address_);
+  return Addresses;
 }
 
 bool Mesh::large() const { return Peers_.active() > FullMeshPeers; }
 
 std::size_t Mesh::listDisagreements() const {
-  std::size_t Out = 0;
-  for (const ListedInstance &Each : Listed_)
-    if (!Each.Leaving_ && !View_->find(Each.Name_))
-      ++Out;
-  for (const Member &Each : View_->members())
-    if (Each.Name_ != Self_ &&
+  std::size_t Count = 0;
+  for (const ListedInstance &Listed : Listed_)
+    if (!Listed.Leaving_ && !View_->find(Listed.Name_))
+      ++Count;
+  for (const Member &InView : View_->members())
+    if (InView.Name_ != Self_ &&
         std::none_of(Listed_.begin(), Listed_.end(), [&](const auto &Listed) {
-          return Listed.Name_ == Each.Name_;
+          return Listed.Name_ == InView.Name_;
         }))
-      ++Out;
-  return Out;
+      ++Count;
+  return Count;
 }
 
-/// The others count the lease from a heartbeat's arrival, so one that has sent
-/// none for a lease did not run, and may have been removed.
-void Mesh::checkLease(Actions &Out) {
+/// Starts a new incarnation if this entry has not sent a heartbeat for a lease.
+/// Then its process did not run, and the other entries, which measure the lease
+/// from the arrival of a heartbeat, may have removed it.
+void Mesh::checkLease(Actions &NewActions) {
   const TimePoint Now = Time_.now();
-  if (Now - LastBeat_ <= Timing_.Lease_)
+  if (Now - LastHeartbeat_ <= Timing_.Lease_)
     return;
-  LastBeat_ = Now;
+  LastHeartbeat_ = Now;
   if (Lifecycle_.state() == EntryState::Stopped)
     return;
-  Peers_.forgive(Now);
-  restart(Incarnation(Run_.value() + 1), Out);
+  Peers_.markAllHeard(Now);
+  changeIncarnation(Incarnation(Run_.value() + 1), NewActions);
 }
 
-/// Goes on as a new run, which has to join again.
-void Mesh::restart(Incarnation Run, Actions &Out) {
+/// Continues under the incarnation Run. The entry has to join again.
+void Mesh::changeIncarnation(Incarnation Run, Actions &NewActions) {
   Run_ = Run;
   Generation_ = 0;
-  Out.emplace_back(Renew{Run});
+  NewActions.emplace_back(ChangeIncarnation{Run});
   const TimePoint Now = Time_.now();
-  NextBeat_ = Now;
+  NextHeartbeat_ = Now;
   if (Lifecycle_.state() == EntryState::Leaving)
     return;
-  Lifecycle_.lapsed();
-  if (Lifecycle_.woken()) {
-    JoinedAt_ = Now;
-    HasTable_ = false;
+  Lifecycle_.leaseLapsed();
+  if (Lifecycle_.resumed()) {
+    JoiningSince_ = Now;
+    HasMemberTable_ = false;
     changePhase(Phase::Joining);
   }
-  publish(Out);
+  publish(NewActions);
 }
 
-void Mesh::advanceLifecycle(Actions &Out) {
+void Mesh::advanceLifecycle(Actions &NewActions) {
   const TimePoint Now = Time_.now();
   if (state() != EntryState::Joining)
     return;
   const bool AnyLive =
       std::any_of(Peers_.peers().begin(), Peers_.peers().end(),
-                  [](const auto &Pair) { return Pair.second.counts(); });
-  if (AnyLive && !HasTable_ && Now >= NextTableRequest_)
-    requestTable(Out);
-  const Nanos Waited = Now - JoinedAt_;
-  const bool Known = HasTable_ || !AnyLive || Waited >= 4 * Timing_.Lease_;
-  if (Waited < Timing_.Lease_ || !Known || !Lifecycle_.learned())
+                  [](const auto &Entry) { return Entry.second.isMember(); });
+  if (AnyLive && !HasMemberTable_ && Now >= NextTableRequest_)
+    requestTable(NewActions);
+  const Nanos Waited = Now - JoiningSince_;
+  const bool MembersKnown =
+      HasMemberTable_ || !AnyLive || Waited >= 4 * Timing_.Lease_;
+  if (Waited < Timing_.Lease_ || !MembersKnown || !Lifecycle_.membersLearned())
     return;
   changePhase(Phase::Live);
 }
 
-void Mesh::beat(Actions &Out) {
-  LastBeat_ = Time_.now();
-  NextBeat_ = std::max(NextBeat_ + Timing_.Heartbeat_,
-                       LastBeat_ + Timing_.Heartbeat_ / 2);
+void Mesh::sendHeartbeat(Actions &NewActions) {
+  LastHeartbeat_ = Time_.now();
+  NextHeartbeat_ = std::max(NextHeartbeat_ + Timing_.HeartbeatPeriod_,
+                            LastHeartbeat_ + Timing_.HeartbeatPeriod_ / 2);
   if (state() == EntryState::Stopped)
     return;
   const std::vector<EntryName> Names = activeNames();
-  std::vector<EntryName> To = successors(Names, Self_);
+  std::vector<EntryName> Targets = successors(Names, Self_);
   if (Names.size() > FullMeshPeers)
-    addRandom(To, Names, RandomTargets, Source_);
-  if (!To.empty())
-    Out.emplace_back(Send{addresses(To), heartbeat(To.size())});
-  contact(Out);
+    addRandom(Targets, Names, RandomTargets, Source_);
+  if (!Targets.empty())
+    NewActions.emplace_back(
+        Send{addresses(Targets), heartbeat(Targets.size())});
+  contactInactive(NewActions);
   Peers_.forgetGone(Time_.now());
 }
 
-/// Tries some of those that the list or an earlier view names but that take no
-/// part: it lags, they are about to join, or a cut between us has ended.
-void Mesh::contact(Actions &Out) {
-  std::vector<Ipv4> Silent;
-  for (const ListedInstance &Each : Listed_) {
-    const Peer *Known = Peers_.find(Each.Name_);
+/// Sends heartbeats to some instances that the list or an earlier view contains
+/// but that are not active. Either the list lags, they are about to join, or a
+/// network partition has healed.
+void Mesh::contactInactive(Actions &NewActions) {
+  std::vector<Ipv4> Inactive;
+  for (const ListedInstance &Listed : Listed_) {
+    const Peer *Known = Peers_.find(Listed.Name_);
     if (!Known || !Known->active())
-      Silent.push_back(Each.Address_);
+      Inactive.push_back(Listed.Address_);
   }
-  for (const auto &[Name, Each] : Peers_.peers())
-    if (!Each.active() &&
-        std::find(Silent.begin(), Silent.end(), Each.Address_) == Silent.end())
-      Silent.push_back(Each.Address_);
-  if (Silent.empty())
+  for (const auto &[Name, Known] : Peers_.peers())
+    if (!Known.active() && std::find(Inactive.begin(), Inactive.end(),
+                                     Known.Address_) == Inactive.end())
+      Inactive.push_back(Known.Address_);
+  if (Inactive.empty())
     return;
-  // One that learns the members tries several; a member tries one.
+  // An entry that still learns the members contacts several, a member only one.
   const std::size_t Count =
       state() == EntryState::Starting || state() == EntryState::Joining
-          ? ContactsPerBeat
+          ? ContactsPerHeartbeat
           : 1;
-  std::shuffle(Silent.begin(), Silent.end(), Source_);
-  Silent.resize(std::min(Silent.size(), Count));
-  Out.emplace_back(Send{std::move(Silent), heartbeat(0)});
+  std::shuffle(Inactive.begin(), Inactive.end(), Source_);
+  Inactive.resize(std::min(Inactive.size(), Count));
+  NewActions.emplace_back(Send{std::move(Inactive), heartbeat(0)});
 }
 
-void Mesh::judge(Actions &Out) {
+void Mesh::detectFailures(Actions &NewActions) {
   const TimePoint Now = Time_.now();
   if (state() == EntryState::Stopped)
     return;
-  for (Peer *Each : Peers_.suspectSilent(Now, suspectAfter(Timing_))) {
-    Gossip_.add(Each->Name_, Peers_.active());
-    Urgent_ = true;
+  for (Peer *Suspect : Peers_.suspectSilent(Now, suspicionTimeout(Timing_))) {
+    Gossip_.add(Suspect->Name_, Peers_.active());
+    UrgentPending_ = true;
     wire::Heartbeat Probe = heartbeat(0);
-    Probe.News_ = {Each->news()};
-    Out.emplace_back(Send{{Each->Address_}, std::move(Probe)});
+    Probe.Updates_ = {Suspect->toUpdate()};
+    NewActions.emplace_back(Send{{Suspect->Address_}, std::move(Probe)});
   }
-  if (!Peers_.expireSuspected(Now, suspectAfter(Timing_)).empty())
-    membersChanged();
+  if (!Peers_.expireSuspected(Now, suspicionTimeout(Timing_)).empty())
+    markMembersChanged();
 }
 
-/// News are passed on at once, not with the next heartbeat, so that a
-/// refutation arrives before a suspicion takes effect.
-void Mesh::flushUrgent(Actions &Out) {
-  if (!Urgent_)
+/// Sends pending updates immediately instead of with the next heartbeat, so
+/// that a refutation arrives before the suspicion takes effect.
+void Mesh::sendUrgentUpdates(Actions &NewActions) {
+  if (!UrgentPending_)
     return;
-  Urgent_ = false;
+  UrgentPending_ = false;
   const std::vector<EntryName> Names = activeNames();
-  std::vector<EntryName> To;
+  std::vector<EntryName> Targets;
   if (Names.size() <= FullMeshPeers)
-    To = Names;
+    Targets = Names;
   else
-    addRandom(To, Names, UrgentTargets, Source_);
-  if (!To.empty())
-    Out.emplace_back(Send{addresses(To), heartbeat(To.size())});
+    addRandom(Targets, Names, UrgentTargets, Source_);
+  if (!Targets.empty())
+    NewActions.emplace_back(
+        Send{addresses(Targets), heartbeat(Targets.size())});
 }
 
-void Mesh::readList(Actions &Out) {
+void Mesh::readList(Actions &NewActions) {
   if (state() != EntryState::Stopped &&
       Schedule_.due(Time_.now(), WatchesList_, Source_))
-    Out.emplace_back(ReadList{});
+    NewActions.emplace_back(ReadList{});
 }
 
-void Mesh::publish(Actions &Out) {
-  if (!Changed_)
+void Mesh::publish(Actions &NewActions) {
+  if (!MembersChanged_)
     return;
-  Changed_ = false;
-  rewatch();
+  MembersChanged_ = false;
+  updateWatchedPeers();
   std::vector<Member> Members;
-  for (const auto &[Name, Each] : Peers_.peers())
-    if (Each.counts())
-      Members.push_back({Name, Each.Address_,
-                         Each.Phase_ == Phase::Leaving ? MemberState::Leaving
-                                                       : MemberState::Live});
+  for (const auto &[Name, Known] : Peers_.peers())
+    if (Known.isMember())
+      Members.push_back({Name, Known.Address_,
+                         Known.Phase_ == Phase::Leaving ? MemberState::Leaving
+                                                        : MemberState::Live});
   if (Phase_ == Phase::Live || Phase_ == Phase::Leaving)
     Members.push_back(
         {Self_, Address_,
@@ -297,49 +306,50 @@
     return;
   View_ = std::move(Next);
   WatchesList_ = watchesList();
-  ViewChanged_ = Time_.now();
-  Out.emplace_back(Publish{View_});
+  ViewChangedAt_ = Time_.now();
+  NewActions.emplace_back(Publish{View_});
 }
 
 void Mesh::changePhase(Phase Next) {
   Phase_ = Next;
   ++Generation_;
-  Urgent_ = true;
+  UrgentPending_ = true;
   Gossip_.add(Self_, Peers_.active());
-  membersChanged();
+  markMembersChanged();
 }
 
-void Mesh::membersChanged() { Changed_ = true; }
+void Mesh::markMembersChanged() { MembersChanged_ = true; }
 
 wire::Heartbeat Mesh::heartbeat(std::size_t Messages) {
-  wire::Heartbeat Out{Address_, View_->id(), Config_, Generation_, Phase_, {}};
-  for (const EntryName &Name : Gossip_.take(NewsPerBeat, Messages)) {
+  wire::Heartbeat Result{Address_,    View_->id(), Config_,
+                         Generation_, Phase_,      {}};
+  for (const EntryName &Name : Gossip_.take(UpdatesPerHeartbeat, Messages)) {
     if (Name == Self_)
-      Out.News_.push_back(ownNews());
-    else if (const Peer *Each = Peers_.find(Name))
-      Out.News_.push_back(Each->news());
+      Result.Updates_.push_back(ownUpdate());
+    else if (const Peer *Known = Peers_.find(Name))
+      Result.Updates_.push_back(Known->toUpdate());
   }
-  return Out;
+  return Result;
 }
 
-wire::MemberNews Mesh::ownNews() const {
+wire::MemberUpdate Mesh::ownUpdate() const {
   return {Self_, Address_, Run_, Generation_, Phase_};
 }
 
 std::vector<EntryName> Mesh::activeNames() const {
-  std::vector<EntryName> Out;
-  for (const auto &[Name, Each] : Peers_.peers())
-    if (Each.active())
-      Out.push_back(Name);
-  return Out;
+  std::vector<EntryName> Names;
+  for (const auto &[Name, Known] : Peers_.peers())
+    if (Known.active())
+      Names.push_back(Name);
+  return Names;
 }
 
 std::vector<Ipv4> Mesh::addresses(const std::vector<EntryName> &Names) const {
-  std::vector<Ipv4> Out;
-  Out.reserve(Names.size());
+  std::vector<Ipv4> Addresses;
+  Addresses.reserve(Names.size());
   for (const EntryName &Name : Names)
-    Out.push_back(Peers_.find(Name)->Address_);
-  return Out;
+    Addresses.push_back(Peers_.find(Name)->Address_);
+  return Addresses;
 }
 
 bool Mesh::watchesList() const {
@@ -350,14 +360,16 @@
   return Second && Second->Name_ == Self_;
 }
 
-/// A peer that comes to be watched gets a full lease before its silence counts.
-void Mesh::rewatch() {
-  const std::vector<EntryName> Now = predecessors(activeNames(), Self_);
-  for (auto &[Name, Each] : Peers_.peers()) {
-    const bool Watch = std::find(Now.begin(), Now.end(), Name) != Now.end();
-    if (Watch && !Each.Watched_)
-      Each.Heard_ = std::max(Each.Heard_, Time_.now());
-    Each.Watched_ = Watch;
+/// Updates which peers this entry watches. A newly watched peer counts as just
+/// heard, so that it has a full lease before its silence removes it.
+void Mesh::updateWatchedPeers() {
+  const std::vector<EntryName> ToWatch = predecessors(activeNames(), Self_);
+  for (auto &[Name, Known] : Peers_.peers()) {
+    const bool ShouldWatch =
+        std::find(ToWatch.begin(), ToWatch.end(), Name) != ToWatch.end();
+    if (ShouldWatch && !Known.Watched_)
+      Known.LastHeard_ = std::max(Known.LastHeard_, Time_.now());
+    Known.Watched_ = ShouldWatch;
   }
 }
 
--- a/src/medlarmoor/membership/mesh.hpp
+++ b/src/medlarmoor/membership/mesh.hpp
@@ -21,93 +21,99 @@
 
 namespace medlarmoor::membership {
 
-/// How often the mesh wants tick() to be called.
+/// The interval at which Mesh::tick() has to be called.
 inline constexpr Millis TickPeriod{50};
-/// The greatest number of peers of one failure domain.
+/// The maximum number of peers in one failure domain.
 inline constexpr std::size_t MaxPeers = 1024;
 
-/// Decides which entries of the failure domain are members. Heartbeats say who
-/// lives: directly in a small domain; in a large one a few successors watch
-/// each member and pass a suspicion on, which the suspect may refute. The
-/// platform's list only says whom to contact. Without I/O: events go in,
-/// actions come out.
+/// Decides which entries of the failure domain are members. Heartbeats show
+/// which entries are alive. In a small domain each entry receives them
+/// directly. In a large domain a few successors watch each member and gossip a
+/// suspicion, which the suspect can refute. The platform's list only determines
+/// which addresses to contact. Performs no I/O: takes events and returns
+/// actions.
 class Mesh {
 public:
-  /// Seeds are neighbours to contact when the platform does not answer.
+  /// Seeds are the neighbours to contact while the platform does not answer.
   Mesh(EntryName Self, Ipv4 Address, config::MembershipSettings Timing,
        Incarnation Run, Clock Time, Random Source,
        std::vector<ListedInstance> Seeds = {});
 
-  /// Time has passed.
+  /// Performs the work that is due. Call it every TickPeriod.
   [[nodiscard]] Actions tick();
-  /// A verified message has arrived. Only messages of membership have an
-  /// effect; the first of an unknown sender admits it.
-  [[nodiscard]] Actions onMessage(const wire::Incoming &Each);
-  /// A message of an earlier run of From was refused. If From is in truth a
-  /// later run whose clock is behind, the answer lets it move ahead.
+  /// Handles a verified message. Only membership messages have an effect. The
+  /// first heartbeat of an unknown sender adds it to the peers.
+  [[nodiscard]] Actions onMessage(const wire::Incoming &Received);
+  /// Handles the refusal of a message with an outdated incarnation of From. If
+  /// From is in fact a later run whose clock is behind, the answer makes it
+  /// choose a higher incarnation.
   [[nodiscard]] Actions onStaleRun(const EntryName &From);
-  /// The list was read, or could not be read when List is empty.
+  /// Handles the result of reading the platform's list; List is empty if the
+  /// read failed.
   [[nodiscard]] Actions
   onList(const std::optional<std::vector<ListedInstance>> &List);
-  /// The version in force here has changed; the others learn it at once.
+  /// Records the configuration version in force here. Announces a higher one at
+  /// the next tick.
   void setConfig(ConfigVersion Version);
-  /// Begins a planned stop: homes nothing from now on.
+  /// Begins a planned stop. From now on this entry is not a home.
   [[nodiscard]] Actions leave();
-  /// Ends a planned stop: all has been handed over.
-  [[nodiscard]] Actions farewell();
+  /// Completes a planned stop after the handoff and sends the leave notice.
+  [[nodiscard]] Actions completeLeave();
 
   [[nodiscard]] EntryState state() const noexcept { return Lifecycle_.state(); }
-  /// Whether this entry may act as a home now: it is live and its last
-  /// heartbeat is no older than its lease.
+  /// Returns true if this entry may act as a home now: it is live and its last
+  /// heartbeat is not older than its lease.
   [[nodiscard]] bool leaseValid() const;
   [[nodiscard]] const ViewPtr &view() const noexcept { return View_; }
   [[nodiscard]] Incarnation incarnation() const noexcept { return Run_; }
-  /// Where to reach a member; nothing when it takes no part.
+  /// Returns the address of a peer, or nothing if it is unknown or gone.
   [[nodiscard]] std::optional<Ipv4> address(const EntryName &Name) const;
-  /// The addresses of all members but this one.
-  [[nodiscard]] std::vector<Ipv4> others() const;
-  /// Whether the domain is so large that news spread from member to member.
+  /// Returns the addresses of all members except this one.
+  [[nodiscard]] std::vector<Ipv4> otherAddresses() const;
+  /// Returns true if the failure domain is so large that updates spread by
+  /// gossip instead of directly.
   [[nodiscard]] bool large() const;
-  /// Members that the list does not name, and listed live instances that are
-  /// no members.
+  /// Returns the number of members that the platform's list does not contain,
+  /// plus the number of listed live instances that are not members.
   [[nodiscard]] std::size_t listDisagreements() const;
 
 private:
-  void checkLease(Actions &Out);
-  void restart(Incarnation Run, Actions &Out);
-  void advanceLifecycle(Actions &Out);
-  void beat(Actions &Out);
-  void contact(Actions &Out);
-  void judge(Actions &Out);
-  void flushUrgent(Actions &Out);
-  void readList(Actions &Out);
-  void publish(Actions &Out);
-
-  void receive(const wire::Incoming &From, const wire::Heartbeat &Each,
-               Actions &Out);
-  void receive(const wire::Incoming &From, const wire::Farewell &Each,
-               Actions &Out);
-  void receive(const wire::Incoming &From, const wire::TableRequest &Each,
-               Actions &Out);
-  void receive(const wire::Incoming &From, const wire::MemberTable &Each,
-               Actions &Out);
+  void checkLease(Actions &NewActions);
+  void changeIncarnation(Incarnation Run, Actions &NewActions);
+  void advanceLifecycle(Actions &NewActions);
+  void sendHeartbeat(Actions &NewActions);
+  void contactInactive(Actions &NewActions);
+  void detectFailures(Actions &NewActions);
+  void sendUrgentUpdates(Actions &NewActions);
+  void readList(Actions &NewActions);
+  void publish(Actions &NewActions);
+
+  void receive(const wire::Incoming &Received, const wire::Heartbeat &Message,
+               Actions &NewActions);
+  void receive(const wire::Incoming &Received, const wire::LeaveNotice &Message,
+               Actions &NewActions);
+  void receive(const wire::Incoming &Received,
+               const wire::TableRequest &Message, Actions &NewActions);
+  void receive(const wire::Incoming &Received, const wire::MemberTable &Message,
+               Actions &NewActions);
   void receive(const wire::Incoming &, const wire::FlowUpdate &, Actions &) {}
   void receive(const wire::Incoming &, const wire::ConfigNotice &, Actions &) {}
 
-  void learn(const wire::MemberNews &Fact, Actions &Out);
-  void learnOfSelf(const wire::MemberNews &Fact, Actions &Out);
-  void compareViews(const Peer &From, ViewId Theirs, Actions &Out);
-  void requestTable(Actions &Out);
+  void applyUpdate(const wire::MemberUpdate &Update, Actions &NewActions);
+  void applyUpdateAboutSelf(const wire::MemberUpdate &Update,
+                            Actions &NewActions);
+  void compareViews(const Peer &Sender, ViewId SenderView, Actions &NewActions);
+  void requestTable(Actions &NewActions);
   void changePhase(wire::Phase Next);
-  void membersChanged();
+  void markMembersChanged();
 
   [[nodiscard]] wire::Heartbeat heartbeat(std::size_t Messages);
-  [[nodiscard]] wire::MemberNews ownNews() const;
+  [[nodiscard]] wire::MemberUpdate ownUpdate() const;
   [[nodiscard]] std::vector<EntryName> activeNames() const;
   [[nodiscard]] std::vector<Ipv4>
   addresses(const std::vector<EntryName> &Names) const;
   [[nodiscard]] bool watchesList() const;
-  void rewatch();
+  void updateWatchedPeers();
 
   EntryName Self_;
   Ipv4 Address_;
@@ -126,15 +132,15 @@
 
   wire::Phase Phase_ = wire::Phase::Joining;
   std::uint32_t Generation_ = 0;
-  TimePoint LastBeat_;
-  TimePoint NextBeat_;
-  TimePoint JoinedAt_;
+  TimePoint LastHeartbeat_;
+  TimePoint NextHeartbeat_;
+  TimePoint JoiningSince_;
   TimePoint NextTableRequest_;
-  TimePoint ViewChanged_;
+  TimePoint ViewChangedAt_;
   Nanos TableBackoff_{0};
-  bool HasTable_ = false;
-  bool Urgent_ = false;
-  bool Changed_ = true;
+  bool HasMemberTable_ = false;
+  bool UrgentPending_ = false;
+  bool MembersChanged_ = true;
   bool WatchesList_ = true;
 };
 
--- a/src/medlarmoor/membership/mesh_receive.cpp
+++ b/src/medlarmoor/membership/mesh_receive.cpp
@@ -9,129 +9,140 @@
 
 using wire::Phase;
 
-/// While two views differ the table is asked for in steps of this to that.
-constexpr Nanos FirstTableBackoff = Seconds(2);
-constexpr Nanos LongestTableBackoff = Seconds(60);
+/// Minimum and maximum interval between two table requests while two views
+/// differ. The interval doubles with each request.
+constexpr Nanos MinTableBackoff = Seconds(2);
+constexpr Nanos MaxTableBackoff = Seconds(60);
 
 } // namespace
 
-void Mesh::receive(const wire::Incoming &From, const wire::Heartbeat &Each,
-                   Actions &Out) {
-  learn({From.From_, Each.Address_, From.Incarnation_, Each.Generation_,
-         Each.Phase_},
-        Out);
-  Peer *Sender = Peers_.find(From.From_);
+void Mesh::receive(const wire::Incoming &Received,
+                   const wire::Heartbeat &Message, Actions &NewActions) {
+  applyUpdate({Received.From_, Message.Address_, Received.Incarnation_,
+               Message.Generation_, Message.Phase_},
+              NewActions);
+  Peer *Sender = Peers_.find(Received.From_);
   if (!Sender)
     return;
-  if (Sender->Run_ != From.Incarnation_) {
-    std::ranges::move(onStaleRun(From.From_), std::back_inserter(Out));
+  if (Sender->Run_ != Received.Incarnation_) {
+    std::ranges::move(onStaleRun(Received.From_),
+                      std::back_inserter(NewActions));
     return;
   }
-  const bool Accused = Sender->Suspected_ || !Sender->active();
-  if (Accused) {
-    // It lives but may not know what is said of it, which it has to refute.
-    wire::Heartbeat Answer = heartbeat(0);
-    Answer.News_ = {Sender->news()};
-    Out.emplace_back(Send{{Each.Address_}, std::move(Answer)});
+  const bool ReportedDead = Sender->SuspectedSince_ || !Sender->active();
+  if (ReportedDead) {
+    // The sender is alive but may not know that others suspect it or consider
+    // it gone. It has to learn this in order to refute it.
+    wire::Heartbeat Reply = heartbeat(0);
+    Reply.Updates_ = {Sender->toUpdate()};
+    NewActions.emplace_back(Send{{Message.Address_}, std::move(Reply)});
   }
   if (Sender->active())
-    Peers_.heard(*Sender, Time_.now());
-  for (const wire::MemberNews &Fact : Each.News_)
-    learn(Fact, Out);
-  if (Each.Phase_ == Phase::Live)
-    compareViews(*Sender, Each.View_, Out);
+    Peers_.markHeard(*Sender, Time_.now());
+  for (const wire::MemberUpdate &Update : Message.Updates_)
+    applyUpdate(Update, NewActions);
+  if (Message.Phase_ == Phase::Live)
+    compareViews(*Sender, Message.View_, NewActions);
 }
 
-void Mesh::receive(const wire::Incoming &From, const wire::Farewell &,
-                   Actions &Out) {
-  const Peer *Sender = Peers_.find(From.From_);
-  if (!Sender || Sender->Run_ != From.Incarnation_)
+void Mesh::receive(const wire::Incoming &Received, const wire::LeaveNotice &,
+                   Actions &NewActions) {
+  const Peer *Sender = Peers_.find(Received.From_);
+  if (!Sender || Sender->Run_ != Received.Incarnation_)
     return;
-  wire::MemberNews Fact = Sender->news();
-  Fact.Phase_ = Phase::Gone;
-  learn(Fact, Out);
+  wire::MemberUpdate Update = Sender->toUpdate();
+  Update.Phase_ = Phase::Gone;
+  applyUpdate(Update, NewActions);
 }
 
-void Mesh::receive(const wire::Incoming &From, const wire::TableRequest &,
-                   Actions &Out) {
-  const Peer *Sender = Peers_.find(From.From_);
+void Mesh::receive(const wire::Incoming &Received, const wire::TableRequest &,
+                   Actions &NewActions) {
+  const Peer *Sender = Peers_.find(Received.From_);
   if (!Sender || !Sender->active())
     return;
-  std::vector<wire::MemberNews> All{ownNews()};
-  for (const auto &[Name, Each] : Peers_.peers())
-    if (Each.active())
-      All.push_back(Each.news());
-  for (std::size_t At = 0; At < All.size(); At += wire::MaxNews) {
-    const std::size_t End = std::min(All.size(), At + wire::MaxNews);
-    Out.emplace_back(Send{
-        {Sender->Address_},
-        wire::MemberTable{{All.begin() + static_cast<std::ptrdiff_t>(At),
-                           All.begin() + static_cast<std::ptrdiff_t>(End)}}});
+  std::vector<wire::MemberUpdate> Updates{ownUpdate()};
+  for (const auto &[Name, Known] : Peers_.peers())
+    if (Known.active())
+      Updates.push_back(Known.toUpdate());
+  for (std::size_t Begin = 0; Begin < Updates.size();
+       Begin += wire::MaxMemberUpdates) {
+    const std::size_t End =
+        std::min(Updates.size(), Begin + wire::MaxMemberUpdates);
+    NewActions.emplace_back(
+        Send{{Sender->Address_},
+             wire::MemberTable{
+                 {Updates.begin() + static_cast<std::ptrdiff_t>(Begin),
+                  Updates.begin() + static_cast<std::ptrdiff_t>(End)}}});
   }
 }
 
-void Mesh::receive(const wire::Incoming &, const wire::MemberTable &Each,
-                   Actions &Out) {
-  HasTable_ = true;
-  for (const wire::MemberNews &Fact : Each.Members_)
-    learn(Fact, Out);
+void Mesh::receive(const wire::Incoming &, const wire::MemberTable &Message,
+                   Actions &NewActions) {
+  HasMemberTable_ = true;
+  for (const wire::MemberUpdate &Update : Message.Members_)
+    applyUpdate(Update, NewActions);
 }
 
-void Mesh::learn(const wire::MemberNews &Fact, Actions &Out) {
-  if (Fact.Name_ == Self_)
-    return learnOfSelf(Fact, Out);
-  switch (Peers_.apply(Fact, Time_.now())) {
-  case Verdict::New:
+void Mesh::applyUpdate(const wire::MemberUpdate &Update, Actions &NewActions) {
+  if (Update.Name_ == Self_)
+    return applyUpdateAboutSelf(Update, NewActions);
+  switch (Peers_.apply(Update, Time_.now())) {
+  case ApplyResult::New:
     break;
-  case Verdict::Stale:
-  case Verdict::Known:
-  case Verdict::Full:
+  case ApplyResult::Stale:
+  case ApplyResult::Known:
+  case ApplyResult::Full:
     return;
   }
-  Gossip_.add(Fact.Name_, Peers_.active());
-  Urgent_ = true;
-  membersChanged();
+  Gossip_.add(Update.Name_, Peers_.active());
+  UrgentPending_ = true;
+  markMembersChanged();
   if (Lifecycle_.state() == EntryState::Starting && Lifecycle_.contacted())
-    JoinedAt_ = Time_.now();
+    JoiningSince_ = Time_.now();
 }
 
-void Mesh::learnOfSelf(const wire::MemberNews &Fact, Actions &Out) {
-  if (Fact.Incarnation_ < Run_)
+void Mesh::applyUpdateAboutSelf(const wire::MemberUpdate &Update,
+                                Actions &NewActions) {
+  if (Update.Incarnation_ < Run_)
     return;
-  // An earlier run of this name had a clock that was ahead.
-  if (Fact.Incarnation_ > Run_)
-    return restart(Incarnation(Fact.Incarnation_.value() + 1), Out);
-  const bool Accused =
-      Fact.Phase_ == Phase::Suspected || Fact.Phase_ == Phase::Gone;
-  if (!Accused || Fact.Generation_ < Generation_)
+  // An earlier run under this name had a clock that was ahead.
+  if (Update.Incarnation_ > Run_)
+    return changeIncarnation(Incarnation(Update.Incarnation_.value() + 1),
+                             NewActions);
+  const bool ReportedDead =
+      Update.Phase_ == Phase::Suspected || Update.Phase_ == Phase::Gone;
+  if (!ReportedDead || Update.Generation_ < Generation_)
     return;
-  Generation_ = Fact.Generation_ + 1;
-  Urgent_ = true;
+  Generation_ = Update.Generation_ + 1;
+  UrgentPending_ = true;
   Gossip_.add(Self_, Peers_.active());
 }
 
-/// Views that differ for longer than news take to arrive are compared in full.
-void Mesh::compareViews(const Peer &From, ViewId Theirs, Actions &Out) {
-  if (Theirs == View_->id()) {
-    TableBackoff_ = FirstTableBackoff;
+/// Requests the sender's member table if the views differ for longer than
+/// updates need to spread.
+void Mesh::compareViews(const Peer &Sender, ViewId SenderView,
+                        Actions &NewActions) {
+  if (SenderView == View_->id()) {
+    TableBackoff_ = MinTableBackoff;
     return;
   }
   const TimePoint Now = Time_.now();
-  TableBackoff_ = std::max(TableBackoff_, FirstTableBackoff);
-  if (Now - ViewChanged_ < FirstTableBackoff || Now < NextTableRequest_)
+  TableBackoff_ = std::max(TableBackoff_, MinTableBackoff);
+  if (Now - ViewChangedAt_ < MinTableBackoff || Now < NextTableRequest_)
     return;
   NextTableRequest_ = Now + TableBackoff_;
-  TableBackoff_ = std::min(2 * TableBackoff_, LongestTableBackoff);
-  Out.emplace_back(Send{{From.Address_}, wire::TableRequest{}});
+  TableBackoff_ = std::min(2 * TableBackoff_, MaxTableBackoff);
+  NewActions.emplace_back(Send{{Sender.Address_}, wire::TableRequest{}});
 }
 
-void Mesh::requestTable(Actions &Out) {
-  std::vector<Ipv4> Live;
-  for (const auto &[Name, Each] : Peers_.peers())
-    if (Each.counts())
-      Live.push_back(Each.Address_);
+void Mesh::requestTable(Actions &NewActions) {
+  std::vector<Ipv4> Addresses;
+  for (const auto &[Name, Known] : Peers_.peers())
+    if (Known.isMember())
+      Addresses.push_back(Known.Address_);
   NextTableRequest_ = Time_.now() + Timing_.Lease_ / 2;
-  Out.emplace_back(Send{{Live[Source_() % Live.size()]}, wire::TableRequest{}});
+  NewActions.emplace_back(
+      Send{{Addresses[Source_() % Addresses.size()]}, wire::TableRequest{}});
 }
 
 } // namespace medlarmoor::membership
--- a/src/medlarmoor/membership/peer.hpp
+++ b/src/medlarmoor/membership/peer.hpp
@@ -4,40 +4,42 @@
 #include <medlarmoor/core/ids.hpp>
 #include <medlarmoor/core/ipv4.hpp>
 #include <medlarmoor/core/time.hpp>
-#include <medlarmoor/wire/member_news.hpp>
+#include <medlarmoor/wire/member_update.hpp>
 
 #include <cstdint>
 #include <optional>
 
 namespace medlarmoor::membership {
 
-/// What one entry knows of another one of its failure domain.
+/// What an entry knows about another entry of its failure domain.
 struct Peer {
   EntryName Name_;
   Ipv4 Address_;
   Incarnation Run_;
   std::uint32_t Generation_ = 0;
-  /// What the peer last said of itself, or Gone; never Suspected.
+  /// The phase that the peer last reported of itself, or Gone; never Suspected.
   wire::Phase Phase_ = wire::Phase::Joining;
-  /// Since when it is suspected.
-  std::optional<TimePoint> Suspected_;
-  /// When it was last heard, or else when it began to be watched or went.
-  TimePoint Heard_;
-  /// Its heartbeats come here, so that its silence means something.
+  /// When the peer became suspected; nothing if it is not.
+  std::optional<TimePoint> SuspectedSince_;
+  /// When the peer was last heard, began to be watched or became Gone,
+  /// whichever is latest.
+  TimePoint LastHeard_;
+  /// True if the peer sends its heartbeats to this entry, so that its silence
+  /// is a sign of failure.
   bool Watched_ = false;
 
-  /// Takes part: it is neither gone nor unknown.
+  /// Returns true if the peer is not gone.
   [[nodiscard]] bool active() const noexcept {
     return Phase_ != wire::Phase::Gone;
   }
-  /// Counts as a member of the view.
-  [[nodiscard]] bool counts() const noexcept {
+  /// Returns true if the peer belongs in the view.
+  [[nodiscard]] bool isMember() const noexcept {
     return Phase_ == wire::Phase::Live || Phase_ == wire::Phase::Leaving;
   }
-  /// What the others are told.
-  [[nodiscard]] wire::MemberNews news() const {
+  /// Returns the update that is gossiped about the peer.
+  [[nodiscard]] wire::MemberUpdate toUpdate() const {
     return {Name_, Address_, Run_, Generation_,
-            Suspected_ ? wire::Phase::Suspected : Phase_};
+            SuspectedSince_ ? wire::Phase::Suspected : Phase_};
   }
 };
 
--- a/src/medlarmoor/membership/peer_table.cpp
+++ b/src/medlarmoor/membership/peer_table.cpp
@@ -9,9 +9,10 @@
 
 using wire::Phase;
 
-/// Of two facts of one run the greater one counts. A member raises its own
-/// generation with each change of its phase, so only suspicion and death share
-/// a generation with what the member said.
+/// Returns the rank of an update among those of one incarnation; the update
+/// with the higher rank takes precedence. A member increments its generation
+/// with each change of its phase, so only Suspected and Gone can share a
+/// generation with an update that the member itself sent.
 std::tuple<std::uint32_t, unsigned> rank(std::uint32_t Generation,
                                          Phase Phase) noexcept {
   const unsigned Severity = Phase == Phase::Gone        ? 2
@@ -22,105 +23,107 @@
 
 } // namespace
 
-Verdict PeerTable::apply(const wire::MemberNews &Fact, TimePoint Now) {
-  const auto At = Peers_.find(Fact.Name_);
-  if (At == Peers_.end())
-    return insert(Fact, Now);
-  Peer &Each = At->second;
-  if (Fact.Incarnation_ < Each.Run_)
-    return Verdict::Stale;
-  const wire::MemberNews Known = Each.news();
-  if (Fact.Incarnation_ == Each.Run_ &&
-      rank(Fact.Generation_, Fact.Phase_) <=
-          rank(Known.Generation_, Known.Phase_))
-    return Verdict::Known;
-  take(Each, Fact, Now);
-  return Verdict::New;
+ApplyResult PeerTable::apply(const wire::MemberUpdate &Update, TimePoint Now) {
+  const auto Found = Peers_.find(Update.Name_);
+  if (Found == Peers_.end())
+    return insert(Update, Now);
+  Peer &Known = Found->second;
+  if (Update.Incarnation_ < Known.Run_)
+    return ApplyResult::Stale;
+  const wire::MemberUpdate Current = Known.toUpdate();
+  if (Update.Incarnation_ == Known.Run_ &&
+      rank(Update.Generation_, Update.Phase_) <=
+          rank(Current.Generation_, Current.Phase_))
+    return ApplyResult::Known;
+  overwrite(Known, Update, Now);
+  return ApplyResult::New;
 }
 
-Verdict PeerTable::insert(const wire::MemberNews &Fact, TimePoint Now) {
-  if (Fact.Phase_ == Phase::Suspected || Fact.Phase_ == Phase::Gone)
-    return Verdict::Known;
+ApplyResult PeerTable::insert(const wire::MemberUpdate &Update, TimePoint Now) {
+  if (Update.Phase_ == Phase::Suspected || Update.Phase_ == Phase::Gone)
+    return ApplyResult::Known;
   if (Peers_.size() >= Capacity_)
-    return Verdict::Full;
-  Peer &Each = Peers_[Fact.Name_];
-  Each.Name_ = Fact.Name_;
-  take(Each, Fact, Now);
-  return Verdict::New;
+    return ApplyResult::Full;
+  Peer &Added = Peers_[Update.Name_];
+  Added.Name_ = Update.Name_;
+  overwrite(Added, Update, Now);
+  return ApplyResult::New;
 }
 
-void PeerTable::take(Peer &Each, const wire::MemberNews &Fact, TimePoint Now) {
-  if (Fact.Incarnation_ > Each.Run_)
-    Each.Phase_ = Phase::Joining;
-  Each.Run_ = Fact.Incarnation_;
-  Each.Generation_ = Fact.Generation_;
-  Each.Address_ = Fact.Address_;
-  if (Fact.Phase_ == Phase::Suspected) {
-    Each.Suspected_ = Now;
+void PeerTable::overwrite(Peer &Known, const wire::MemberUpdate &Update,
+                          TimePoint Now) {
+  if (Update.Incarnation_ > Known.Run_)
+    Known.Phase_ = Phase::Joining;
+  Known.Run_ = Update.Incarnation_;
+  Known.Generation_ = Update.Generation_;
+  Known.Address_ = Update.Address_;
+  if (Update.Phase_ == Phase::Suspected) {
+    Known.SuspectedSince_ = Now;
     return;
   }
-  Each.Phase_ = Fact.Phase_;
-  Each.Suspected_.reset();
-  Each.Heard_ = Now;
+  Known.Phase_ = Update.Phase_;
+  Known.SuspectedSince_.reset();
+  Known.LastHeard_ = Now;
 }
 
-void PeerTable::heard(Peer &Each, TimePoint Now) noexcept {
-  Each.Heard_ = Now;
-  Each.Suspected_.reset();
+void PeerTable::markHeard(Peer &Sender, TimePoint Now) noexcept {
+  Sender.LastHeard_ = Now;
+  Sender.SuspectedSince_.reset();
 }
 
 Peer *PeerTable::find(const EntryName &Name) noexcept {
-  const auto At = Peers_.find(Name);
-  return At == Peers_.end() ? nullptr : &At->second;
+  const auto Found = Peers_.find(Name);
+  return Found == Peers_.end() ? nullptr : &Found->second;
 }
 
 const Peer *PeerTable::find(const EntryName &Name) const noexcept {
-  const auto At = Peers_.find(Name);
-  return At == Peers_.end() ? nullptr : &At->second;
+  const auto Found = Peers_.find(Name);
+  return Found == Peers_.end() ? nullptr : &Found->second;
 }
 
 std::vector<Peer *> PeerTable::suspectSilent(TimePoint Now, Nanos Silence) {
-  std::vector<Peer *> Out;
-  for (auto &[Name, Each] : Peers_) {
-    if (!Each.active() || !Each.Watched_ || Each.Suspected_ ||
-        Now - Each.Heard_ < Silence)
+  std::vector<Peer *> Suspects;
+  for (auto &[Name, Candidate] : Peers_) {
+    if (!Candidate.active() || !Candidate.Watched_ ||
+        Candidate.SuspectedSince_ || Now - Candidate.LastHeard_ < Silence)
       continue;
-    Each.Suspected_ = Now;
-    Out.push_back(&Each);
+    Candidate.SuspectedSince_ = Now;
+    Suspects.push_back(&Candidate);
   }
-  return Out;
+  return Suspects;
 }
 
 std::vector<Peer *> PeerTable::expireSuspected(TimePoint Now, Nanos Period) {
-  std::vector<Peer *> Out;
-  for (auto &[Name, Each] : Peers_) {
-    if (!Each.active() || !Each.Suspected_ ||
-        Now - std::max(*Each.Suspected_, Each.Heard_) < Period)
+  std::vector<Peer *> Expired;
+  for (auto &[Name, Candidate] : Peers_) {
+    if (!Candidate.active() || !Candidate.SuspectedSince_ ||
+        Now - std::max(*Candidate.SuspectedSince_, Candidate.LastHeard_) <
+            Period)
       continue;
-    Each.Phase_ = Phase::Gone;
-    Each.Suspected_.reset();
-    Each.Heard_ = Now;
-    Out.push_back(&Each);
+    Candidate.Phase_ = Phase::Gone;
+    Candidate.SuspectedSince_.reset();
+    Candidate.LastHeard_ = Now;
+    Expired.push_back(&Candidate);
   }
-  return Out;
+  return Expired;
 }
 
 void PeerTable::forgetGone(TimePoint Now) {
-  std::erase_if(Peers_, [&](const auto &Pair) {
-    const Peer &Each = Pair.second;
-    return !Each.active() && Now - Each.Heard_ >= Remembered_;
+  std::erase_if(Peers_, [&](const auto &Entry) {
+    const Peer &Candidate = Entry.second;
+    return !Candidate.active() && Now - Candidate.LastHeard_ >= GoneRetention_;
   });
 }
 
-void PeerTable::forgive(TimePoint Now) noexcept {
-  for (auto &[Name, Each] : Peers_)
-    heard(Each, Now);
+void PeerTable::markAllHeard(TimePoint Now) noexcept {
+  for (auto &[Name, Candidate] : Peers_)
+    markHeard(Candidate, Now);
 }
 
 std::size_t PeerTable::active() const noexcept {
   return static_cast<std::size_t>(
       std::count_if(Peers_.begin(), Peers_.end(),
-                    [](const auto &Pair) { return Pair.second.active(); }));
+                    [](const auto &Entry) { return Entry.second.active(); }));
 }
 
 } // namespace medlarmoor::membership
--- a/src/medlarmoor/membership/peer_table.hpp
+++ b/src/medlarmoor/membership/peer_table.hpp
@@ -9,60 +9,63 @@
 
 namespace medlarmoor::membership {
 
-/// What became of a fact that was applied to the table.
-enum class Verdict : unsigned char {
-  /// It was newer than what is known.
+/// The result of applying an update to the peer table.
+enum class ApplyResult : unsigned char {
+  /// The update was newer than the table and was applied.
   New,
-  /// It tells nothing new.
+  /// The update contains nothing new.
   Known,
-  /// It is of an earlier run.
+  /// The update is about an earlier incarnation of the peer.
   Stale,
-  /// The table has no room for a further peer.
+  /// The table has reached its capacity.
   Full,
 };
 
-/// All peers of the failure domain by name, also those that have gone for a
-/// while, so that old facts about them are recognised.
+/// All peers of the failure domain by name. Keeps gone peers for a while, so
+/// that outdated updates about them are recognised.
 class PeerTable {
 public:
-  /// Capacity bounds the peers, gone ones included. A gone peer is forgotten
-  /// after Remembered.
-  PeerTable(std::size_t Capacity, Nanos Remembered)
-      : Capacity_(Capacity), Remembered_(Remembered) {}
+  /// Capacity bounds the number of peers, including gone ones. A gone peer is
+  /// removed after GoneRetention.
+  PeerTable(std::size_t Capacity, Nanos GoneRetention)
+      : Capacity_(Capacity), GoneRetention_(GoneRetention) {}
 
-  /// Takes a fact in if it is newer than what is known.
-  Verdict apply(const wire::MemberNews &Fact, TimePoint Now);
-  /// The peer itself was heard.
-  void heard(Peer &Each, TimePoint Now) noexcept;
+  /// Applies Update if it is newer than what the table holds.
+  ApplyResult apply(const wire::MemberUpdate &Update, TimePoint Now);
+  /// Records that Sender itself was heard, which clears a suspicion.
+  void markHeard(Peer &Sender, TimePoint Now) noexcept;
 
+  /// Returns the peer of that name, or null.
   [[nodiscard]] Peer *find(const EntryName &Name) noexcept;
   [[nodiscard]] const Peer *find(const EntryName &Name) const noexcept;
 
-  /// Marks the watched peers that were silent for Silence as suspected and
-  /// returns them.
+  /// Marks the watched peers that have been silent for at least Silence as
+  /// suspected and returns them.
   [[nodiscard]] std::vector<Peer *> suspectSilent(TimePoint Now, Nanos Silence);
-  /// Marks those as gone that were suspected and not heard for Period, and
-  /// returns them.
+  /// Marks the peers as gone that have been suspected and not heard for at
+  /// least Period, and returns them.
   [[nodiscard]] std::vector<Peer *> expireSuspected(TimePoint Now,
                                                     Nanos Period);
-  /// Forgets peers that went long ago.
+  /// Removes the peers that have been gone for the retention period.
   void forgetGone(TimePoint Now);
-  /// Gives every peer a fresh lease, after this process did not run.
-  void forgive(TimePoint Now) noexcept;
+  /// Marks every peer as just heard, because nothing could be received while
+  /// this process did not run.
+  void markAllHeard(TimePoint Now) noexcept;
 
   [[nodiscard]] std::map<EntryName, Peer> &peers() noexcept { return Peers_; }
   [[nodiscard]] const std::map<EntryName, Peer> &peers() const noexcept {
     return Peers_;
   }
-  /// Peers that take part.
+  /// Returns the number of peers that are not gone.
   [[nodiscard]] std::size_t active() const noexcept;
 
 private:
-  Verdict insert(const wire::MemberNews &Fact, TimePoint Now);
-  static void take(Peer &Each, const wire::MemberNews &Fact, TimePoint Now);
+  ApplyResult insert(const wire::MemberUpdate &Update, TimePoint Now);
+  static void overwrite(Peer &Known, const wire::MemberUpdate &Update,
+                        TimePoint Now);
 
   std::size_t Capacity_;
-  Nanos Remembered_;
+  Nanos GoneRetention_;
   std::map<EntryName, Peer> Peers_;
 };
 
--- a/src/medlarmoor/membership/targets.cpp
+++ b/src/medlarmoor/membership/targets.cpp
@@ -6,9 +6,9 @@
 
 namespace {
 
-/// Where Self would stand among Peers.
-std::size_t placeOf(const std::vector<EntryName> &Peers,
-                    const EntryName &Self) {
+/// Returns the index at which Self would be inserted into the sorted Peers.
+std::size_t insertionIndex(const std::vector<EntryName> &Peers,
+                           const EntryName &Self) {
   return static_cast<std::size_t>(
       std::lower_bound(Peers.begin(), Peers.end(), Self) - Peers.begin());
 }
@@ -19,34 +19,38 @@
                                   const EntryName &Self) {
   if (Peers.size() <= FullMeshPeers)
     return Peers;
-  const std::size_t Place = placeOf(Peers, Self);
-  std::vector<EntryName> Out;
-  for (std::size_t I = 0; I < RingWatchers; ++I)
-    Out.push_back(Peers[(Place + I) % Peers.size()]);
-  return Out;
+  const std::size_t Index = insertionIndex(Peers, Self);
+  std::vector<EntryName> Watchers;
+  for (std::size_t I = 0; I < WatchersPerEntry; ++I)
+    Watchers.push_back(Peers[(Index + I) % Peers.size()]);
+  return Watchers;
 }
 
 std::vector<EntryName> predecessors(const std::vector<EntryName> &Peers,
                                     const EntryName &Self) {
   if (Peers.size() <= FullMeshPeers)
     return Peers;
-  const std::size_t Place = placeOf(Peers, Self) + Peers.size();
-  std::vector<EntryName> Out;
-  for (std::size_t I = 1; I <= RingWatchers; ++I)
-    Out.push_back(Peers[(Place - I) % Peers.size()]);
-  return Out;
+  const std::size_t Index = insertionIndex(Peers, Self) + Peers.size();
+  std::vector<EntryName> Watched;
+  for (std::size_t I = 1; I <= WatchersPerEntry; ++I)
+    Watched.push_back(Peers[(Index - I) % Peers.size()]);
+  return Watched;
 }
 
-void addRandom(std::vector<EntryName> &Out, const std::vector<EntryName> &Peers,
-               std::size_t Count, Random &Source) {
+void addRandom(std::vector<EntryName> &Targets,
+               const std::vector<EntryName> &Peers, std::size_t Count,
+               Random &Source) {
   if (Peers.empty())
     return;
-  const std::size_t Goal = std::min(Out.size() + Count, Peers.size());
-  // A few draws more than needed, since some hit one that is there already.
-  for (std::size_t Draws = 4 * Count; Out.size() < Goal && Draws > 0; --Draws) {
+  const std::size_t TargetCount =
+      std::min(Targets.size() + Count, Peers.size());
+  // Allows more draws than needed, because some draw a peer that Targets
+  // already contains.
+  for (std::size_t DrawsLeft = 4 * Count;
+       Targets.size() < TargetCount && DrawsLeft > 0; --DrawsLeft) {
     const EntryName &Drawn = Peers[Source() % Peers.size()];
-    if (std::find(Out.begin(), Out.end(), Drawn) == Out.end())
-      Out.push_back(Drawn);
+    if (std::find(Targets.begin(), Targets.end(), Drawn) == Targets.end())
+      Targets.push_back(Drawn);
   }
 }
 
--- a/src/medlarmoor/membership/targets.hpp
+++ b/src/medlarmoor/membership/targets.hpp
@@ -9,27 +9,34 @@
 
 namespace medlarmoor::membership {
 
-/// Up to this many peers an entry sends its heartbeats to all of them.
+/// The maximum number of peers at which each entry sends its heartbeats to all
+/// of them. A failure domain with more peers is a large one.
 inline constexpr std::size_t FullMeshPeers = 8;
-/// In a larger failure domain: the successors that watch an entry.
-inline constexpr std::size_t RingWatchers = 2;
-/// In a larger failure domain: further peers, drawn anew for each heartbeat.
+/// The number of successors that watch an entry in a large failure domain.
+inline constexpr std::size_t WatchersPerEntry = 2;
+/// The number of further peers that receive a heartbeat in a large failure
+/// domain; they are drawn at random for each heartbeat.
 inline constexpr std::size_t RandomTargets = 2;
-/// In a larger failure domain: peers to whom urgent news go at once.
+/// The number of peers to which an urgent update is sent immediately in a large
+/// failure domain.
 inline constexpr std::size_t UrgentTargets = 3;
 
-/// Those of Peers (sorted, without Self) to whom the heartbeats of Self go: all
-/// of a small domain, else its successors on the ring of names.
+/// Returns the peers to which Self sends its heartbeats: all Peers in a small
+/// failure domain, otherwise the successors of Self on the ring of names. Peers
+/// must be sorted and must not contain Self.
 [[nodiscard]] std::vector<EntryName>
 successors(const std::vector<EntryName> &Peers, const EntryName &Self);
 
-/// Those of Peers whose heartbeats come to Self, the reverse of successors().
+/// Returns the peers that send their heartbeats to Self, the inverse of
+/// successors(). The same preconditions apply to Peers.
 [[nodiscard]] std::vector<EntryName>
 predecessors(const std::vector<EntryName> &Peers, const EntryName &Self);
 
-/// Appends up to Count of Peers, drawn at random, that Out does not yet hold.
-void addRandom(std::vector<EntryName> &Out, const std::vector<EntryName> &Peers,
-               std::size_t Count, Random &Source);
+/// Appends up to Count of Peers, drawn at random, that Targets does not yet
+/// contain.
+void addRandom(std::vector<EntryName> &Targets,
+               const std::vector<EntryName> &Peers, std::size_t Count,
+               Random &Source);
 
 } // namespace medlarmoor::membership
 
--- a/src/medlarmoor/membership/view.cpp
+++ b/src/medlarmoor/membership/view.cpp
@@ -10,21 +10,23 @@
   std::sort(Members_.begin(), Members_.end(),
             [](const Member &A, const Member &B) { return A.Name_ < B.Name_; });
   std::uint64_t Id = 0;
-  for (const Member &Each : Members_) {
-    const std::uint64_t Seed = hashText(Each.Name_.value());
+  for (const Member &Listed : Members_) {
+    const std::uint64_t Seed = hashText(Listed.Name_.value());
     Seeds_.push_back(Seed);
-    Id = mix(Id, Seed + static_cast<std::uint64_t>(Each.State_));
+    Id = mix(Id, Seed + static_cast<std::uint64_t>(Listed.State_));
   }
   Id_ = ViewId(Id);
 }
 
 const Member *View::find(const EntryName &Name) const noexcept {
-  const auto At = std::lower_bound(
-      Members_.begin(), Members_.end(), Name,
-      [](const Member &Each, const EntryName &N) { return Each.Name_ < N; });
-  if (At == Members_.end() || At->Name_ != Name)
+  const auto Found =
+      std::lower_bound(Members_.begin(), Members_.end(), Name,
+                       [](const Member &Listed, const EntryName &Wanted) {
+                         return Listed.Name_ < Wanted;
+                       });
+  if (Found == Members_.end() || Found->Name_ != Name)
     return nullptr;
-  return &*At;
+  return &*Found;
 }
 
 const Member *View::home(std::uint64_t Key) const noexcept {
@@ -32,34 +34,35 @@
 }
 
 const Member *View::homeWithout(std::uint64_t Key,
-                                const EntryName &Without) const noexcept {
-  const Member *Best = nullptr;
-  std::uint64_t BestScore = 0;
+                                const EntryName &Excluded) const noexcept {
+  const Member *Home = nullptr;
+  std::uint64_t HomeScore = 0;
   for (std::size_t I = 0; I < Members_.size(); ++I) {
-    if (Members_[I].State_ != MemberState::Live || Members_[I].Name_ == Without)
+    if (Members_[I].State_ != MemberState::Live ||
+        Members_[I].Name_ == Excluded)
       continue;
     const std::uint64_t Score = mix(Seeds_[I], Key);
-    if (Best && Score <= BestScore)
+    if (Home && Score <= HomeScore)
       continue;
-    Best = &Members_[I];
-    BestScore = Score;
+    Home = &Members_[I];
+    HomeScore = Score;
   }
-  return Best;
+  return Home;
 }
 
-std::vector<const Member *> View::line(std::uint64_t Key) const {
-  std::vector<std::pair<std::uint64_t, const Member *>> Scores;
+std::vector<const Member *> View::homeCandidates(std::uint64_t Key) const {
+  std::vector<std::pair<std::uint64_t, const Member *>> Scored;
   for (std::size_t I = 0; I < Members_.size(); ++I)
     if (Members_[I].State_ == MemberState::Live)
-      Scores.emplace_back(mix(Seeds_[I], Key), &Members_[I]);
+      Scored.emplace_back(mix(Seeds_[I], Key), &Members_[I]);
   std::stable_sort(
-      Scores.begin(), Scores.end(),
+      Scored.begin(), Scored.end(),
       [](const auto &A, const auto &B) { return A.first > B.first; });
-  std::vector<const Member *> Out;
-  Out.reserve(Scores.size());
-  for (const auto &[Score, Each] : Scores)
-    Out.push_back(Each);
-  return Out;
+  std::vector<const Member *> Candidates;
+  Candidates.reserve(Scored.size());
+  for (const auto &[Score, Candidate] : Scored)
+    Candidates.push_back(Candidate);
+  return Candidates;
 }
 
 } // namespace medlarmoor::membership
--- a/src/medlarmoor/membership/view.hpp
+++ b/src/medlarmoor/membership/view.hpp
@@ -11,33 +11,35 @@
 
 namespace medlarmoor::membership {
 
-/// The members of one failure domain as one entry sees them at one moment.
-/// Immutable; equal members give an equal id in every process.
+/// The members of one failure domain as one entry sees them at one time.
+/// Immutable. Views with equal members have the same id in every process.
 class View {
 public:
   View() = default;
-  /// Takes the members in any order. Self need not be among them: an entry
-  /// whose own lease has lapsed is nobody's home.
+  /// Members may have any order. Self need not be among them, because an entry
+  /// whose own lease has lapsed is not a home.
   View(EntryName Self, std::vector<Member> Members);
 
   [[nodiscard]] ViewId id() const noexcept { return Id_; }
   [[nodiscard]] const EntryName &self() const noexcept { return Self_; }
-  /// All members, sorted by name.
+  /// Returns all members, sorted by name.
   [[nodiscard]] std::span<const Member> members() const noexcept {
     return Members_;
   }
-  /// The member of that name, or null.
+  /// Returns the member of that name, or null.
   [[nodiscard]] const Member *find(const EntryName &Name) const noexcept;
 
-  /// The home of Key by rendezvous hashing over the live members, or null
-  /// when there is none.
+  /// Returns the home of Key by rendezvous hashing over the live members, or
+  /// null if there is no live member.
   [[nodiscard]] const Member *home(std::uint64_t Key) const noexcept;
-  /// The live member that would be home of Key if Without were gone, or null.
+  /// Returns the live member that would be the home of Key if Excluded were
+  /// gone, or null.
   [[nodiscard]] const Member *
-  homeWithout(std::uint64_t Key, const EntryName &Without) const noexcept;
-  /// The live members in the order in which they would become home of Key;
-  /// the home itself is the first.
-  [[nodiscard]] std::vector<const Member *> line(std::uint64_t Key) const;
+  homeWithout(std::uint64_t Key, const EntryName &Excluded) const noexcept;
+  /// Returns the live members in the order in which they would become the home
+  /// of Key. The current home is the first.
+  [[nodiscard]] std::vector<const Member *>
+  homeCandidates(std::uint64_t Key) const;
 
 private:
   EntryName Self_;
--- a/src/medlarmoor/objects/collection_codec.hpp
+++ b/src/medlarmoor/objects/collection_codec.hpp
@@ -11,14 +11,17 @@
 
 namespace medlarmoor::objects {
 
-/// How one collection of an object store is spoken on the wire.
+/// Encodes the requests for one collection of an object store and decodes the
+/// responses.
 template <typename Item> struct CollectionCodec {
-  /// The target of a GET that lists objects behind a name; all when empty.
+  /// Returns the target of a GET that lists the objects after a name; all
+  /// objects if After is empty.
   std::function<std::string(const std::string &After)> ListTarget_;
-  /// The target of a GET that waits for changes after a revision.
+  /// Returns the target of a GET that waits for changes after Revision, up to
+  /// Wait.
   std::function<std::string(std::uint64_t Revision, Millis Wait)> WatchTarget_;
-  /// Reads the body of a list's or a watch's answer; nothing, with a reason,
-  /// when it is none.
+  /// Decodes the body of the response to a list or a watch. Returns no value
+  /// and sets Reason if the body is invalid.
   std::function<std::optional<Page<Item>>(const std::string &Body,
                                           std::string &Reason)>
       Read_;
--- a/src/medlarmoor/objects/collection_reader.hpp
+++ b/src/medlarmoor/objects/collection_reader.hpp
@@ -22,31 +22,33 @@
 
 namespace medlarmoor::objects {
 
-/// Follows one collection of the store: makes the calls that its Follower asks
-/// for and passes on what they give.
+/// Keeps one collection of the store current: makes the calls that its Follower
+/// requests and passes their results to the handlers.
 template <typename Item> class CollectionReader {
 public:
   using Items = std::vector<StoredItem<Item>>;
 
-  /// Receives what was read, on the io_context's thread.
+  /// Called on the io_context's thread.
   struct Handlers {
-    /// A whole list.
-    std::function<void(Items)> Listed_;
-    /// Changes since the last call.
-    std::function<void(Items)> Changed_;
-    /// The store answers again after an outage; called before what it gave.
-    std::function<void()> Returned_;
+    /// Receives a complete list.
+    std::function<void(Items)> OnListed_;
+    /// Receives the changes since the previous list or changes.
+    std::function<void(Items)> OnChanged_;
+    /// Called when the store answers again after an outage, before the handler
+    /// that receives its answer.
+    std::function<void()> OnStoreRecovered_;
   };
 
-  /// Name is what logs and metrics call the collection.
+  /// Name identifies the collection in logs and metrics. Source is the local
+  /// address of connections.
   CollectionReader(std::string Name, boost::asio::io_context &Io,
                    Endpoint Store, Ipv4 Source, CollectionCodec<Item> Codec,
                    FollowerTiming Timing, Random Generator, Clock Time,
-                   Handlers Receivers, telemetry::Registry &Metrics,
+                   Handlers Callbacks, telemetry::Registry &Metrics,
                    telemetry::EventLog &Log)
       : Name_(std::move(Name)), Http_(Io, Source), Store_(Store),
         Codec_(std::move(Codec)), Timing_(Timing), Follower_(Timing, Generator),
-        Time_(Time), Receivers_(std::move(Receivers)), Timer_(Io),
+        Time_(Time), Handlers_(std::move(Callbacks)), Timer_(Io),
         Calls_(Metrics.counter("medlarmoor_store_calls_total",
                                "collection=\"" + Name_ + "\"")),
         Failures_(Metrics.counter("medlarmoor_store_failures_total",
@@ -55,13 +57,15 @@
                                  "collection=\"" + Name_ + "\"")),
         Log_(Log) {}
 
-  /// Begins to follow.
+  /// Begins to follow the collection.
   void start() { step(); }
-  /// Looks again whether a call is due, when a pause may have ended early.
+  /// Ends the current pause, if any, and checks whether a call is due. To be
+  /// called when a reason for the pause may have ended early.
   void wake() { Timer_.cancel(); }
 
   [[nodiscard]] const Follower &follower() const noexcept { return Follower_; }
-  /// For what peers pass on.
+  /// Returns the follower in order to record revisions that peers announce or
+  /// send.
   [[nodiscard]] Follower &follower() noexcept { return Follower_; }
 
 private:
@@ -74,31 +78,31 @@
                      send(Codec_.WatchTarget_(Call.Revision_, Call.Wait_),
                           Call.Wait_, false);
                    },
-                   [this](const Pause &Call) { pause(Call.Until_); }},
+                   [this](const Pause &Step) { pause(Step.Until_); }},
         Follower_.next(Time_.now()));
   }
 
   void pause(TimePoint Until) {
     Timer_.expires_after(std::max(Nanos(0), Until - Time_.now()));
-    // A pause that was cancelled is over, too.
+    // A cancelled timer also ends the pause.
     Timer_.async_wait([this](boost::system::error_code) { step(); });
   }
 
-  void send(std::string Target, Millis Wait, bool List) {
+  void send(std::string Target, Millis Wait, bool IsList) {
     Calls_.add();
     net::HttpRequest Request;
     Request.Target_ = std::move(Target);
-    Http_.send(Store_, std::move(Request), Wait + Timing_.CallTimeout_,
-               [this, List,
-                Sent = Time_.now()](std::optional<net::HttpResponse> Answer,
-                                    std::string Reason) {
-                 receive(std::move(Answer), std::move(Reason), List, Sent);
-                 step();
-               });
+    Http_.send(
+        Store_, std::move(Request), Wait + Timing_.CallTimeout_,
+        [this, IsList, Sent = Time_.now()](
+            std::optional<net::HttpResponse> Answer, std::string Reason) {
+          handleAnswer(std::move(Answer), std::move(Reason), IsList, Sent);
+          step();
+        });
   }
 
-  void receive(std::optional<net::HttpResponse> Answer, std::string Reason,
-               bool List, TimePoint Sent) {
+  void handleAnswer(std::optional<net::HttpResponse> Answer, std::string Reason,
+                    bool IsList, TimePoint Sent) {
     constexpr unsigned Ok = 200;
     constexpr unsigned Gone = 410;
     const TimePoint Now = Time_.now();
@@ -106,59 +110,59 @@
     if (Answer && Answer->Status_ == Gone) {
       Log_.info("store_history_lost",
                 {{"collection", Name_}, {"revision", Follower_.revision()}});
-      noteReturn(Now);
-      return Follower_.historyLost(Now);
+      recordRecovery(Now);
+      return Follower_.recordHistoryLoss(Now);
     }
     if (Answer && Answer->Status_ != Ok)
-      Reason = "status " + std::to_string(Answer->Status_);
-    std::optional<Page<Item>> Read;
+      Reason = "HTTP status " + std::to_string(Answer->Status_);
+    std::optional<Page<Item>> Received;
     if (Answer && Answer->Status_ == Ok)
-      Read = Codec_.Read_(Answer->Body_, Reason);
-    if (!Read)
-      return fail(Reason, Now);
-    noteReturn(Now);
-    if (List)
-      takePage(std::move(*Read), Sent, Now);
+      Received = Codec_.Read_(Answer->Body_, Reason);
+    if (!Received)
+      return handleFailure(Reason, Now);
+    recordRecovery(Now);
+    if (IsList)
+      handlePage(std::move(*Received), Sent, Now);
     else
-      takeChanges(std::move(*Read), Now);
+      handleChanges(std::move(*Received), Now);
   }
 
-  void takePage(Page<Item> Read, TimePoint Sent, TimePoint Now) {
-    for (StoredItem<Item> &Each : Read.Items_)
-      Listed_.push_back(std::move(Each));
-    if (Follower_.pageRead(Read.More_, Read.LastName_, Read.Revision_, Sent,
-                           Now))
-      Receivers_.Listed_(std::exchange(Listed_, {}));
-    else if (!Read.More_)
+  void handlePage(Page<Item> Received, TimePoint Sent, TimePoint Now) {
+    for (StoredItem<Item> &Listed : Received.Items_)
+      Listed_.push_back(std::move(Listed));
+    if (Follower_.recordPage(Received.More_, Received.LastName_,
+                             Received.Revision_, Sent, Now))
+      Handlers_.OnListed_(std::exchange(Listed_, {}));
+    else if (!Received.More_)
       Listed_.clear();
   }
 
-  void takeChanges(Page<Item> Read, TimePoint Now) {
-    const bool News =
-        Follower_.changesRead(!Read.Items_.empty(), Read.Revision_, Now);
-    if (News && !Read.Items_.empty())
-      Receivers_.Changed_(latest(std::move(Read.Items_)));
+  void handleChanges(Page<Item> Received, TimePoint Now) {
+    const bool IsNew = Follower_.recordChanges(!Received.Items_.empty(),
+                                               Received.Revision_, Now);
+    if (IsNew && !Received.Items_.empty())
+      Handlers_.OnChanged_(latest(std::move(Received.Items_)));
   }
 
-  void fail(const std::string &Reason, TimePoint Now) {
+  void handleFailure(const std::string &Reason, TimePoint Now) {
     Failures_.add();
     if (!Follower_.failingSince())
       Log_.warn("store_lost", {{"collection", Name_},
                                {"reason", Reason},
                                {"revision", Follower_.revision()}});
-    Follower_.failed(Now);
+    Follower_.recordFailure(Now);
     Listed_.clear();
   }
 
-  void noteReturn(TimePoint Now) {
+  void recordRecovery(TimePoint Now) {
     if (!Follower_.failingSince())
       return;
-    const auto Away =
+    const auto Downtime =
         std::chrono::duration_cast<Millis>(Now - *Follower_.failingSince());
     Log_.info("store_regained",
-              {{"collection", Name_}, {"away_ms", Away.count()}});
-    if (Follower_.storeAway(Now))
-      Receivers_.Returned_();
+              {{"collection", Name_}, {"away_ms", Downtime.count()}});
+    if (Follower_.inOutage(Now))
+      Handlers_.OnStoreRecovered_();
   }
 
   std::string Name_;
@@ -168,7 +172,7 @@
   FollowerTiming Timing_;
   Follower Follower_;
   Clock Time_;
-  Handlers Receivers_;
+  Handlers Handlers_;
   boost::asio::steady_timer Timer_;
   telemetry::Counter &Calls_;
   telemetry::Counter &Failures_;
--- a/src/medlarmoor/objects/follower.cpp
+++ b/src/medlarmoor/objects/follower.cpp
@@ -6,30 +6,32 @@
 
 namespace {
 
-/// Doublings after which the longest backoff is reached in any case.
-constexpr unsigned MostDoublings = 8;
+/// Number of doublings after which the backoff has reached its maximum in any
+/// case.
+constexpr unsigned MaxDoublings = 8;
 
 } // namespace
 
-Follower::Follower(FollowerTiming Timing, Random Source)
-    : Timing_(Timing), Source_(Source) {}
+Follower::Follower(FollowerTiming Timing, Random RandomSource)
+    : Timing_(Timing), Random_(RandomSource) {}
 
 FollowerStep Follower::next(TimePoint Now) const {
   if (const TimePoint Until = std::max(NotBefore_, DeferUntil_); Now < Until)
     return Pause{Until};
   if (ListAfter_)
     return ListCall{*ListAfter_};
-  // Answers are never further apart than the longest wait, whatever pause or
-  // peer's reading came before this call.
+  // Shortens the wait so that answers are never further apart than WatchWait_,
+  // whatever pause or peer's reading preceded this call.
   const Nanos Age = CurrentAsOf_ ? Now - *CurrentAsOf_ : Nanos(0);
   const Millis Wait =
       Timing_.WatchWait_ - std::chrono::duration_cast<Millis>(Age);
   return WatchCall{Revision_, std::max(Wait, Millis(0))};
 }
 
-bool Follower::pageRead(bool More, const std::string &LastName,
-                        std::uint64_t Revision, TimePoint Sent, TimePoint Now) {
-  succeeded();
+bool Follower::recordPage(bool More, const std::string &LastName,
+                          std::uint64_t Revision, TimePoint Sent,
+                          TimePoint Now) {
+  recordSuccess();
   NotBefore_ = Now;
   if (!ListAfter_)
     return false;
@@ -41,75 +43,77 @@
     ListAfter_ = LastName;
     return false;
   }
-  // Changes while the list was read come again with the first watch.
+  // The first watch repeats changes that were made while the list was read.
   Revision_ = *ListRevision_;
-  Changed_ = Revision_;
+  LastChange_ = Revision_;
   CurrentAsOf_ = ListSent_;
   ListAfter_.reset();
   ListRevision_.reset();
   return true;
 }
 
-bool Follower::changesRead(bool Any, std::uint64_t Revision, TimePoint Now) {
-  succeeded();
-  NotBefore_ = Any ? Now + Timing_.Spacing_ : Now;
+bool Follower::recordChanges(bool HasChanges, std::uint64_t Revision,
+                             TimePoint Now) {
+  recordSuccess();
+  NotBefore_ = HasChanges ? Now + Timing_.BatchDelay_ : Now;
   if (Revision < Revision_)
     return false;
   Revision_ = Revision;
-  if (Any)
-    Changed_ = Revision;
+  if (HasChanges)
+    LastChange_ = Revision;
   CurrentAsOf_ = Now;
   return true;
 }
 
-void Follower::adopt(std::uint64_t Upto, std::uint64_t Changed,
+void Follower::adopt(std::uint64_t Revision, std::uint64_t LastChange,
                      TimePoint AsOf) {
-  Revision_ = Upto;
-  Changed_ = Changed;
+  Revision_ = Revision;
+  LastChange_ = LastChange;
   CurrentAsOf_ = AsOf;
   ListAfter_.reset();
   ListRevision_.reset();
 }
 
-void Follower::defer(std::uint64_t Upto, TimePoint AsOf, TimePoint Until) {
-  Revision_ = std::max(Revision_, Upto);
+void Follower::defer(std::uint64_t Revision, TimePoint AsOf, TimePoint Until) {
+  Revision_ = std::max(Revision_, Revision);
   CurrentAsOf_ = std::max(CurrentAsOf_.value_or(AsOf), AsOf);
   DeferUntil_ = Until;
 }
 
-void Follower::historyLost(TimePoint Now) {
-  succeeded();
+void Follower::recordHistoryLoss(TimePoint Now) {
+  recordSuccess();
   ListAfter_ = std::string();
   ListRevision_.reset();
   NotBefore_ = Now;
 }
 
-void Follower::failed(TimePoint Now) {
+void Follower::recordFailure(TimePoint Now) {
   if (!FailingSince_)
     FailingSince_ = Now;
   if (ListAfter_) {
-    // A list that broke off begins again.
+    // An interrupted list starts again from its first page.
     ListAfter_ = std::string();
     ListRevision_.reset();
   }
-  const unsigned Doublings = std::min(Failures_++, MostDoublings);
-  const Millis Longest = std::min(Timing_.LongestBackoff_,
-                                  Timing_.FirstBackoff_ * (1U << Doublings));
-  // Half fixed and half drawn, so that instances do not call in step.
-  std::uniform_int_distribution<std::int64_t> Jitter(Longest.count() / 2,
-                                                     Longest.count());
-  NotBefore_ = Now + Millis(Jitter(Source_));
+  const unsigned Doublings = std::min(Failures_++, MaxDoublings);
+  const Millis Backoff = std::min(Timing_.MaxBackoff_,
+                                  Timing_.InitialBackoff_ * (1U << Doublings));
+  // Half of the backoff is fixed and half is random, so that instances do not
+  // call at the same times.
+  std::uniform_int_distribution<std::int64_t> Jitter(Backoff.count() / 2,
+                                                     Backoff.count());
+  NotBefore_ = Now + Millis(Jitter(Random_));
 }
 
-bool Follower::storeAway(TimePoint Now) const noexcept {
-  // The store may have been away since long before the first call that failed:
-  // a peer may have read until then.
+bool Follower::inOutage(TimePoint Now) const noexcept {
+  // The outage may have begun long before the first failed call, because a peer
+  // may have read the store until then.
   return FailingSince_ && Now - std::min(*FailingSince_, CurrentAsOf_.value_or(
                                                              *FailingSince_)) >=
-                              Timing_.Outage_;
+                              Timing_.OutageThreshold_;
 }
 
-void Follower::succeeded() noexcept {
+void Follower::recordSuccess() noexcept {
   Answered_ = true;
   Failures_ = 0;
   FailingSince_.reset();
--- a/src/medlarmoor/objects/follower.hpp
+++ b/src/medlarmoor/objects/follower.hpp
@@ -10,75 +10,86 @@
 
 namespace medlarmoor::objects {
 
-/// Decides which call keeps a collection current: a whole list first, spaced
-/// watches after it, a list again when the store has dropped its history. One
-/// call is under way at a time.
+/// Decides which call keeps a collection current: first a complete list, then
+/// watches at intervals, and a list again when the store has dropped its
+/// history. At most one call is in flight.
 class Follower {
 public:
-  Follower(FollowerTiming Timing, Random Source);
+  Follower(FollowerTiming Timing, Random RandomSource);
 
-  /// The next call to make, or how long to wait before asking again.
+  /// Returns the next call to make, or until when to wait before calling next()
+  /// again.
   [[nodiscard]] FollowerStep next(TimePoint Now) const;
 
-  /// A list call that was sent at Sent gave a page; LastName is where the next
-  /// page begins when More. Tells whether the list is whole.
-  bool pageRead(bool More, const std::string &LastName, std::uint64_t Revision,
-                TimePoint Sent, TimePoint Now);
-  /// A watch gave its answer. Tells whether its changes are still news: what a
-  /// peer passed on meanwhile may be newer.
-  [[nodiscard]] bool changesRead(bool Any, std::uint64_t Revision,
-                                 TimePoint Now);
-  /// A peer gave the whole collection as it was at revision Upto, of which
-  /// Changed was the last that changed it.
-  void adopt(std::uint64_t Upto, std::uint64_t Changed, TimePoint AsOf);
-  /// A peer that reads the store has found, at AsOf, no change since what is
-  /// known here. No call is made before Until.
-  void defer(std::uint64_t Upto, TimePoint AsOf, TimePoint Until);
-  /// The store has dropped the history after the last revision.
-  void historyLost(TimePoint Now);
-  /// A call gave no usable answer.
-  void failed(TimePoint Now);
+  /// Records a page that a list call sent at Sent returned. If More is true,
+  /// the list continues after LastName. Returns true if this completes the
+  /// list.
+  bool recordPage(bool More, const std::string &LastName,
+                  std::uint64_t Revision, TimePoint Sent, TimePoint Now);
+  /// Records the answer to a watch, up to Revision; HasChanges is true if it
+  /// holds changes. Returns false if the answer is outdated, because a peer has
+  /// sent a newer revision meanwhile.
+  [[nodiscard]] bool recordChanges(bool HasChanges, std::uint64_t Revision,
+                                   TimePoint Now);
+  /// Records that a peer sent the complete collection as of Revision, which was
+  /// known to be current at AsOf. LastChange is the last revision that changed
+  /// the collection.
+  void adopt(std::uint64_t Revision, std::uint64_t LastChange, TimePoint AsOf);
+  /// Records that a peer that reads the store found, at AsOf and up to
+  /// Revision, no change after the revision known here. No call is made before
+  /// Until.
+  void defer(std::uint64_t Revision, TimePoint AsOf, TimePoint Until);
+  /// Records that the store has dropped the history after the last known
+  /// revision.
+  void recordHistoryLoss(TimePoint Now);
+  /// Records that a call returned no usable answer.
+  void recordFailure(TimePoint Now);
 
-  /// Peers cannot replace reading for now.
+  /// Resumes calls because peers cannot replace reading for now.
   void stopDeferring() noexcept { DeferUntil_ = {}; }
 
-  /// The moment at which the collection was last known to be current; nothing
-  /// before the first whole list.
+  /// Returns the time at which the collection was last known to be current; no
+  /// value before the first complete list.
   [[nodiscard]] std::optional<TimePoint> currentAsOf() const noexcept {
     return CurrentAsOf_;
   }
-  /// When calls began to fail; nothing while they succeed.
+  /// Returns the time at which calls began to fail; no value while they
+  /// succeed.
   [[nodiscard]] std::optional<TimePoint> failingSince() const noexcept {
     return FailingSince_;
   }
-  /// True when calls have failed for long enough to call it an outage.
-  [[nodiscard]] bool storeAway(TimePoint Now) const noexcept;
-  /// True when the store answers: a list or watch succeeded and no call failed
-  /// since.
-  [[nodiscard]] bool answered() const noexcept {
+  /// Returns true if calls have failed for so long that it counts as an outage
+  /// of the store.
+  [[nodiscard]] bool inOutage(TimePoint Now) const noexcept;
+  /// Returns true if the store answers: a call was answered, and none has
+  /// failed since.
+  [[nodiscard]] bool storeAnswers() const noexcept {
     return Answered_ && !FailingSince_;
   }
-  /// All changes up to this revision are known.
+  /// Returns the revision up to which all changes are known.
   [[nodiscard]] std::uint64_t revision() const noexcept { return Revision_; }
-  /// The last revision that changed the collection, as far as is known.
-  [[nodiscard]] std::uint64_t changed() const noexcept { return Changed_; }
-  /// True while a peer's reading replaces calls.
+  /// Returns the last revision that changed the collection, as far as known.
+  [[nodiscard]] std::uint64_t lastChange() const noexcept {
+    return LastChange_;
+  }
+  /// Returns true while a peer's reading replaces calls.
   [[nodiscard]] bool deferring(TimePoint Now) const noexcept {
     return Now < DeferUntil_;
   }
 
 private:
-  void succeeded() noexcept;
+  void recordSuccess() noexcept;
 
   FollowerTiming Timing_;
-  Random Source_;
-  /// Where the list under way goes on; nothing while watching.
+  Random Random_;
+  /// Name after which the list in progress continues, empty at its start; no
+  /// value while watching.
   std::optional<std::string> ListAfter_ = std::string();
-  /// Revision of the first page of the list under way.
+  /// Revision of the first page of the list in progress.
   std::optional<std::uint64_t> ListRevision_;
   TimePoint ListSent_{};
   std::uint64_t Revision_ = 0;
-  std::uint64_t Changed_ = 0;
+  std::uint64_t LastChange_ = 0;
   TimePoint NotBefore_{};
   TimePoint DeferUntil_{};
   bool Answered_ = false;
--- a/src/medlarmoor/objects/follower_step.hpp
+++ b/src/medlarmoor/objects/follower_step.hpp
@@ -9,23 +9,24 @@
 
 namespace medlarmoor::objects {
 
-/// List the objects behind a name.
+/// Requests a list of the objects after a name.
 struct ListCall {
+  /// Empty to list from the first object.
   std::string After_;
 };
 
-/// Wait for changes after a revision.
+/// Requests a watch, which waits for changes after a revision.
 struct WatchCall {
   std::uint64_t Revision_ = 0;
   Millis Wait_{0};
 };
 
-/// Do nothing until then.
+/// Requests that no call be made before a time.
 struct Pause {
   TimePoint Until_{};
 };
 
-/// What a follower wants to be done next.
+/// The next step that a Follower requests.
 using FollowerStep = std::variant<ListCall, WatchCall, Pause>;
 
 } // namespace medlarmoor::objects
--- a/src/medlarmoor/objects/follower_timing.hpp
+++ b/src/medlarmoor/objects/follower_timing.hpp
@@ -8,20 +8,22 @@
 /// Timing of the calls that follow one collection.
 struct FollowerTiming {
   /// How long a watch waits for a change. A connection that goes silent is
-  /// noticed after this and CallTimeout_, which stays below the time in which
-  /// a change must be in force.
+  /// detected after this time and CallTimeout_, which together stay below the
+  /// time within which a change must be in force.
   Millis WatchWait_{2500};
-  /// How long any call may take beyond the time that it waits.
+  /// Time limit of a call, in addition to the time that it waits for a change.
   Millis CallTimeout_{700};
-  /// Pause after a watch that gave changes, so that changes in quick
+  /// Pause after a watch that returned changes, so that changes in quick
   /// succession cost one call.
-  Millis Spacing_{500};
-  /// Pause after the first failed call; doubles up to the longest.
-  Millis FirstBackoff_{150};
-  Millis LongestBackoff_{1000};
-  /// When calls fail and nothing is known of the store for longer than this, it
-  /// is away. Entries lapse after more than three seconds of silence only.
-  Millis Outage_{700};
+  Millis BatchDelay_{500};
+  /// Pause after the first failed call. Doubles with each further failure, up
+  /// to MaxBackoff_.
+  Millis InitialBackoff_{150};
+  Millis MaxBackoff_{1000};
+  /// When calls fail and the collection has not been known to be current for
+  /// this long, the store counts as unavailable. Entries lapse only after more
+  /// than three seconds of silence.
+  Millis OutageThreshold_{700};
 };
 
 } // namespace medlarmoor::objects
--- a/src/medlarmoor/objects/latest.hpp
+++ b/src/medlarmoor/objects/latest.hpp
@@ -10,18 +10,19 @@
 
 namespace medlarmoor::objects {
 
-/// Of several events about one object only the last tells what it is now: an
-/// object may be deleted and created again between two calls.
+/// Returns the last event of each object, in the order of Events. Only the last
+/// one describes the current state of its object, which may be deleted and
+/// created again between two calls.
 template <typename Item>
 [[nodiscard]] std::vector<StoredItem<Item>>
 latest(std::vector<StoredItem<Item>> Events) {
-  std::unordered_set<std::string> Seen;
-  std::vector<StoredItem<Item>> Out;
-  for (auto Each = Events.rbegin(); Each != Events.rend(); ++Each)
-    if (Seen.insert(Each->Name_).second)
-      Out.push_back(std::move(*Each));
-  std::reverse(Out.begin(), Out.end());
-  return Out;
+  std::unordered_set<std::string> Names;
+  std::vector<StoredItem<Item>> Latest;
+  for (auto Event = Events.rbegin(); Event != Events.rend(); ++Event)
+    if (Names.insert(Event->Name_).second)
+      Latest.push_back(std::move(*Event));
+  std::reverse(Latest.begin(), Latest.end());
+  return Latest;
 }
 
 } // namespace medlarmoor::objects
--- a/src/medlarmoor/objects/page.hpp
+++ b/src/medlarmoor/objects/page.hpp
@@ -9,13 +9,13 @@
 
 namespace medlarmoor::objects {
 
-/// What one list or watch call gave.
+/// The result of one list or watch call.
 template <typename Item> struct Page {
   std::vector<StoredItem<Item>> Items_;
-  /// The list goes on after LastName_.
+  /// True if the list continues after LastName_.
   bool More_ = false;
   std::string LastName_;
-  /// A watch from this revision misses nothing.
+  /// A watch that starts after this revision misses no change.
   std::uint64_t Revision_ = 0;
 };
 
--- a/src/medlarmoor/objects/stored_item.hpp
+++ b/src/medlarmoor/objects/stored_item.hpp
@@ -6,13 +6,13 @@
 
 namespace medlarmoor::objects {
 
-/// One object of a collection as a list or a watch gave it.
+/// One object of a collection, as returned by a list or a watch.
 template <typename Item> struct StoredItem {
   std::string Name_;
-  /// Nothing when the object was deleted or can't be read.
+  /// No value if the object was deleted or is invalid.
   std::optional<Item> Value_;
-  /// Why the object can't be read; empty when it was deleted or is fine.
-  std::string Problem_;
+  /// Why the object is invalid; empty if it was deleted or is valid.
+  std::string Error_;
 };
 
 } // namespace medlarmoor::objects
--- a/src/medlarmoor/peers/announcement.hpp
+++ b/src/medlarmoor/peers/announcement.hpp
@@ -10,21 +10,24 @@
 
 namespace medlarmoor::peers {
 
-/// What an instance tells others about itself and about the store.
+/// Message in which an instance reports its own state, and how current its
+/// collections from the store are, to other instances.
 struct Announcement {
+  /// Where the sender receives gossip; identifies it.
   Endpoint From_;
   DomainName Domain_;
-  /// It reads the store itself and is current.
-  bool Reading_ = false;
-  /// Nothing before it has the collection.
+  /// The sender reads the store itself and is current.
+  bool IsReader_ = false;
+  /// How current the sender's collections are; no value until it has the
+  /// collection.
   std::optional<CollectionState> Upstreams_;
   std::optional<CollectionState> Routes_;
-  /// How long ago the store came back from its last outage, when that was
-  /// recent.
-  std::optional<Millis> StoreReturned_;
-  /// Upstreams where its requests have begun to fail.
+  /// Time since the store recovered from its last outage; no value if that was
+  /// not recent.
+  std::optional<Millis> StoreRecovered_;
+  /// Upstreams at which the sender's requests have begun to fail.
   std::vector<placement::Suspect> Suspects_;
-  /// Some of the members that it knows.
+  /// Some of the members that the sender knows.
   std::vector<Member> Members_;
 
   friend bool operator==(const Announcement &, const Announcement &) = default;
--- a/src/medlarmoor/peers/announcement_codec.hpp
+++ b/src/medlarmoor/peers/announcement_codec.hpp
@@ -10,10 +10,10 @@
 
 namespace medlarmoor::peers {
 
-/// The datagram of an announcement, in CBOR.
-[[nodiscard]] std::vector<std::byte> encode(const Announcement &Each);
+/// Returns the datagram of an announcement, in CBOR.
+[[nodiscard]] std::vector<std::byte> encode(const Announcement &Message);
 
-/// Reads a datagram; nothing when it is no announcement.
+/// Decodes a datagram. Returns no value if it is not an announcement.
 [[nodiscard]] std::optional<Announcement>
 decode(std::span<const std::byte> Bytes);
 
--- a/src/medlarmoor/peers/collection_state.hpp
+++ b/src/medlarmoor/peers/collection_state.hpp
@@ -7,13 +7,13 @@
 
 namespace medlarmoor::peers {
 
-/// How much of one collection of the store an instance has.
+/// How current an instance's data from one collection of the store is.
 struct CollectionState {
-  /// It has all changes up to this revision of the store.
-  std::uint64_t Upto_ = 0;
-  /// The last of those revisions that changed the collection.
-  std::uint64_t Changed_ = 0;
-  /// How long ago that was known to be everything.
+  /// The instance has all changes up to this revision of the store.
+  std::uint64_t Revision_ = 0;
+  /// The last revision up to Revision_ that changed the collection.
+  std::uint64_t LastChange_ = 0;
+  /// Time since the instance's data was last known to be complete.
   Millis Age_{0};
 
   friend bool operator==(const CollectionState &,
--- a/src/medlarmoor/peers/member.hpp
+++ b/src/medlarmoor/peers/member.hpp
@@ -7,12 +7,12 @@
 
 namespace medlarmoor::peers {
 
-/// Another instance, as gossip tells of it.
+/// Another instance, as known from gossip.
 struct Member {
-  /// Where it receives gossip; names it.
+  /// Where it receives gossip; identifies it.
   Endpoint Address_;
   DomainName Domain_;
-  /// How long ago it was last heard of, by anyone.
+  /// Time since any instance last heard from it.
   Millis Age_{0};
 
   friend bool operator==(const Member &, const Member &) = default;
--- a/src/medlarmoor/peers/member_table.cpp
+++ b/src/medlarmoor/peers/member_table.cpp
@@ -9,21 +9,22 @@
 
 namespace {
 
-/// A member that nobody heard of for this long is forgotten: some rounds of
-/// gossip, so that ages have spread.
+/// A member that no instance has heard from for this long is evicted. This is
+/// several rounds of gossip, so that ages have spread.
 constexpr Millis MemberLifetime{10'000};
-/// Members told of in one announcement; with their names they fit a datagram.
-constexpr std::size_t SampleMembers = 24;
-/// Members that one round of gossip reaches.
-constexpr std::size_t GossipMembers = 2;
-/// With fewer members than this the seeds are asked, too.
-constexpr std::size_t FewMembers = 3;
+/// Maximum number of members in one announcement; with the names of their
+/// failure domains they fit a datagram.
+constexpr std::size_t MaxSampledMembers = 24;
+/// Number of members that one round of gossip contacts.
+constexpr std::size_t GossipFanout = 2;
+/// With fewer members than this, gossip also goes to all seeds.
+constexpr std::size_t MinMembersWithoutSeeds = 3;
 
 } // namespace
 
 MemberTable::MemberTable(Endpoint Self, std::vector<Endpoint> Seeds,
-                         Random Source)
-    : Self_(Self), Source_(Source) {
+                         Random RandomSource)
+    : Self_(Self), Random_(RandomSource) {
   setSeeds(std::move(Seeds));
 }
 
@@ -32,74 +33,75 @@
   std::erase(Seeds_, Self_);
 }
 
-bool MemberTable::heard(const Member &Each, TimePoint Now) {
-  if (Each.Address_ == Self_ || Each.Age_ >= MemberLifetime)
+bool MemberTable::observe(const Member &Observed, TimePoint Now) {
+  if (Observed.Address_ == Self_ || Observed.Age_ >= MemberLifetime)
     return false;
-  const auto [At, Inserted] = Members_.try_emplace(Each.Address_);
-  Record &Known = At->second;
-  Known.Domain_ = Each.Domain_;
-  Known.HeardAt_ = std::max(Known.HeardAt_, Now - Each.Age_);
+  const auto [Position, Inserted] = Members_.try_emplace(Observed.Address_);
+  Record &Known = Position->second;
+  Known.Domain_ = Observed.Domain_;
+  Known.LastHeardAt_ = std::max(Known.LastHeardAt_, Now - Observed.Age_);
   return Inserted;
 }
 
 std::vector<Endpoint> MemberTable::expire(TimePoint Now) {
   std::vector<Endpoint> Lost;
   for (const auto &[Address, Known] : Members_)
-    if (Now - Known.HeardAt_ >= MemberLifetime)
+    if (Now - Known.LastHeardAt_ >= MemberLifetime)
       Lost.push_back(Address);
-  for (const Endpoint Each : Lost)
-    Members_.erase(Each);
+  for (const Endpoint Address : Lost)
+    Members_.erase(Address);
   return Lost;
 }
 
 std::vector<Endpoint> MemberTable::all() const {
-  std::vector<Endpoint> Out;
+  std::vector<Endpoint> Addresses;
   for (const auto &[Address, Known] : Members_)
-    Out.push_back(Address);
-  return Out;
+    Addresses.push_back(Address);
+  return Addresses;
 }
 
 std::vector<Endpoint> MemberTable::inDomain(const DomainName &Domain) const {
-  std::vector<Endpoint> Out;
+  std::vector<Endpoint> Addresses;
   for (const auto &[Address, Known] : Members_)
     if (Known.Domain_ == Domain)
-      Out.push_back(Address);
-  return Out;
+      Addresses.push_back(Address);
+  return Addresses;
 }
 
 std::vector<Endpoint> MemberTable::gossipTargets() {
   const std::vector<Endpoint> Known = all();
-  std::vector<Endpoint> Out;
-  std::sample(Known.begin(), Known.end(), std::back_inserter(Out),
-              GossipMembers, Source_);
-  if (Known.size() < FewMembers)
-    Out.insert(Out.end(), Seeds_.begin(), Seeds_.end());
+  std::vector<Endpoint> Targets;
+  std::sample(Known.begin(), Known.end(), std::back_inserter(Targets),
+              GossipFanout, Random_);
+  if (Known.size() < MinMembersWithoutSeeds)
+    Targets.insert(Targets.end(), Seeds_.begin(), Seeds_.end());
   else if (!Seeds_.empty())
-    // Joins parts that a partition has separated for long.
-    Out.push_back(Seeds_[Source_() % Seeds_.size()]);
-  return Out;
+    // Reconnects groups of instances that a long partition has separated.
+    Targets.push_back(Seeds_[Random_() % Seeds_.size()]);
+  return Targets;
 }
 
 std::vector<Member> MemberTable::sample(TimePoint Now) {
-  std::vector<Member> All;
+  std::vector<Member> Candidates;
   for (const auto &[Address, Known] : Members_)
-    All.push_back({Address, Known.Domain_,
-                   std::chrono::duration_cast<Millis>(Now - Known.HeardAt_)});
-  std::vector<Member> Out;
-  std::sample(All.begin(), All.end(), std::back_inserter(Out), SampleMembers,
-              Source_);
-  return Out;
+    Candidates.push_back(
+        {Address, Known.Domain_,
+         std::chrono::duration_cast<Millis>(Now - Known.LastHeardAt_)});
+  std::vector<Member> Sampled;
+  std::sample(Candidates.begin(), Candidates.end(), std::back_inserter(Sampled),
+              MaxSampledMembers, Random_);
+  return Sampled;
 }
 
 std::size_t MemberTable::rank() const noexcept {
-  return static_cast<std::size_t>(
-      std::count_if(Members_.begin(), Members_.end(), [this](const auto &Each) {
-        return precedence(Each.first) < precedence(Self_);
+  return static_cast<std::size_t>(std::count_if(
+      Members_.begin(), Members_.end(), [this](const auto &Known) {
+        return precedence(Known.first) < precedence(Self_);
       }));
 }
 
-std::uint64_t precedence(Endpoint Each) noexcept {
-  return mix(Each.address().value(), Each.port());
+std::uint64_t precedence(Endpoint Instance) noexcept {
+  return mix(Instance.address().value(), Instance.port());
 }
 
 } // namespace medlarmoor::peers
--- a/src/medlarmoor/peers/member_table.hpp
+++ b/src/medlarmoor/peers/member_table.hpp
@@ -10,47 +10,53 @@
 
 namespace medlarmoor::peers {
 
-/// The other instances that this one has heard of lately. Gossip keeps it
-/// current; it is a hint whom to tell, not a membership that anyone relies on.
+/// The other instances that this one has heard of recently. Gossip keeps the
+/// table current. It only suggests whom to notify; no decision relies on it as
+/// a membership.
 class MemberTable {
 public:
-  /// Seeds are asked for as long as too few others are known.
-  MemberTable(Endpoint Self, std::vector<Endpoint> Seeds, Random Source);
+  /// Gossip goes to all Seeds as long as too few other instances are known.
+  MemberTable(Endpoint Self, std::vector<Endpoint> Seeds, Random RandomSource);
 
-  /// An instance was heard of, Member.Age_ ago. Tells whether it was unknown.
-  bool heard(const Member &Each, TimePoint Now);
+  /// Records that Observed was heard from, Observed.Age_ ago. Returns true if
+  /// this adds a member. Ignores this instance itself and a report that is too
+  /// old.
+  bool observe(const Member &Observed, TimePoint Now);
   /// Replaces the seeds.
   void setSeeds(std::vector<Endpoint> Seeds);
-  /// Forgets members that nobody has heard of for long, and gives them.
+  /// Evicts members that no instance has heard from for too long, and returns
+  /// them.
   std::vector<Endpoint> expire(TimePoint Now);
 
-  /// All members.
+  /// Returns all members.
   [[nodiscard]] std::vector<Endpoint> all() const;
-  /// All members in a failure domain.
+  /// Returns all members in a failure domain.
   [[nodiscard]] std::vector<Endpoint> inDomain(const DomainName &Domain) const;
-  /// Whom to gossip with next: a few members, and seeds when members are few.
+  /// Returns the endpoints to gossip with next: a few random members, and one
+  /// seed, or all seeds while few members are known.
   [[nodiscard]] std::vector<Endpoint> gossipTargets();
-  /// Members to tell of in an announcement, with their ages.
+  /// Returns random members, with their ages, for an announcement.
   [[nodiscard]] std::vector<Member> sample(TimePoint Now);
-  /// How many members come before this instance in the order in which they
-  /// take over from a reader that fell silent.
+  /// Returns the number of members that precede this instance in the order in
+  /// which instances take over from a reader that fell silent.
   [[nodiscard]] std::size_t rank() const noexcept;
   [[nodiscard]] std::size_t size() const noexcept { return Members_.size(); }
 
 private:
   struct Record {
     DomainName Domain_;
-    TimePoint HeardAt_{};
+    TimePoint LastHeardAt_{};
   };
 
   Endpoint Self_;
   std::vector<Endpoint> Seeds_;
-  Random Source_;
+  Random Random_;
   std::map<Endpoint, Record> Members_;
 };
 
-/// The order in which instances prefer each other as readers; lower is better.
-[[nodiscard]] std::uint64_t precedence(Endpoint Each) noexcept;
+/// Returns the position of an instance in the order in which instances are
+/// preferred as readers; a lower value takes precedence.
+[[nodiscard]] std::uint64_t precedence(Endpoint Instance) noexcept;
 
 } // namespace medlarmoor::peers
 
--- a/src/medlarmoor/peers/reader_election.cpp
+++ b/src/medlarmoor/peers/reader_election.cpp
@@ -9,23 +9,25 @@
 ReaderElection::ReaderElection(Endpoint Self, ElectionTiming Timing)
     : Self_(Self), Timing_(Timing) {}
 
-bool ReaderElection::trusts(const Announcement &From,
-                            bool SelfReading) const noexcept {
-  if (!From.Reading_ || !current(From.Upstreams_) || !current(From.Routes_))
+bool ReaderElection::trusts(const Announcement &Message,
+                            bool IsReader) const noexcept {
+  if (!Message.IsReader_ || !isCurrent(Message.Upstreams_) ||
+      !isCurrent(Message.Routes_))
     return false;
-  return !SelfReading || precedence(From.From_) < precedence(Self_);
+  return !IsReader || precedence(Message.From_) < precedence(Self_);
 }
 
 TimePoint ReaderElection::deferUntil(TimePoint Now,
                                      std::size_t Rank) const noexcept {
-  const Millis Step = std::min(Timing_.LongestStep_,
-                               Timing_.Step_ * static_cast<Millis::rep>(Rank));
-  return Now + Timing_.Silence_ + Step;
+  const Millis Delay =
+      std::min(Timing_.MaxTakeoverDelay_,
+               Timing_.TakeoverStep_ * static_cast<Millis::rep>(Rank));
+  return Now + Timing_.SilencePeriod_ + Delay;
 }
 
-bool ReaderElection::current(
-    const std::optional<CollectionState> &Each) const noexcept {
-  return Each && Each->Age_ < Timing_.Trust_;
+bool ReaderElection::isCurrent(
+    const std::optional<CollectionState> &State) const noexcept {
+  return State && State->Age_ < Timing_.TrustPeriod_;
 }
 
 } // namespace medlarmoor::peers
--- a/src/medlarmoor/peers/reader_election.hpp
+++ b/src/medlarmoor/peers/reader_election.hpp
@@ -9,25 +9,26 @@
 
 namespace medlarmoor::peers {
 
-/// Decides whether another instance's reading of the store serves this one,
-/// too. Nobody agrees on a reader: whoever hears of none reads, and of several
-/// readers the one that comes first goes on. A wrong guess costs calls, never
-/// freshness.
+/// Decides whether this instance may rely on another instance's reading of the
+/// store instead of reading it itself. Instances do not agree on a reader: an
+/// instance that hears of none reads the store, and of several readers the one
+/// with the lowest precedence() continues. A wrong decision causes additional
+/// calls to the store, but never makes data less current.
 class ReaderElection {
 public:
   ReaderElection(Endpoint Self, ElectionTiming Timing);
 
-  /// True when this instance may rely on what From says that it has read.
-  /// SelfReading tells whether this one reads the store now.
-  [[nodiscard]] bool trusts(const Announcement &From,
-                            bool SelfReading) const noexcept;
-  /// Until when a trusted announcement that came at Now replaces reading. Rank
-  /// members take over earlier.
+  /// Returns true if this instance may rely on what the sender of Message has
+  /// read. IsReader states whether this instance reads the store now.
+  [[nodiscard]] bool trusts(const Announcement &Message,
+                            bool IsReader) const noexcept;
+  /// Returns until when a trusted announcement received at Now replaces reading
+  /// the store. Rank is the number of members that take over earlier.
   [[nodiscard]] TimePoint deferUntil(TimePoint Now,
                                      std::size_t Rank) const noexcept;
-  /// True when Each is recent enough to be passed on as read.
+  /// Returns true if State is recent enough for others to rely on it.
   [[nodiscard]] bool
-  current(const std::optional<CollectionState> &Each) const noexcept;
+  isCurrent(const std::optional<CollectionState> &State) const noexcept;
 
 private:
   Endpoint Self_;
--- a/src/medlarmoor/platform/client.cpp
+++ b/src/medlarmoor/platform/client.cpp
@@ -17,9 +17,9 @@
 
 } // namespace
 
-Client::Client(boost::asio::io_context &Io, Endpoint Where, Ipv4 Source,
+Client::Client(boost::asio::io_context &Io, Endpoint Server, Ipv4 Source,
                Millis Timeout, telemetry::Registry &Metrics)
-    : Http_(Io, Source), Where_(Where), Timeout_(Timeout),
+    : Http_(Io, Source), Server_(Server), Timeout_(Timeout),
       Reads_(Metrics.counter(CallsMetric, "call=\"read\"")),
       Writes_(Metrics.counter(CallsMetric, "call=\"write\"")),
       Lists_(Metrics.counter(CallsMetric, "call=\"list\"")),
@@ -35,7 +35,7 @@
   if (!Request.Body_.empty())
     Request.Headers_.add("Content-Type", "application/json");
   Bytes_.add(internal::ExchangeBytes + Request.Body_.size());
-  Http_.send(Where_, std::move(Request), Timeout,
+  Http_.send(Server_, std::move(Request), Timeout,
              [&Bytes = Bytes_, Done = std::move(Done)](
                  std::optional<HttpResponse> Answer, std::string Reason) {
                if (Answer)
@@ -50,7 +50,7 @@
   send("GET", objectPath(Kind, Name), {}, Timeout_,
        [Done = std::move(Done)](std::optional<HttpResponse> Answer,
                                 std::string Reason) {
-         Done(internal::toGet(Answer, Reason));
+         Done(internal::toGetResult(Answer, Reason));
        });
 }
 
@@ -64,7 +64,7 @@
   send("PUT", std::move(Target), std::move(Value), Timeout_,
        [Done = std::move(Done)](std::optional<HttpResponse> Answer,
                                 std::string Reason) {
-         Done(internal::toPut(Answer, Reason));
+         Done(internal::toPutResult(Answer, Reason));
        });
 }
 
@@ -77,7 +77,7 @@
        Timeout_,
        [Done = std::move(Done)](std::optional<HttpResponse> Answer,
                                 std::string Reason) {
-         Done(internal::toRemove(Answer, Reason));
+         Done(internal::toRemoveResult(Answer, Reason));
        });
 }
 
@@ -87,7 +87,7 @@
   send("GET", "/v1/objects/" + Kind + "?prefix=" + Prefix, {}, Timeout_,
        [Done = std::move(Done)](std::optional<HttpResponse> Answer,
                                 std::string Reason) {
-         Done(internal::toList(Answer, Reason));
+         Done(internal::toListResult(Answer, Reason));
        });
 }
 
@@ -101,7 +101,7 @@
   send("GET", std::move(Target), {}, Wait + Timeout_,
        [Done = std::move(Done)](std::optional<HttpResponse> Answer,
                                 std::string Reason) {
-         Done(internal::toWatch(Answer, Reason));
+         Done(internal::toWatchResult(Answer, Reason));
        });
 }
 
@@ -114,7 +114,7 @@
   send("GET", std::move(Target), {}, Timeout_,
        [Done = std::move(Done)](std::optional<HttpResponse> Answer,
                                 std::string Reason) {
-         Done(internal::toInstances(Answer, Reason));
+         Done(internal::toInstancesResult(Answer, Reason));
        });
 }
 
--- a/src/medlarmoor/platform/client.hpp
+++ b/src/medlarmoor/platform/client.hpp
@@ -14,36 +14,37 @@
 
 namespace medlarmoor::platform {
 
-/// Asynchronous calls to the platform's object API. Each Done runs once on the
-/// io_context's thread, never within the call. Calls are counted in the metric
-/// medlarmoor_platform_calls_total by kind of call, and their bytes both ways
-/// in medlarmoor_platform_bytes_total.
+/// Makes asynchronous calls to the platform's object API. Done is called once,
+/// on the io_context's thread and never before the function returns. Calls are
+/// counted in the metric medlarmoor_platform_calls_total by kind of call, and
+/// their bytes in both directions in medlarmoor_platform_bytes_total.
 class Client {
 public:
-  /// Where is the API, Source the local address of connections, Timeout the
-  /// time that one call may take (a watch: beyond the time it asks for).
-  Client(boost::asio::io_context &Io, Endpoint Where, Ipv4 Source,
+  /// Server is the endpoint of the API, Source the local address of connections
+  /// and Timeout the time limit of one call; a watch may take its wait time in
+  /// addition.
+  Client(boost::asio::io_context &Io, Endpoint Server, Ipv4 Source,
          Millis Timeout, telemetry::Registry &Metrics);
 
   /// Reads one object.
   void get(const std::string &Kind, const std::string &Name,
            std::function<void(GetResult)> Done);
-  /// Writes one object. With IfVersion only when it has that version now; 0
-  /// only when it does not exist.
+  /// Writes one object. With IfVersion, writes only if the object has that
+  /// version now; 0 writes only if it does not exist.
   void put(const std::string &Kind, const std::string &Name, std::string Value,
            std::optional<std::uint64_t> IfVersion,
            std::function<void(PutResult)> Done);
-  /// Deletes one object when it has the version IfVersion.
+  /// Deletes one object if it has the version IfVersion.
   void remove(const std::string &Kind, const std::string &Name,
               std::uint64_t IfVersion, std::function<void(RemoveResult)> Done);
-  /// Reads all objects of Kind whose name begins with Prefix.
+  /// Reads all objects of Kind whose names begin with Prefix.
   void list(const std::string &Kind, const std::string &Prefix,
             std::function<void(ListResult)> Done);
-  /// Waits up to Wait for changes after revision After.
+  /// Waits up to Wait for changes of such objects after revision After.
   void watch(const std::string &Kind, const std::string &Prefix,
              std::uint64_t After, Millis Wait,
              std::function<void(WatchResult)> Done);
-  /// Reads the list of instances: those of Domain, or all.
+  /// Reads the list of instances in Domain, or of all instances.
   void instances(const std::optional<DomainName> &Domain,
                  std::function<void(InstancesResult)> Done);
 
@@ -52,7 +53,7 @@
             Millis Timeout, net::HttpDone Done);
 
   net::HttpClient Http_;
-  Endpoint Where_;
+  Endpoint Server_;
   Millis Timeout_;
   telemetry::Counter &Reads_;
   telemetry::Counter &Writes_;
