--- a/src/medlarmoor/platform/config_thread.cpp
+++ b/src/medlarmoor/platform/config_thread.cpp
@@ -1,5 +1,5 @@
 #include <medlarmoor/config/follower.hpp>
-#include <medlarmoor/config/status_keeper.hpp>
+#include <medlarmoor/config/status_writer.hpp>
 #include <medlarmoor/core/overloaded.hpp>
 #include <medlarmoor/net/http_client.hpp>
 #include <medlarmoor/net/http_server.hpp>
@@ -28,61 +28,64 @@
 
 namespace {
 
-constexpr Millis TickPeriod{50};
-/// One call to the platform; a slow platform still answers within this.
+constexpr Millis TickInterval{50};
+/// Time limit of a call to the platform; a slow platform still answers within
+/// this.
 constexpr Millis PlatformTimeout{2000};
 /// How long one watch waits for a change.
-constexpr Millis WatchTime{10'000};
+constexpr Millis WatchWait{10'000};
 constexpr Millis PullTimeout{800};
-/// A whole document may be large.
-constexpr Millis WholePullTimeout{4000};
+/// Time limit of a pull of a complete document, which may be large.
+constexpr Millis FullPullTimeout{4000};
 const std::string ManifestKind = "manifest";
 const std::string PartKind = "part";
 const std::string StatusKind = "status";
 const std::string ConfigPath = "/internal/config";
 
 std::optional<std::uint64_t> toNumber(const std::optional<std::string> &Text) {
-  std::uint64_t Out = 0;
+  std::uint64_t Number = 0;
   if (!Text)
     return std::nullopt;
   const char *Last = Text->data() + Text->size();
-  const auto [End, Failed] = std::from_chars(Text->data(), Last, Out);
-  if (Failed != std::errc() || End != Last)
+  const auto [End, Code] = std::from_chars(Text->data(), Last, Number);
+  if (Code != std::errc() || End != Last)
     return std::nullopt;
-  return Out;
+  return Number;
 }
 
-Incarnation drawRun(const Clock &Time) {
-  Random Source(std::random_device{}());
-  return wire::drawIncarnation(Time.wallNow(), Source);
+Incarnation makeIncarnation(const Clock &Time) {
+  Random RandomSource(std::random_device{}());
+  return wire::drawIncarnation(Time.wallNow(), RandomSource);
 }
 
 } // namespace
 
 class ConfigThread::Impl {
 public:
-  Impl(const config::Settings &Given, Mailbox<config::InForcePtr> &ToFlow,
-       Mailbox<config::InForcePtr> &ToRequests,
-       Mailbox<config::InForcePtr> &ToControl,
+  Impl(const config::Settings &Settings,
+       Mailbox<config::ActiveConfigPtr> &ToFlow,
+       Mailbox<config::ActiveConfigPtr> &ToRequests,
+       Mailbox<config::ActiveConfigPtr> &ToControl,
        Mailbox<membership::ViewPtr> &Views, Mailbox<wire::Incoming> &Messages,
        Mailbox<wire::Outgoing> &ToPeers, const Clock &Time,
        telemetry::Registry &Metrics, telemetry::EventLog &Log)
-      : Given_(Given), Log_(Log), Views_(Views), Messages_(Messages),
+      : Settings_(Settings), Log_(Log), Views_(Views), Messages_(Messages),
         ToPeers_(ToPeers), Outboxes_{internal::Outbox(ToFlow),
                                      internal::Outbox(ToRequests),
                                      internal::Outbox(ToControl)},
-        Platform_(Io_, Given.Platform_, Given.Address_, PlatformTimeout,
+        Platform_(Io_, Settings.Platform_, Settings.Address_, PlatformTimeout,
                   Metrics),
-        Peers_(Io_, Given.Address_),
-        Server_(Io_, {Given.Address_, Given.Ports_.Config_},
+        Peers_(Io_, Settings.Address_),
+        Server_(Io_, {Settings.Address_, Settings.Ports_.Config_},
                 [this](net::HttpRequest Request, const net::HttpReply &Reply) {
                   Reply(serve(Request));
                 }),
-        Seal_(Given.Name_, drawRun(Time), wire::KeyRing(Given.Keys_), Time),
+        Seal_(Settings.Name_, makeIncarnation(Time),
+              wire::KeyRing(Settings.Keys_), Time),
         Timer_(Io_), ViewWake_(Io_), MessageWake_(Io_),
-        Follower_(Given.Environment_, Given.Name_, Time,
+        Follower_(Settings.Environment_, Settings.Name_, Time,
                   Random(std::random_device()())),
-        Status_(Given.Name_, Time),
+        Status_(Settings.Name_, Time),
         VersionGauge_(Metrics.gauge("medlarmoor_config_version")),
         Adopted_(Metrics.counter("medlarmoor_config_adopted_total")),
         Rejected_(Metrics.counter("medlarmoor_config_rejected_total")),
@@ -107,7 +110,7 @@
 
   bool start() {
     if (!Server_.listen()) {
-      Reason_ = Server_.lastReason();
+      LastReason_ = Server_.lastReason();
       return false;
     }
     ViewWake_.assign(Views_.descriptor());
@@ -126,27 +129,29 @@
     Thread_.join();
   }
 
-  [[nodiscard]] const std::string &reason() const noexcept { return Reason_; }
+  [[nodiscard]] const std::string &lastReason() const noexcept {
+    return LastReason_;
+  }
 
 private:
   void tick() {
     Ticks_.add();
-    for (internal::Outbox &Each : Outboxes_)
-      Each.flush();
+    for (internal::Outbox &Outbox : Outboxes_)
+      Outbox.flush();
     run(Follower_.onTick());
     runStatus();
     Watching_.set(Follower_.watches() ? 1 : 0);
-    Timer_.expires_after(TickPeriod);
-    Timer_.async_wait([this](Error Failed) {
-      if (!Failed)
+    Timer_.expires_after(TickInterval);
+    Timer_.async_wait([this](Error Code) {
+      if (!Code)
         tick();
     });
   }
 
   void waitForViews() {
     ViewWake_.async_wait(asio::posix::descriptor_base::wait_read,
-                         [this](Error Failed) {
-                           if (Failed)
+                         [this](Error Code) {
+                           if (Code)
                              return;
                            Views_.clearWake();
                            while (auto View = Views_.pop())
@@ -157,8 +162,8 @@
 
   void waitForMessages() {
     MessageWake_.async_wait(asio::posix::descriptor_base::wait_read,
-                            [this](Error Failed) {
-                              if (Failed)
+                            [this](Error Code) {
+                              if (Code)
                                 return;
                               Messages_.clearWake();
                               while (auto Message = Messages_.pop())
@@ -170,107 +175,117 @@
   void onView(const membership::View &View) {
     std::vector<EntryName> Live;
     Addresses_.clear();
-    for (const membership::Member &Each : View.members()) {
-      Addresses_[Each.Name_] = Each.Address_;
-      if (Each.State_ == membership::MemberState::Live)
-        Live.push_back(Each.Name_);
+    for (const membership::Member &Listed : View.members()) {
+      Addresses_[Listed.Name_] = Listed.Address_;
+      if (Listed.State_ == membership::MemberState::Live)
+        Live.push_back(Listed.Name_);
     }
     run(Follower_.onMembers(std::move(Live)));
   }
 
-  void onMessage(const wire::Incoming &In) {
-    std::visit(Overloaded{[&](const wire::Heartbeat &Each) {
-                            run(Follower_.onHeartbeat(In.From_, Each.Config_));
-                          },
-                          [&](const wire::ConfigNotice &Each) {
-                            if (Each.PlatformLost_)
-                              run(Follower_.onPlatformLost(In.From_));
-                            run(Follower_.onNotice(In.From_, Each.Version_));
-                          },
-                          [](const auto &) {}},
-               In.Message_);
+  void onMessage(const wire::Incoming &Message) {
+    std::visit(
+        Overloaded{[&](const wire::Heartbeat &Heartbeat) {
+                     run(Follower_.onHeartbeat(Message.From_,
+                                               Heartbeat.Config_));
+                   },
+                   [&](const wire::ConfigNotice &Notice) {
+                     if (Notice.PlatformLost_)
+                       run(Follower_.onPlatformLost(Message.From_));
+                     run(Follower_.onNotice(Message.From_, Notice.Version_));
+                   },
+                   [](const auto &) {}},
+        Message.Message_);
   }
 
   void run(const config::FollowerActions &Actions) {
-    for (const config::FollowerAction &Each : Actions)
-      std::visit([this](const auto &Action) { perform(Action); }, Each);
+    for (const config::FollowerAction &Action : Actions)
+      std::visit([this](const auto &Alternative) { perform(Alternative); },
+                 Action);
   }
 
-  /// Gives the manifest of this environment, if it is among Items, onward.
-  void takeManifests(const std::vector<Object> &Items) {
-    for (const Object &Each : Items)
-      if (Each.Name_ == Given_.Environment_ && !Each.Deleted_)
-        run(Follower_.onManifest(Each.Value_));
+  /// Passes the manifest of this environment to the follower if it is among
+  /// Items.
+  void handleManifests(const std::vector<Object> &Items) {
+    for (const Object &Item : Items)
+      if (Item.Name_ == Settings_.Environment_ && !Item.Deleted_)
+        run(Follower_.onManifest(Item.Value_));
   }
 
   void perform(const config::ListManifests &) {
-    Platform_.list(ManifestKind, Given_.Environment_, [this](ListResult In) {
-      const Listing *Read = std::get_if<Listing>(&In);
-      if (!Read)
-        return run(Follower_.onListed(std::nullopt));
-      takeManifests(Read->Items_);
-      run(Follower_.onListed(Read->Revision_));
-    });
+    Platform_.list(ManifestKind, Settings_.Environment_,
+                   [this](ListResult Result) {
+                     const Listing *Read = std::get_if<Listing>(&Result);
+                     if (!Read)
+                       return run(Follower_.onListEnd(std::nullopt));
+                     handleManifests(Read->Items_);
+                     run(Follower_.onListEnd(Read->Revision_));
+                   });
   }
 
-  void perform(const config::WatchManifests &Each) {
+  void perform(const config::WatchManifests &Action) {
     Platform_.watch(
-        ManifestKind, Given_.Environment_, Each.After_, WatchTime,
-        [this](WatchResult In) {
-          std::visit(
-              Overloaded{[this](const Listing &Read) {
-                           takeManifests(Read.Items_);
-                           run(Follower_.onWatched(Read.Revision_));
-                         },
-                         [this](const TooOld &) { run(Follower_.onTooOld()); },
-                         [this](const Unavailable &) {
-                           run(Follower_.onWatched(std::nullopt));
-                         }},
-              In);
+        ManifestKind, Settings_.Environment_, Action.AfterRevision_, WatchWait,
+        [this](WatchResult Result) {
+          std::visit(Overloaded{[this](const Listing &Read) {
+                                  handleManifests(Read.Items_);
+                                  run(Follower_.onWatchEnd(Read.Revision_));
+                                },
+                                [this](const TooOld &) {
+                                  run(Follower_.onWatchExpired());
+                                },
+                                [this](const Unavailable &) {
+                                  run(Follower_.onWatchEnd(std::nullopt));
+                                }},
+                     Result);
         });
   }
 
   void perform(const config::ReadManifest &) {
-    Platform_.get(ManifestKind, Given_.Environment_, [this](GetResult In) {
-      if (const Object *Read = std::get_if<Object>(&In))
-        run(Follower_.onManifest(Read->Value_));
-      run(Follower_.onRead(!std::holds_alternative<Unavailable>(In)));
-    });
+    Platform_.get(ManifestKind, Settings_.Environment_,
+                  [this](GetResult Result) {
+                    if (const Object *Read = std::get_if<Object>(&Result))
+                      run(Follower_.onManifest(Read->Value_));
+                    run(Follower_.onReadEnd(
+                        !std::holds_alternative<Unavailable>(Result)));
+                  });
   }
 
-  void perform(const config::ReadPart &Each) {
-    const config::PartId Id = Each.Id_;
-    Platform_.get(PartKind, Given_.Environment_ + "." + Id.value(),
-                  [this, Id](GetResult In) {
-                    const Object *Read = std::get_if<Object>(&In);
+  void perform(const config::ReadPart &Action) {
+    const config::PartId Id = Action.Id_;
+    Platform_.get(PartKind, Settings_.Environment_ + "." + Id.value(),
+                  [this, Id](GetResult Result) {
+                    const Object *Read = std::get_if<Object>(&Result);
                     run(Follower_.onPart(Id, Read ? std::optional(Read->Value_)
                                                   : std::nullopt));
                   });
   }
 
-  void perform(const config::Pull &Each) {
-    const EntryName From = Each.From_;
+  void perform(const config::Pull &Action) {
+    const EntryName From = Action.From_;
     const auto Address = Addresses_.find(From);
     if (Address == Addresses_.end()) {
-      asio::post(Io_,
-                 [this, From] { run(Follower_.onPulled(From, std::nullopt)); });
+      asio::post(
+          Io_, [this, From] { run(Follower_.onPullEnd(From, std::nullopt)); });
       return;
     }
     Pulls_.add();
     net::HttpRequest Request;
-    Request.Target_ = ConfigPath + "?environment=" + Given_.Environment_ +
-                      "&have=" + std::to_string(Each.Have_.value());
+    Request.Target_ = ConfigPath + "?environment=" + Settings_.Environment_ +
+                      "&have=" + std::to_string(Action.HeldVersion_.value());
     const std::string Target = Request.Target_;
     Request.Headers_.add(wire::SealHeader, Seal_.sign("GET", Target, {}));
-    Peers_.send({Address->second, Given_.Ports_.Config_}, std::move(Request),
-                Each.Have_ == ConfigVersion(0) ? WholePullTimeout : PullTimeout,
+    Peers_.send({Address->second, Settings_.Ports_.Config_}, std::move(Request),
+                Action.HeldVersion_ == ConfigVersion(0) ? FullPullTimeout
+                                                        : PullTimeout,
                 [this, From, Target](std::optional<net::HttpResponse> Answer,
                                      const std::string &) {
                   onPulled(From, Target, Answer);
                 });
   }
 
-  /// Configuration between entries is part of the control bytes.
+  /// Counts bytes of configuration received from neighbours, which are also
+  /// control bytes.
   void countReceived(std::uint64_t Bytes) {
     PulledBytes_.add(Bytes);
     ControlIn_.add(Bytes);
@@ -281,9 +296,10 @@
     ControlOut_.add(Bytes);
   }
 
-  /// The answer is From's own.
-  bool isSealed(const EntryName &From, const std::string &Target,
-                const net::HttpResponse &Answer) {
+  /// Returns true if the answer carries a valid seal of From; logs the reason
+  /// if it does not.
+  bool isSealedBy(const EntryName &From, const std::string &Target,
+                  const net::HttpResponse &Answer) {
     const std::string Header =
         Answer.Headers_.find(wire::SealHeader).value_or("");
     if (Seal_.verify(Header, std::to_string(Answer.Status_), Target,
@@ -299,74 +315,76 @@
     countReceived(internal::ExchangeBytes);
     if (Answer)
       countReceived(Answer->Body_.size());
-    if (Answer && !isSealed(From, Target, *Answer))
+    if (Answer && !isSealedBy(From, Target, *Answer))
       Answer.reset();
     if (Answer && Answer->Status_ == 200)
-      return run(Follower_.onPulled(From, Answer->Body_));
+      return run(Follower_.onPullEnd(From, Answer->Body_));
     if (Answer && Answer->Status_ == 304)
-      return run(Follower_.onPulled(From, std::string()));
+      return run(Follower_.onPullEnd(From, std::string()));
     FailedPulls_.add();
-    run(Follower_.onPulled(From, std::nullopt));
+    run(Follower_.onPullEnd(From, std::nullopt));
   }
 
-  void perform(const config::Publish &Each) {
-    for (internal::Outbox &Box : Outboxes_)
-      Box.put(Each.Document_);
-    const auto Version = Each.Document_->Version_.value();
+  void perform(const config::Publish &Action) {
+    for (internal::Outbox &Outbox : Outboxes_)
+      Outbox.put(Action.Document_);
+    const auto Version = Action.Document_->Version_.value();
     VersionGauge_.set(static_cast<std::int64_t>(Version));
     Adopted_.add();
-    Log_.info("config_in_force", {{"environment", Given_.Environment_},
+    Log_.info("config_in_force", {{"environment", Settings_.Environment_},
                                   {"version", Version},
-                                  {"digest", Each.Document_->Digest_}});
+                                  {"digest", Action.Document_->Digest_}});
   }
 
-  void perform(const config::Tell &Each) {
-    const wire::ConfigNotice Notice{Each.Version_, false};
-    if (!ToPeers_.push({Each.To_, Notice}))
-      Log_.warn("notice_dropped", {{"to", Each.To_.value()}});
+  void perform(const config::NotifyMember &Action) {
+    const wire::ConfigNotice Notice{Action.Version_, false};
+    if (!ToPeers_.push({Action.Recipient_, Notice}))
+      Log_.warn("notice_dropped", {{"to", Action.Recipient_.value()}});
   }
 
-  void perform(const config::TellPlatformLost &Each) {
+  void perform(const config::AnnouncePlatformLoss &Action) {
     Log_.warn("platform_lost");
-    const wire::ConfigNotice Notice{Each.Version_, true};
+    const wire::ConfigNotice Notice{Action.Version_, true};
     if (!ToPeers_.push({std::nullopt, Notice}))
       Log_.warn("notice_dropped", {{"to", "all"}});
   }
 
-  void perform(const config::Reject &Each) {
+  void perform(const config::ReportRejection &Action) {
     Rejected_.add();
-    Log_.warn("config_rejected", {{"reason", Each.Reason_}});
+    Log_.warn("config_rejected", {{"reason", Action.Reason_}});
   }
 
   void runStatus() {
     const std::optional<config::StatusAction> Next =
         Status_.onTick(Follower_.leads(), Follower_.versions());
     if (Next)
-      std::visit([this](const auto &Action) { perform(Action); }, *Next);
+      std::visit([this](const auto &Alternative) { perform(Alternative); },
+                 *Next);
   }
 
   [[nodiscard]] std::string statusName() const {
-    return Given_.Environment_ + "." + Given_.Domain_.value();
+    return Settings_.Environment_ + "." + Settings_.Domain_.value();
   }
 
   void perform(const config::ReadStatus &) {
-    Platform_.get(StatusKind, statusName(), [this](GetResult In) {
-      std::visit(Overloaded{[this](const Object &Read) {
-                              Status_.onRead(Read.Version_, Read.Value_);
-                            },
-                            [this](const Absent &) { Status_.onRead(0, {}); },
-                            [this](const Unavailable &) { Status_.onLost(); }},
-                 In);
+    Platform_.get(StatusKind, statusName(), [this](GetResult Result) {
+      std::visit(
+          Overloaded{[this](const Object &Read) {
+                       Status_.onReadEnd(Read.Version_, Read.Value_);
+                     },
+                     [this](const Absent &) { Status_.onReadEnd(0, {}); },
+                     [this](const Unavailable &) { Status_.onCallFailed(); }},
+          Result);
     });
   }
 
-  void perform(const config::WriteStatus &Each) {
-    Platform_.put(StatusKind, statusName(), Each.Text_, Each.IfVersion_,
-                  [this](PutResult In) {
-                    if (const Stored *Done = std::get_if<Stored>(&In))
+  void perform(const config::WriteStatus &Action) {
+    Platform_.put(StatusKind, statusName(), Action.Text_, Action.IfVersion_,
+                  [this](PutResult Result) {
+                    if (const Stored *Done = std::get_if<Stored>(&Result))
                       Status_.onStored(Done->Version_);
                     else
-                      Status_.onLost();
+                      Status_.onCallFailed();
                   });
   }
 
@@ -379,27 +397,28 @@
       Unsealed_.add();
       return {403, {}, Seal_.lastReason() + "\n"};
     }
-    net::HttpResponse Out = answer(Request);
-    Out.Headers_.add(wire::SealHeader, Seal_.sign(std::to_string(Out.Status_),
-                                                  Request.Target_, Out.Body_));
-    countServed(internal::ExchangeBytes + Out.Body_.size());
-    return Out;
+    net::HttpResponse Response = answer(Request);
+    Response.Headers_.add(wire::SealHeader,
+                          Seal_.sign(std::to_string(Response.Status_),
+                                     Request.Target_, Response.Body_));
+    countServed(internal::ExchangeBytes + Response.Body_.size());
+    return Response;
   }
 
   [[nodiscard]] net::HttpResponse
   answer(const net::HttpRequest &Request) const {
-    if (Request.query("environment") != Given_.Environment_)
-      return {404, {}, "another environment\n"};
+    if (Request.query("environment") != Settings_.Environment_)
+      return {404, {}, "this entry serves another environment\n"};
     const auto Have = toNumber(Request.query("have").value_or("0"));
     if (!Have)
-      return {400, {}, "have is not a number\n"};
-    std::string Text = Follower_.answer(ConfigVersion(*Have));
+      return {400, {}, "the query parameter \"have\" is not a number\n"};
+    std::string Text = Follower_.pullAnswer(ConfigVersion(*Have));
     if (Text.empty())
       return {304, {}, {}};
     return {200, {}, std::move(Text)};
   }
 
-  const config::Settings Given_;
+  const config::Settings Settings_;
   telemetry::EventLog &Log_;
   Mailbox<membership::ViewPtr> &Views_;
   Mailbox<wire::Incoming> &Messages_;
@@ -416,7 +435,7 @@
   asio::posix::stream_descriptor MessageWake_;
 
   config::Follower Follower_;
-  config::StatusKeeper Status_;
+  config::StatusWriter Status_;
   std::map<EntryName, Ipv4> Addresses_;
 
   telemetry::Gauge &VersionGauge_;
@@ -432,18 +451,22 @@
   telemetry::Counter &ControlOut_;
   telemetry::Counter &Ticks_;
 
-  std::string Reason_;
+  std::string LastReason_;
   std::thread Thread_;
 };
 
-ConfigThread::ConfigThread(
-    const config::Settings &Given, Mailbox<config::InForcePtr> &ToFlow,
-    Mailbox<config::InForcePtr> &ToRequests,
-    Mailbox<config::InForcePtr> &ToControl, Mailbox<membership::ViewPtr> &Views,
-    Mailbox<wire::Incoming> &Messages, Mailbox<wire::Outgoing> &ToPeers,
-    Clock Time, telemetry::Registry &Metrics, telemetry::EventLog &Log)
-    : Impl_(std::make_unique<Impl>(Given, ToFlow, ToRequests, ToControl, Views,
-                                   Messages, ToPeers, Time, Metrics, Log)) {}
+ConfigThread::ConfigThread(const config::Settings &Settings,
+                           Mailbox<config::ActiveConfigPtr> &ToFlow,
+                           Mailbox<config::ActiveConfigPtr> &ToRequests,
+                           Mailbox<config::ActiveConfigPtr> &ToControl,
+                           Mailbox<membership::ViewPtr> &Views,
+                           Mailbox<wire::Incoming> &Messages,
+                           Mailbox<wire::Outgoing> &ToPeers, Clock Time,
+                           telemetry::Registry &Metrics,
+                           telemetry::EventLog &Log)
+    : Impl_(std::make_unique<Impl>(Settings, ToFlow, ToRequests, ToControl,
+                                   Views, Messages, ToPeers, Time, Metrics,
+                                   Log)) {}
 
 ConfigThread::~ConfigThread() = default;
 
@@ -452,7 +475,7 @@
 void ConfigThread::stop() { Impl_->stop(); }
 
 const std::string &ConfigThread::lastReason() const noexcept {
-  return Impl_->reason();
+  return Impl_->lastReason();
 }
 
 } // namespace medlarmoor::platform
--- a/src/medlarmoor/platform/config_thread.hpp
+++ b/src/medlarmoor/platform/config_thread.hpp
@@ -1,7 +1,7 @@
 #ifndef MEDLARMOOR_PLATFORM_CONFIG_THREAD_HPP
 #define MEDLARMOOR_PLATFORM_CONFIG_THREAD_HPP
 
-#include <medlarmoor/config/in_force.hpp>
+#include <medlarmoor/config/active_config.hpp>
 #include <medlarmoor/config/settings.hpp>
 #include <medlarmoor/core/clock.hpp>
 #include <medlarmoor/core/mailbox.hpp>
@@ -15,17 +15,18 @@
 
 namespace medlarmoor::platform {
 
-/// The thread that keeps the document of the environment in force: it carries
-/// the events and actions of config::Follower and config::StatusKeeper, and
-/// serves the port `config` to neighbours.
+/// The thread that keeps the newest document of the environment in force. It
+/// passes events to config::Follower and config::StatusWriter, performs their
+/// actions, and serves the document to neighbours on the port `config`.
 class ConfigThread {
 public:
-  /// Documents go to the first three mailboxes; views and verified control
-  /// messages come from the next two; notices to neighbours go to the last.
-  ConfigThread(const config::Settings &Given,
-               Mailbox<config::InForcePtr> &ToFlow,
-               Mailbox<config::InForcePtr> &ToRequests,
-               Mailbox<config::InForcePtr> &ToControl,
+  /// Sends documents to the first three mailboxes, receives views and verified
+  /// control messages from the next two, and sends notices to neighbours to the
+  /// last.
+  ConfigThread(const config::Settings &Settings,
+               Mailbox<config::ActiveConfigPtr> &ToFlow,
+               Mailbox<config::ActiveConfigPtr> &ToRequests,
+               Mailbox<config::ActiveConfigPtr> &ToControl,
                Mailbox<membership::ViewPtr> &Views,
                Mailbox<wire::Incoming> &Messages,
                Mailbox<wire::Outgoing> &ToPeers, Clock Time,
@@ -34,11 +35,12 @@
   ConfigThread(const ConfigThread &) = delete;
   ConfigThread &operator=(const ConfigThread &) = delete;
 
-  /// Binds the port and starts; false with lastReason() when it is not free.
+  /// Binds the port and starts the thread. Returns false on failure;
+  /// lastReason() then says why.
   [[nodiscard]] bool start();
-  /// Ends the thread and waits for it.
+  /// Stops the thread and waits until it has ended.
   void stop();
-  /// Why start() returned false.
+  /// Returns why start() returned false.
   [[nodiscard]] const std::string &lastReason() const noexcept;
 
 private:
--- a/src/medlarmoor/platform/instance.hpp
+++ b/src/medlarmoor/platform/instance.hpp
@@ -9,16 +9,16 @@
 
 namespace medlarmoor::platform {
 
-/// One instance of the platform's list, which lags behind what is true.
+/// One instance in the platform's list, which lags behind the actual state.
 struct Instance {
   EntryName Name_;
   DomainName Domain_;
   Ipv4 Address_;
-  /// The platform is about to take the instance away.
+  /// The platform is about to remove the instance.
   bool Leaving_ = false;
 };
 
-/// The list of instances as the platform gave it.
+/// The list of instances as returned by the platform.
 struct InstanceList {
   std::uint64_t Revision_ = 0;
   std::vector<Instance> Instances_;
--- a/src/medlarmoor/platform/internal_answers.hpp
+++ b/src/medlarmoor/platform/internal_answers.hpp
@@ -9,24 +9,27 @@
 
 namespace medlarmoor::platform::internal {
 
-/// Turns what came back for a call (Answer, or nothing and Reason) into its
-/// typed result. An answer that does not have the documented shape counts as
-/// no answer.
-[[nodiscard]] GetResult toGet(const std::optional<net::HttpResponse> &Answer,
-                              const std::string &Reason);
-[[nodiscard]] PutResult toPut(const std::optional<net::HttpResponse> &Answer,
-                              const std::string &Reason);
+/// Converts the response to a call, or the Reason for which there is none, to
+/// the typed result of the call. A response that does not have the documented
+/// form counts as no answer.
+[[nodiscard]] GetResult
+toGetResult(const std::optional<net::HttpResponse> &Answer,
+            const std::string &Reason);
+[[nodiscard]] PutResult
+toPutResult(const std::optional<net::HttpResponse> &Answer,
+            const std::string &Reason);
 [[nodiscard]] RemoveResult
-toRemove(const std::optional<net::HttpResponse> &Answer,
-         const std::string &Reason);
-[[nodiscard]] ListResult toList(const std::optional<net::HttpResponse> &Answer,
-                                const std::string &Reason);
+toRemoveResult(const std::optional<net::HttpResponse> &Answer,
+               const std::string &Reason);
+[[nodiscard]] ListResult
+toListResult(const std::optional<net::HttpResponse> &Answer,
+             const std::string &Reason);
 [[nodiscard]] WatchResult
-toWatch(const std::optional<net::HttpResponse> &Answer,
-        const std::string &Reason);
+toWatchResult(const std::optional<net::HttpResponse> &Answer,
+              const std::string &Reason);
 [[nodiscard]] InstancesResult
-toInstances(const std::optional<net::HttpResponse> &Answer,
-            const std::string &Reason);
+toInstancesResult(const std::optional<net::HttpResponse> &Answer,
+                  const std::string &Reason);
 
 } // namespace medlarmoor::platform::internal
 
--- a/src/medlarmoor/platform/internal_outbox.hpp
+++ b/src/medlarmoor/platform/internal_outbox.hpp
@@ -1,31 +1,32 @@
 #ifndef MEDLARMOOR_PLATFORM_INTERNAL_OUTBOX_HPP
 #define MEDLARMOOR_PLATFORM_INTERNAL_OUTBOX_HPP
 
-#include <medlarmoor/config/in_force.hpp>
+#include <medlarmoor/config/active_config.hpp>
 #include <medlarmoor/core/mailbox.hpp>
 
 namespace medlarmoor::platform::internal {
 
-/// Gives documents to one thread. While its mailbox is full, only the newest
-/// document waits.
+/// Sends documents to the mailbox of one thread. While the mailbox is full,
+/// only the newest document is kept for sending.
 class Outbox {
 public:
-  explicit Outbox(Mailbox<config::InForcePtr> &To) : To_(&To) {}
+  explicit Outbox(Mailbox<config::ActiveConfigPtr> &Target)
+      : Target_(&Target) {}
 
-  void put(config::InForcePtr Document) {
-    Waiting_ = std::move(Document);
+  void put(config::ActiveConfigPtr Document) {
+    Pending_ = std::move(Document);
     flush();
   }
 
-  /// Tries again what did not fit.
+  /// Sends the pending document, if there is one and the mailbox has room.
   void flush() {
-    if (Waiting_ && To_->push(Waiting_))
-      Waiting_.reset();
+    if (Pending_ && Target_->push(Pending_))
+      Pending_.reset();
   }
 
 private:
-  Mailbox<config::InForcePtr> *To_;
-  config::InForcePtr Waiting_;
+  Mailbox<config::ActiveConfigPtr> *Target_;
+  config::ActiveConfigPtr Pending_;
 };
 
 } // namespace medlarmoor::platform::internal
--- a/src/medlarmoor/platform/internal_traffic.hpp
+++ b/src/medlarmoor/platform/internal_traffic.hpp
@@ -5,8 +5,9 @@
 
 namespace medlarmoor::platform::internal {
 
-/// Bytes of one HTTP exchange over a connection of its own besides the bodies:
-/// ten TCP segments with 52 bytes of IP and TCP header, and the header fields.
+/// Bytes of one HTTP exchange on a connection of its own, without the bodies:
+/// ten TCP segments with 52 bytes of IP and TCP headers each, and the HTTP
+/// header fields.
 inline constexpr std::uint64_t ExchangeBytes = 800;
 
 } // namespace medlarmoor::platform::internal
--- a/src/medlarmoor/platform/listing.hpp
+++ b/src/medlarmoor/platform/listing.hpp
@@ -7,9 +7,9 @@
 
 namespace medlarmoor::platform {
 
-/// Objects of one kind as they stood at a revision of the store.
+/// Objects of one kind as of a revision of the store.
 struct Listing {
-  /// A watch that starts after this revision misses nothing.
+  /// A watch that starts after this revision misses no change.
   std::uint64_t Revision_ = 0;
   std::vector<Object> Items_;
 };
--- a/src/medlarmoor/platform/object.hpp
+++ b/src/medlarmoor/platform/object.hpp
@@ -6,16 +6,16 @@
 
 namespace medlarmoor::platform {
 
-/// One object of the platform's store.
+/// One object in the platform's store.
 struct Object {
   std::string Kind_;
   std::string Name_;
-  /// Grows with each change of this object; 0 means that it does not exist.
+  /// Increases with each change of this object; 0 if it does not exist.
   std::uint64_t Version_ = 0;
-  /// JSON text with sorted keys and without spaces, whatever form it was
-  /// stored in, so that equal values are equal texts.
+  /// JSON text with sorted keys and without spaces, regardless of the form in
+  /// which it was stored, so that equal values have equal texts.
   std::string Value_;
-  /// Only in answers of a watch: the object is gone.
+  /// The object was deleted. Set only in the answer to a watch.
   bool Deleted_ = false;
 };
 
--- a/src/medlarmoor/platform/publish.cpp
+++ b/src/medlarmoor/platform/publish.cpp
@@ -18,107 +18,111 @@
 namespace {
 
 constexpr Millis CallTimeout{2000};
-/// Calls to the platform at once, so that a large document does not flood it.
-constexpr std::size_t CallsAtOnce = 32;
+/// Maximum number of calls in flight, so that a large document does not
+/// overload the platform.
+constexpr std::size_t MaxCallsInFlight = 32;
 
-/// Carries the steps of a publisher to the platform and the results back.
+/// Executes the steps of a Publisher against the platform and passes their
+/// results back to it.
 class PublishRun {
 public:
   PublishRun(Endpoint Platform, const std::string &Environment,
-             Publication What, Millis Patience)
+             Publication Document, Millis Timeout)
       : Environment_(Environment),
         Platform_(Io_, Platform, Ipv4(), CallTimeout, Metrics_),
-        Publisher_(std::move(What), Clock(), Patience) {}
+        Publisher_(std::move(Document), Clock(), Timeout) {}
 
   PublishResult run() {
-    take(Publisher_.start());
+    scheduleAll(Publisher_.start());
     while (!Result_)
       Io_.run_one();
     return *Result_;
   }
 
 private:
-  void take(const PublisherSteps &Steps) {
-    for (const PublisherStep &Each : Steps)
-      schedule(Each);
-    beginWaiting();
+  void scheduleAll(const PublisherSteps &Steps) {
+    for (const PublisherStep &Step : Steps)
+      schedule(Step);
+    startPendingCalls();
   }
 
-  /// A call has ended; Steps is what follows from it.
+  /// Records that a call has ended, and schedules the steps that follow from
+  /// it.
   void finish(const PublisherSteps &Steps) {
-    --Calls_;
-    take(Steps);
+    --CallsInFlight_;
+    scheduleAll(Steps);
   }
 
-  void schedule(const PublisherStep &Each) {
-    if (Each.After_.count() == 0)
-      return Waiting_.push_back(Each.Action_);
-    const auto Timer = std::make_shared<asio::steady_timer>(Io_, Each.After_);
+  void schedule(const PublisherStep &Step) {
+    if (Step.After_.count() == 0)
+      return Pending_.push_back(Step.Action_);
+    const auto Timer = std::make_shared<asio::steady_timer>(Io_, Step.After_);
     Timer->async_wait(
-        [this, Timer, Action = Each.Action_](boost::system::error_code) {
-          Waiting_.push_back(Action);
-          beginWaiting();
+        [this, Timer, Action = Step.Action_](boost::system::error_code) {
+          Pending_.push_back(Action);
+          startPendingCalls();
         });
   }
 
-  void beginWaiting() {
-    while (!Waiting_.empty() && Calls_ < CallsAtOnce) {
-      const PublisherAction Next = std::move(Waiting_.front());
-      Waiting_.pop_front();
-      ++Calls_;
+  void startPendingCalls() {
+    while (!Pending_.empty() && CallsInFlight_ < MaxCallsInFlight) {
+      const PublisherAction Next = std::move(Pending_.front());
+      Pending_.pop_front();
+      ++CallsInFlight_;
       perform(Next);
     }
   }
 
   void perform(const PublisherAction &Action) {
-    std::visit([this](const auto &Each) { begin(Each); }, Action);
+    std::visit([this](const auto &Alternative) { execute(Alternative); },
+               Action);
   }
 
-  void begin(const ReadPublished &) {
-    Platform_.get("manifest", Environment_, [this](GetResult In) {
+  void execute(const ReadCurrentManifest &) {
+    Platform_.get("manifest", Environment_, [this](GetResult Result) {
       finish(std::visit(
           Overloaded{
               [this](const Object &Read) {
                 return Publisher_.onManifest(Read.Version_, Read.Value_);
               },
               [this](const Absent &) { return Publisher_.onManifest(0, {}); },
-              [this](const Unavailable &Why) {
-                return Publisher_.onManifestUnread(Why.Reason_);
+              [this](const Unavailable &Error) {
+                return Publisher_.onManifestReadFailed(Error.Reason_);
               }},
-          In));
+          Result));
     });
   }
 
-  void begin(const ReadIndexPart &Each) {
-    const PartId Id = Each.Id_;
-    Platform_.get("part", objectName(Id), [this, Id](GetResult In) {
-      const Object *Read = std::get_if<Object>(&In);
+  void execute(const ReadIndexPart &Action) {
+    const PartId Id = Action.Id_;
+    Platform_.get("part", objectName(Id), [this, Id](GetResult Result) {
+      const Object *Read = std::get_if<Object>(&Result);
       finish(Publisher_.onIndexPart(Id, Read ? std::optional(Read->Value_)
                                              : std::nullopt));
     });
   }
 
-  void begin(const StorePart &Each) {
-    const PartId Id = Each.Id_;
+  void execute(const StorePart &Action) {
+    const PartId Id = Action.Id_;
     Platform_.put(
-        "part", objectName(Id), Each.Text_, 0, [this, Id](PutResult In) {
+        "part", objectName(Id), Action.Text_, 0, [this, Id](PutResult Result) {
           finish(std::visit(
               Overloaded{
                   [&](const Stored &) { return Publisher_.onPartStored(Id); },
                   [&](const Conflict &) { return Publisher_.onPartStored(Id); },
-                  [&](const Refused &Why) {
-                    return Publisher_.onRefused(Why.Reason_);
+                  [&](const Refused &Error) {
+                    return Publisher_.onRefused(Error.Reason_);
                   },
-                  [&](const Unavailable &Why) {
-                    return Publisher_.onPartLost(Id, Why.Reason_);
+                  [&](const Unavailable &Error) {
+                    return Publisher_.onPartUncertain(Id, Error.Reason_);
                   }},
-              In));
+              Result));
         });
   }
 
-  void begin(const StoreManifest &Each) {
-    Platform_.put("manifest", Environment_, Each.Text_, Each.IfVersion_,
-                  [this](PutResult In) {
+  void execute(const StoreManifest &Action) {
+    Platform_.put("manifest", Environment_, Action.Text_, Action.IfVersion_,
+                  [this](PutResult Result) {
                     finish(std::visit(
                         Overloaded{[this](const Stored &) {
                                      return Publisher_.onManifestStored();
@@ -126,17 +130,17 @@
                                    [this](const Conflict &) {
                                      return Publisher_.onManifestConflict();
                                    },
-                                   [this](const Refused &Why) {
-                                     return Publisher_.onRefused(Why.Reason_);
+                                   [this](const Refused &Error) {
+                                     return Publisher_.onRefused(Error.Reason_);
                                    },
                                    [this](const Unavailable &) {
-                                     return Publisher_.onManifestLost();
+                                     return Publisher_.onManifestUncertain();
                                    }},
-                        In));
+                        Result));
                   });
   }
 
-  void begin(const PublishResult &Each) { Result_ = Each; }
+  void execute(const PublishResult &Outcome) { Result_ = Outcome; }
 
   [[nodiscard]] std::string objectName(const PartId &Id) const {
     return Environment_ + "." + Id.value();
@@ -147,16 +151,16 @@
   std::string Environment_;
   Client Platform_;
   Publisher Publisher_;
-  std::deque<PublisherAction> Waiting_;
-  std::size_t Calls_ = 0;
+  std::deque<PublisherAction> Pending_;
+  std::size_t CallsInFlight_ = 0;
   std::optional<PublishResult> Result_;
 };
 
 } // namespace
 
 PublishResult publish(Endpoint Platform, const std::string &Environment,
-                      Publication What, Millis Patience) {
-  return PublishRun(Platform, Environment, std::move(What), Patience).run();
+                      Publication Document, Millis Timeout) {
+  return PublishRun(Platform, Environment, std::move(Document), Timeout).run();
 }
 
 } // namespace medlarmoor::platform
--- a/src/medlarmoor/platform/publish.hpp
+++ b/src/medlarmoor/platform/publish.hpp
@@ -8,12 +8,12 @@
 
 namespace medlarmoor::platform {
 
-/// Writes a document to the platform and waits for the outcome, at most about
-/// Patience. Environment names the objects.
+/// Writes a document to the platform and waits for the outcome, for about
+/// Timeout at most. Environment names the objects.
 [[nodiscard]] config::PublishResult publish(Endpoint Platform,
                                             const std::string &Environment,
-                                            config::Publication What,
-                                            Millis Patience);
+                                            config::Publication Document,
+                                            Millis Timeout);
 
 } // namespace medlarmoor::platform
 
--- a/src/medlarmoor/platform/read_document.cpp
+++ b/src/medlarmoor/platform/read_document.cpp
@@ -6,20 +6,22 @@
 
 namespace {
 
-/// Fetches all parts that Copy still lacks.
-bool complete(Replica &Copy, const SyncClient &From,
-              const std::string &Environment, std::string &Reason) {
-  for (auto Missing = Copy.missing(); !Missing.empty();
-       Missing = Copy.missing())
+/// Fetches all parts that Local still lacks. Returns false and sets Reason if a
+/// part cannot be fetched or is rejected.
+bool fetchMissingParts(Replica &Local, const SyncClient &Platform,
+                       const std::string &Environment, std::string &Reason) {
+  for (auto Missing = Local.missingParts(); !Missing.empty();
+       Missing = Local.missingParts())
     for (const PartId &Id : Missing) {
-      const GetResult Read = From.get("part", Environment + "." + Id.value());
+      const GetResult Read =
+          Platform.get("part", Environment + "." + Id.value());
       const Object *Found = std::get_if<Object>(&Read);
       if (!Found) {
-        Reason = "part " + Id.value() + " can't be read";
+        Reason = "part " + Id.value() + " could not be read from the platform";
         return false;
       }
-      if (!Copy.put(Id, Found->Value_) && !Copy.lastReason().empty()) {
-        Reason = Copy.lastReason();
+      if (!Local.addPart(Id, Found->Value_) && !Local.lastReason().empty()) {
+        Reason = Local.lastReason();
         return false;
       }
     }
@@ -28,31 +30,31 @@
 
 } // namespace
 
-std::optional<AcceptedDocument> readDocument(const SyncClient &From,
+std::optional<AcceptedDocument> readDocument(const SyncClient &Platform,
                                              const std::string &Environment,
                                              std::string &Reason) {
-  const GetResult Read = From.get("manifest", Environment);
+  const GetResult Read = Platform.get("manifest", Environment);
   if (std::holds_alternative<Absent>(Read))
     return AcceptedDocument();
   if (const Unavailable *Failed = std::get_if<Unavailable>(&Read)) {
     Reason = Failed->Reason_;
     return std::nullopt;
   }
-  auto Named = readManifest(std::get<Object>(Read).Value_, Reason);
-  if (!Named)
+  auto Accepted = readManifest(std::get<Object>(Read).Value_, Reason);
+  if (!Accepted)
     return std::nullopt;
-  Replica Copy(Environment);
-  if (!Copy.aim(*Named)) {
-    Reason = Copy.lastReason();
+  Replica Local(Environment);
+  if (!Local.setTarget(*Accepted)) {
+    Reason = Local.lastReason();
     return std::nullopt;
   }
-  if (!complete(Copy, From, Environment, Reason))
+  if (!fetchMissingParts(Local, Platform, Environment, Reason))
     return std::nullopt;
-  if (Copy.version() != Named->Version_) {
-    Reason = Copy.lastReason();
+  if (Local.version() != Accepted->Version_) {
+    Reason = Local.lastReason();
     return std::nullopt;
   }
-  return AcceptedDocument{std::move(*Named), Copy.parts(), Copy.inForce()};
+  return AcceptedDocument{std::move(*Accepted), Local.parts(), Local.inForce()};
 }
 
 } // namespace medlarmoor::platform
--- a/src/medlarmoor/platform/read_document.hpp
+++ b/src/medlarmoor/platform/read_document.hpp
@@ -9,17 +9,18 @@
 
 namespace medlarmoor::platform {
 
-/// The accepted document of an environment, whole.
+/// The complete accepted document of an environment.
 struct AcceptedDocument {
   config::Manifest Manifest_;
   config::PartSet Parts_;
-  config::InForcePtr Document_;
+  config::ActiveConfigPtr Document_;
 };
 
-/// Reads the accepted document: nothing, with Reason set, when it can't be
-/// read whole. Version 0 and no document when none was ever accepted.
+/// Reads the accepted document. Returns no value and sets Reason if it cannot
+/// be read completely. Returns version 0 and a null document if none was ever
+/// accepted.
 [[nodiscard]] std::optional<AcceptedDocument>
-readDocument(const SyncClient &From, const std::string &Environment,
+readDocument(const SyncClient &Platform, const std::string &Environment,
              std::string &Reason);
 
 } // namespace medlarmoor::platform
--- a/src/medlarmoor/platform/result.hpp
+++ b/src/medlarmoor/platform/result.hpp
@@ -16,25 +16,26 @@
 
 /// The write took effect.
 struct Stored {
-  /// The object's version now.
+  /// The object's new version.
   std::uint64_t Version_ = 0;
 };
 
 /// The write did not take effect: the object has another version.
 struct Conflict {
-  /// The version of what is there; 0 when nothing is.
+  /// The object's current version; 0 if it does not exist.
   std::uint64_t Version_ = 0;
 };
 
-/// The request itself is wrong and took no effect.
+/// The request itself is invalid and had no effect.
 struct Refused {
   std::string Reason_;
 };
 
-/// The watch asked for a revision that the platform no longer keeps.
+/// The watch asked for changes after a revision whose history the platform no
+/// longer keeps.
 struct TooOld {};
 
-/// No usable answer came. A write may have taken effect or not.
+/// No usable answer was received. A write may or may not have taken effect.
 struct Unavailable {
   std::string Reason_;
 };
--- a/src/medlarmoor/platform/sync_client.cpp
+++ b/src/medlarmoor/platform/sync_client.cpp
@@ -15,53 +15,56 @@
 constexpr Millis CallTimeout{2000};
 constexpr Millis RetryDelay{200};
 
-/// Makes one call and waits for it.
+/// Makes one call and waits for its result.
 template <typename Result, typename Call>
-Result once(Endpoint Where, const Call &Begin) {
+Result callOnce(Endpoint Server, const Call &Start) {
   boost::asio::io_context Io;
   telemetry::Registry Metrics;
-  Client To(Io, Where, Ipv4(), CallTimeout, Metrics);
-  std::optional<Result> Out;
-  Begin(To, [&Out](Result Each) { Out = std::move(Each); });
+  Client Api(Io, Server, Ipv4(), CallTimeout, Metrics);
+  std::optional<Result> Received;
+  Start(Api,
+        [&Received](Result Completed) { Received = std::move(Completed); });
   Io.run();
-  return std::move(*Out);
+  return std::move(*Received);
 }
 
+/// Repeats a call until it has a usable answer or Timeout has passed.
 template <typename Result, typename Call>
-Result patiently(Endpoint Where, Millis Patience, const Call &Begin) {
+Result callWithRetries(Endpoint Server, Millis Timeout, const Call &Start) {
   const Clock Time;
-  const TimePoint Deadline = Time.now() + Patience;
+  const TimePoint Deadline = Time.now() + Timeout;
   while (true) {
-    Result Out = once<Result>(Where, Begin);
-    if (!std::holds_alternative<Unavailable>(Out) || Time.now() >= Deadline)
-      return Out;
+    Result Received = callOnce<Result>(Server, Start);
+    if (!std::holds_alternative<Unavailable>(Received) ||
+        Time.now() >= Deadline)
+      return Received;
     std::this_thread::sleep_for(RetryDelay);
   }
 }
 
 } // namespace
 
-SyncClient::SyncClient(Endpoint Where, Millis Patience)
-    : Where_(Where), Patience_(Patience) {}
+SyncClient::SyncClient(Endpoint Server, Millis Timeout)
+    : Server_(Server), Timeout_(Timeout) {}
 
 GetResult SyncClient::get(const std::string &Kind,
                           const std::string &Name) const {
-  return patiently<GetResult>(Where_, Patience_, [&](Client &To, auto Done) {
-    To.get(Kind, Name, std::move(Done));
-  });
+  return callWithRetries<GetResult>(
+      Server_, Timeout_,
+      [&](Client &Api, auto Done) { Api.get(Kind, Name, std::move(Done)); });
 }
 
 ListResult SyncClient::list(const std::string &Kind,
                             const std::string &Prefix) const {
-  return patiently<ListResult>(Where_, Patience_, [&](Client &To, auto Done) {
-    To.list(Kind, Prefix, std::move(Done));
-  });
+  return callWithRetries<ListResult>(
+      Server_, Timeout_,
+      [&](Client &Api, auto Done) { Api.list(Kind, Prefix, std::move(Done)); });
 }
 
 InstancesResult SyncClient::instances() const {
-  return patiently<InstancesResult>(
-      Where_, Patience_, [](Client &To, auto Done) {
-        To.instances(std::nullopt, std::move(Done));
+  return callWithRetries<InstancesResult>(
+      Server_, Timeout_, [](Client &Api, auto Done) {
+        Api.instances(std::nullopt, std::move(Done));
       });
 }
 
--- a/src/medlarmoor/platform/sync_client.hpp
+++ b/src/medlarmoor/platform/sync_client.hpp
@@ -9,12 +9,12 @@
 
 namespace medlarmoor::platform {
 
-/// Calls to the platform's object API that wait for their result, for programs
-/// that do nothing else meanwhile. Reads without a usable answer are tried
-/// again until Patience is used up.
+/// Makes calls to the platform's object API and waits for their results, for
+/// programs that do nothing else meanwhile. A call without a usable answer is
+/// repeated until Timeout has passed.
 class SyncClient {
 public:
-  SyncClient(Endpoint Where, Millis Patience);
+  SyncClient(Endpoint Server, Millis Timeout);
 
   [[nodiscard]] GetResult get(const std::string &Kind,
                               const std::string &Name) const;
@@ -23,8 +23,8 @@
   [[nodiscard]] InstancesResult instances() const;
 
 private:
-  Endpoint Where_;
-  Millis Patience_;
+  Endpoint Server_;
+  Millis Timeout_;
 };
 
 } // namespace medlarmoor::platform
--- a/src/medlarmoor/request/action.hpp
+++ b/src/medlarmoor/request/action.hpp
@@ -4,7 +4,7 @@
 #include <medlarmoor/config/upstream.hpp>
 #include <medlarmoor/core/strong.hpp>
 #include <medlarmoor/membership/member.hpp>
-#include <medlarmoor/request/ledger_copy.hpp>
+#include <medlarmoor/request/record_replica.hpp>
 #include <medlarmoor/request/verdict.hpp>
 
 #include <cstddef>
@@ -15,63 +15,65 @@
 
 namespace medlarmoor::request {
 
-/// Names one submission inside of its dispatcher.
+/// Identifies one submission within its dispatcher.
 using Ticket = Strong<std::uint64_t, struct TicketTag>;
-/// Names one attempt at one upstream, unique over all entries and runs.
+/// Identifies one attempt at one upstream, unique across all entries and
+/// incarnations.
 using AttemptId = Strong<std::string, struct AttemptIdTag>;
 
-/// Send the request of Ticket_ to the upstream, then report answered().
+/// Sends the request of Ticket_ to the upstream. Its end is reported with
+/// Dispatcher::onAttemptEnd().
 struct Send {
   Ticket Ticket_;
-  config::Upstream To_;
+  config::Upstream Target_;
   AttemptId Attempt_;
   TimePoint Deadline_;
-  /// Use a connection of its own, not one from the pool.
-  bool Fresh_ = false;
+  /// Opens a new connection instead of using a pooled one.
+  bool FreshConnection_ = false;
 };
 
-/// Bring Copy_ to Needed_ of the entries To_, the first in line first, then
-/// report replicated().
+/// Stores Replica_ at NeededReplicas_ of the entries Targets_, in their order.
+/// The result is reported with Dispatcher::onReplicationEnd().
 struct Replicate {
   Ticket Ticket_;
-  LedgerCopy Copy_;
-  std::vector<membership::Member> To_;
-  std::size_t Needed_ = 0;
+  RecordReplica Replica_;
+  std::vector<membership::Member> Targets_;
+  std::size_t NeededReplicas_ = 0;
   TimePoint Deadline_;
 };
 
-/// Bring Copy_ to the entries To_ without waiting for them.
+/// Sends Replica_ to the entries Targets_ without waiting for their answers.
 struct Announce {
-  LedgerCopy Copy_;
-  std::vector<membership::Member> To_;
+  RecordReplica Replica_;
+  std::vector<membership::Member> Targets_;
 };
 
-/// Tell the caller of Ticket_ what is known; the ticket ends.
+/// Reports the verdict to the caller of Ticket_ and ends the ticket.
 struct Resolve {
   Ticket Ticket_;
   Verdict Verdict_;
 };
 
-/// Ask the upstream to cancel the attempt; with GiveUp_ do not wait for its
-/// answer either.
+/// Asks the upstream to cancel the attempt. If Abandon_ is set, the response of
+/// the attempt is not awaited either.
 struct Cancel {
   Ticket Ticket_;
-  config::Upstream At_;
+  config::Upstream Target_;
   AttemptId Attempt_;
-  bool GiveUp_ = false;
+  bool Abandon_ = false;
 };
 
-/// What a dispatcher wants done.
+/// An action that a dispatcher requests from its executor.
 using Action = std::variant<Send, Replicate, Announce, Resolve, Cancel>;
 
-/// How replication went.
-enum class ReplicaEnd : unsigned char {
-  /// Enough entries hold the copy.
-  Enough,
-  /// An entry holds the key for another dispatcher.
-  Held,
-  /// Too few entries took it in time.
-  TooFew,
+/// The result of replicating one record.
+enum class ReplicationResult : unsigned char {
+  /// Enough entries store the replica.
+  Replicated,
+  /// An entry holds the key for another dispatcher or incarnation.
+  HeldElsewhere,
+  /// Too few entries stored the replica before the deadline.
+  TooFewReplicas,
 };
 
 } // namespace medlarmoor::request
--- a/src/medlarmoor/request/dispatcher.cpp
+++ b/src/medlarmoor/request/dispatcher.cpp
@@ -7,21 +7,21 @@
 
 namespace {
 
-Verdict unknown(std::string Reason, bool Retry) {
-  return {Outcome::Unknown, std::move(Reason), Retry, nullptr, false};
+Verdict unknown(std::string Reason, bool Retryable) {
+  return {Outcome::Unknown, std::move(Reason), Retryable, nullptr, false};
 }
 
-Verdict moved() {
+Verdict notDispatcher() {
   return {Outcome::Unknown, "not_the_dispatcher", true, nullptr, true};
 }
 
-Verdict ofRecord(const Record &Known) {
-  switch (Known.State_) {
+Verdict verdictOf(const Record &Existing) {
+  switch (Existing.State_) {
   case KeyState::Done:
-    return {Outcome::Done, Known.Answer_ ? "" : "answer_not_kept", false,
-            Known.Answer_, false};
+    return {Outcome::Done, Existing.Answer_ ? "" : "answer_not_kept", false,
+            Existing.Answer_, false};
   case KeyState::NotRun:
-    return {Outcome::NotRun, Known.Reason_, true, nullptr, false};
+    return {Outcome::NotRun, Existing.Reason_, true, nullptr, false};
   case KeyState::Accepted:
     return unknown("waiting", true);
   case KeyState::Dispatched:
@@ -29,110 +29,111 @@
   case KeyState::Unknown:
     break;
   }
-  return unknown(Known.Reason_, false);
+  return unknown(Existing.Reason_, false);
 }
 
 } // namespace
 
 Dispatcher::Dispatcher(DispatcherIdentity Self, DispatcherLimits Limits,
-                       Ledger &Known, DispatcherRole &Office, Quorum &Members,
-                       upstream::SlotPool Slots, Clock Time, Random Source)
-    : Self_(std::move(Self)), Limits_(Limits), Known_(Known), Office_(Office),
-      Members_(Members), Slots_(std::move(Slots)), Time_(std::move(Time)),
-      Source_(Source), Budget_(Limits.RetryBudget_) {}
+                       Ledger &Records, DispatcherRole &Role, Quorum &Majority,
+                       upstream::SlotPool Slots, Clock Time, Random Generator)
+    : Self_(std::move(Self)), Limits_(Limits), Ledger_(Records), Role_(Role),
+      Quorum_(Majority), Slots_(std::move(Slots)), Time_(std::move(Time)),
+      Random_(Generator), RetryBudget_(Limits.RetryBudget_) {}
 
-Ticket Dispatcher::submit(const Submission &Asked) {
-  if (const auto At = Jobs_.find(Asked.Key_); At != Jobs_.end()) {
-    const Ticket Of(NextTicket_++);
-    At->second.Callers_.push_back(Of);
-    Tickets_.emplace(Of, Asked.Key_);
-    return Of;
+Ticket Dispatcher::submit(const Submission &Request) {
+  if (const auto Found = Jobs_.find(Request.Key_); Found != Jobs_.end()) {
+    const Ticket Id(NextTicket_++);
+    Found->second.Callers_.push_back(Id);
+    Tickets_.emplace(Id, Request.Key_);
+    return Id;
   }
-  if (std::optional<Verdict> Known = judge(Asked))
-    return resolveNow(std::move(*Known));
-  const Ticket Of(NextTicket_++);
-  if (!holdBack(Asked, Of))
-    admit(Asked, Of);
-  return Of;
+  if (std::optional<Verdict> Decided = verdictFor(Request))
+    return resolveNow(std::move(*Decided));
+  const Ticket Id(NextTicket_++);
+  if (!deferForHandoff(Request, Id))
+    admit(Request, Id);
+  return Id;
 }
 
-void Dispatcher::admit(const Submission &Asked, Ticket Of) {
-  const std::optional<std::string> Shed = reasonToShed(Asked);
-  Job &Each = open(Asked, Of);
+void Dispatcher::admit(const Submission &Request, Ticket Id) {
+  const std::optional<std::string> Shed = reasonToShed(Request);
+  Job &Current = openJob(Request, Id);
   if (Shed)
-    return refuse(Each, *Shed);
-  record(Each, KeyState::Accepted, {});
-  Queue_.push_back(Asked.Key_);
+    return refuse(Current, *Shed);
+  writeRecord(Current, KeyState::Accepted, {});
+  Queue_.push_back(Request.Key_);
   startNext();
 }
 
-std::optional<Verdict> Dispatcher::judge(const Submission &Asked) {
-  Office_.check();
-  if (Office_.suspended())
+std::optional<Verdict> Dispatcher::verdictFor(const Submission &Request) {
+  Role_.checkClock();
+  if (Role_.suspended())
     return unknown("paused", true);
-  if (!Office_.isDispatcher(Asked.Service_))
-    return moved();
-  if (const Record *Known = Known_.find(Asked.Key_))
-    if (std::optional<Verdict> Of = judgeRecord(Asked, *Known))
-      return Of;
-  if (Asked.Class_ == MethodClass::Idempotent)
+  if (!Role_.isDispatcher(Request.Service_))
+    return notDispatcher();
+  if (const Record *Existing = Ledger_.find(Request.Key_))
+    if (std::optional<Verdict> Result = verdictFromRecord(Request, *Existing))
+      return Result;
+  if (Request.Class_ == MethodClass::Idempotent)
     return std::nullopt;
-  if (Asked.Minted_ + Limits_.Horizon_ < Time_.wallNow())
+  if (Request.Minted_ + Limits_.Horizon_ < Time_.wallNow())
     return unknown("key_older_than_the_horizon", false);
-  if (!Members_.holds())
+  if (!Quorum_.hasMajority())
     return unknown("no_majority_of_entries", true);
-  if (mayHaveRunBefore(Asked) && !Office_.awaitsHandover(Asked.Service_))
+  if (mayHaveRunBefore(Request) && !Role_.awaitsHandoff(Request.Service_))
     return unknown("minted_before_take_over", false);
   return std::nullopt;
 }
 
-std::optional<Verdict> Dispatcher::judgeRecord(const Submission &Asked,
-                                               const Record &Known) const {
-  if (Known.State_ == KeyState::NotRun && Asked.Try_ > Known.Try_)
+std::optional<Verdict>
+Dispatcher::verdictFromRecord(const Submission &Request,
+                              const Record &Existing) const {
+  if (Existing.State_ == KeyState::NotRun && Request.Try_ > Existing.Try_)
     return std::nullopt;
-  const bool Repeatable = Known.Class_ == MethodClass::Idempotent &&
-                          Asked.Class_ == MethodClass::Idempotent &&
-                          Known.State_ != KeyState::Done &&
-                          Known.State_ != KeyState::NotRun;
+  const bool Repeatable = Existing.Class_ == MethodClass::Idempotent &&
+                          Request.Class_ == MethodClass::Idempotent &&
+                          Existing.State_ != KeyState::Done &&
+                          Existing.State_ != KeyState::NotRun;
   if (Repeatable)
     return std::nullopt;
-  return ofRecord(Known);
+  return verdictOf(Existing);
 }
 
-bool Dispatcher::mayHaveRunBefore(const Submission &Asked) {
-  if (const Record *Known = Known_.find(Asked.Key_))
-    return Known->State_ != KeyState::NotRun;
+bool Dispatcher::mayHaveRunBefore(const Submission &Request) {
+  if (const Record *Existing = Ledger_.find(Request.Key_))
+    return Existing->State_ != KeyState::NotRun;
   const WallTime From =
-      std::max(Office_.judgesFrom(Asked.Service_), Members_.since());
-  return Asked.Minted_ < From ||
-         Asked.Minted_ + Limits_.Horizon_ < Time_.wallNow();
+      std::max(Role_.decidesFrom(Request.Service_), Quorum_.majoritySince());
+  return Request.Minted_ < From ||
+         Request.Minted_ + Limits_.Horizon_ < Time_.wallNow();
 }
 
-bool Dispatcher::holdBack(const Submission &Asked, Ticket Of) {
-  if (Asked.Class_ != MethodClass::Once || !mayHaveRunBefore(Asked))
+bool Dispatcher::deferForHandoff(const Submission &Request, Ticket Id) {
+  if (Request.Class_ != MethodClass::Once || !mayHaveRunBefore(Request))
     return false;
-  HeldBack_.emplace_back(Of, Asked);
+  Deferred_.emplace_back(Id, Request);
   return true;
 }
 
-void Dispatcher::reviewHeldBack() {
-  const auto Waiting = std::exchange(HeldBack_, {});
-  for (const auto &[Of, Asked] : Waiting) {
-    if (std::optional<Verdict> Known = judge(Asked))
-      Actions_.emplace_back(Resolve{Of, std::move(*Known)});
-    else if (Jobs_.contains(Asked.Key_))
-      Actions_.emplace_back(Resolve{Of, unknown("running", true)});
-    else if (!holdBack(Asked, Of))
-      admit(Asked, Of);
+void Dispatcher::reviewDeferred() {
+  const auto Waiting = std::exchange(Deferred_, {});
+  for (const auto &[Id, Request] : Waiting) {
+    if (std::optional<Verdict> Decided = verdictFor(Request))
+      Actions_.emplace_back(Resolve{Id, std::move(*Decided)});
+    else if (Jobs_.contains(Request.Key_))
+      Actions_.emplace_back(Resolve{Id, unknown("running", true)});
+    else if (!deferForHandoff(Request, Id))
+      admit(Request, Id);
   }
 }
 
 std::optional<std::string>
-Dispatcher::reasonToShed(const Submission &Asked) const {
-  const Nanos Left = Asked.Deadline_ - Time_.now();
-  if (Left <= Nanos(0))
+Dispatcher::reasonToShed(const Submission &Request) const {
+  const Nanos Remaining = Request.Deadline_ - Time_.now();
+  if (Remaining <= Nanos(0))
     return "expired";
-  if (!Known_.hasRoom())
+  if (!Ledger_.hasRoom())
     return "ledger_full";
   const double Slots = Slots_.slots();
   if (Slots == 0)
@@ -140,142 +141,151 @@
   const double Ahead = static_cast<double>(Queue_.size());
   if (Ahead >= Slots * Limits_.QueuePerSlot_)
     return "queue_full";
-  const auto Typical = static_cast<double>(Slots_.typicalTime().count());
-  if (Typical * Ahead / Slots > static_cast<double>(Left.count()))
+  const auto Typical = static_cast<double>(Slots_.medianServiceTime().count());
+  if (Typical * Ahead / Slots > static_cast<double>(Remaining.count()))
     return "would_expire";
   return std::nullopt;
 }
 
-Ticket Dispatcher::resolveNow(Verdict Of) {
-  const Ticket Mine(NextTicket_++);
-  Actions_.emplace_back(Resolve{Mine, std::move(Of)});
-  return Mine;
+Ticket Dispatcher::resolveNow(Verdict Result) {
+  const Ticket Id(NextTicket_++);
+  Actions_.emplace_back(Resolve{Id, std::move(Result)});
+  return Id;
 }
 
-Dispatcher::Job &Dispatcher::open(const Submission &Asked, Ticket Of) {
-  const bool MayHaveRun = mayHaveRunBefore(Asked);
-  Job &Each = Jobs_[Asked.Key_];
-  Each.Asked_ = Asked;
-  Each.Own_ = Of;
-  Each.Callers_ = {Of};
-  Each.MayHaveRun_ = MayHaveRun;
-  Tickets_.emplace(Of, Asked.Key_);
-  return Each;
+Dispatcher::Job &Dispatcher::openJob(const Submission &Request, Ticket Id) {
+  const bool MayHaveRun = mayHaveRunBefore(Request);
+  Job &Current = Jobs_[Request.Key_];
+  Current.Submission_ = Request;
+  Current.ActionTicket_ = Id;
+  Current.Callers_ = {Id};
+  Current.MayHaveRun_ = MayHaveRun;
+  Tickets_.emplace(Id, Request.Key_);
+  return Current;
 }
 
-bool Dispatcher::record(const Job &Of, KeyState State,
-                        const std::string &Reason,
-                        std::shared_ptr<const KeptAnswer> Answer) {
-  Record Value;
-  Value.Service_ = Of.Asked_.Service_;
-  Value.Class_ = Of.Asked_.Class_;
-  Value.State_ = State;
-  Value.Dispatcher_ = Self_.Name_;
-  Value.Run_ = Self_.Run_;
-  Value.Try_ = Of.Asked_.Try_;
-  Value.Expires_ = Of.Asked_.Deadline_ + Limits_.Horizon_;
-  Value.Reason_ = Reason;
-  Value.Answer_ = std::move(Answer);
-  return Known_.put(Of.Asked_.Key_, std::move(Value));
+bool Dispatcher::writeRecord(const Job &Current, KeyState State,
+                             const std::string &Reason,
+                             std::shared_ptr<const KeptAnswer> Answer) {
+  Record Stored;
+  Stored.Service_ = Current.Submission_.Service_;
+  Stored.Class_ = Current.Submission_.Class_;
+  Stored.State_ = State;
+  Stored.Dispatcher_ = Self_.Name_;
+  Stored.Incarnation_ = Self_.Incarnation_;
+  Stored.Try_ = Current.Submission_.Try_;
+  Stored.Expires_ = Current.Submission_.Deadline_ + Limits_.Horizon_;
+  Stored.Reason_ = Reason;
+  Stored.Answer_ = std::move(Answer);
+  return Ledger_.put(Current.Submission_.Key_, std::move(Stored));
 }
 
 Verdict Dispatcher::lookUp(const IdempotencyKey &Key) {
-  Office_.check();
-  const Record *Known = Known_.find(Key);
-  return Known ? ofRecord(*Known) : unknown("no_record", true);
+  Role_.checkClock();
+  const Record *Existing = Ledger_.find(Key);
+  return Existing ? verdictOf(*Existing) : unknown("no_record", true);
 }
 
-Ticket Dispatcher::refuse(const Submission &Asked, bool Stop) {
-  const auto At = Jobs_.find(Asked.Key_);
-  if (At == Jobs_.end()) {
-    if (std::optional<Verdict> Known = judge(Asked))
-      return resolveNow(std::move(*Known));
-    const Ticket Of(NextTicket_++);
-    refuse(open(Asked, Of), Stop ? "cancelled" : "bad_input");
-    return Of;
+Ticket Dispatcher::refuse(const Submission &Request, bool CancelRunning) {
+  const auto Found = Jobs_.find(Request.Key_);
+  if (Found == Jobs_.end()) {
+    if (std::optional<Verdict> Decided = verdictFor(Request))
+      return resolveNow(std::move(*Decided));
+    const Ticket Id(NextTicket_++);
+    refuse(openJob(Request, Id), CancelRunning ? "cancelled" : "bad_input");
+    return Id;
   }
-  Job &Each = At->second;
-  if (!Stop)
+  Job &Current = Found->second;
+  if (!CancelRunning)
     return resolveNow(unknown("running", true));
-  const Ticket Of(NextTicket_++);
-  Each.Callers_.push_back(Of);
-  Tickets_.emplace(Of, Asked.Key_);
-  Each.CancelAsked_ = true;
-  if (Each.Stage_ == Stage::Waiting)
-    refuse(Each, "cancelled");
-  else if (Each.Stage_ == Stage::Running)
-    Actions_.emplace_back(Cancel{Each.Own_, *Each.At_, Each.Attempt_, false});
-  return Of;
+  const Ticket Id(NextTicket_++);
+  Current.Callers_.push_back(Id);
+  Tickets_.emplace(Id, Request.Key_);
+  Current.CancelRequested_ = true;
+  if (Current.Stage_ == Stage::Waiting)
+    refuse(Current, "cancelled");
+  else if (Current.Stage_ == Stage::Running)
+    Actions_.emplace_back(
+        Cancel{Current.ActionTicket_, *Current.Slot_, Current.Attempt_, false});
+  return Id;
 }
 
-void Dispatcher::withdraw(Ticket Of) {
-  Job *Each = jobOf(Of);
-  Tickets_.erase(Of);
-  std::erase_if(HeldBack_, [Of](const auto &Held) { return Held.first == Of; });
-  if (!Each)
+void Dispatcher::withdraw(Ticket Id) {
+  Job *Current = findJob(Id);
+  Tickets_.erase(Id);
+  std::erase_if(Deferred_,
+                [Id](const auto &Waiting) { return Waiting.first == Id; });
+  if (!Current)
     return;
-  std::erase(Each->Callers_, Of);
-  if (!Each->Callers_.empty())
+  std::erase(Current->Callers_, Id);
+  if (!Current->Callers_.empty())
     return;
-  const bool Idempotent = Each->Asked_.Class_ == MethodClass::Idempotent;
-  if (Each->Stage_ == Stage::Running && Idempotent)
-    Actions_.emplace_back(Cancel{Each->Own_, *Each->At_, Each->Attempt_, true});
-  if (Each->Stage_ != Stage::Waiting)
+  const bool Idempotent =
+      Current->Submission_.Class_ == MethodClass::Idempotent;
+  if (Current->Stage_ == Stage::Running && Idempotent)
+    Actions_.emplace_back(Cancel{Current->ActionTicket_, *Current->Slot_,
+                                 Current->Attempt_, true});
+  if (Current->Stage_ != Stage::Waiting)
     return;
-  std::erase(Queue_, Each->Asked_.Key_);
-  if (Each->Replicated_)
-    return finish(*Each, KeyState::NotRun,
+  std::erase(Queue_, Current->Submission_.Key_);
+  if (Current->Replicated_)
+    return finish(*Current, KeyState::NotRun,
                   {Outcome::NotRun, "caller_left", true, nullptr, false});
-  if (!Each->MayHaveRun_)
-    Known_.erase(Each->Asked_.Key_);
-  Actions_.emplace_back(Resolve{Each->Own_, unknown("caller_left", true)});
-  Jobs_.erase(Each->Asked_.Key_);
+  if (!Current->MayHaveRun_)
+    Ledger_.erase(Current->Submission_.Key_);
+  Actions_.emplace_back(
+      Resolve{Current->ActionTicket_, unknown("caller_left", true)});
+  Jobs_.erase(Current->Submission_.Key_);
 }
 
-void Dispatcher::moveOn() {
-  for (const auto &[Of, Asked] : std::exchange(HeldBack_, {}))
-    Actions_.emplace_back(Resolve{Of, moved()});
+void Dispatcher::redirectWaiting() {
+  for (const auto &[Id, Request] : std::exchange(Deferred_, {}))
+    Actions_.emplace_back(Resolve{Id, notDispatcher()});
   for (const IdempotencyKey &Key : std::exchange(Queue_, {})) {
-    const auto At = Jobs_.find(Key);
-    for (const Ticket Of : At->second.Callers_) {
-      Actions_.emplace_back(Resolve{Of, moved()});
-      Tickets_.erase(Of);
+    const auto Found = Jobs_.find(Key);
+    for (const Ticket Id : Found->second.Callers_) {
+      Actions_.emplace_back(Resolve{Id, notDispatcher()});
+      Tickets_.erase(Id);
     }
-    if (!At->second.Replicated_ && !At->second.MayHaveRun_)
-      Known_.erase(Key);
-    if (std::ranges::find(At->second.Callers_, At->second.Own_) ==
-        At->second.Callers_.end())
-      Actions_.emplace_back(Resolve{At->second.Own_, moved()});
-    Jobs_.erase(At);
+    if (!Found->second.Replicated_ && !Found->second.MayHaveRun_)
+      Ledger_.erase(Key);
+    if (std::ranges::find(Found->second.Callers_,
+                          Found->second.ActionTicket_) ==
+        Found->second.Callers_.end())
+      Actions_.emplace_back(
+          Resolve{Found->second.ActionTicket_, notDispatcher()});
+    Jobs_.erase(Found);
   }
 }
 
 void Dispatcher::tick() {
-  Office_.check();
-  reviewHeldBack();
-  dropExpired();
+  Role_.checkClock();
+  reviewDeferred();
+  refuseExpired();
   startNext();
 }
 
-void Dispatcher::dropExpired() {
+void Dispatcher::refuseExpired() {
   const TimePoint Now = Time_.now();
-  std::vector<IdempotencyKey> Late;
+  std::vector<IdempotencyKey> Expired;
   for (const IdempotencyKey &Key : Queue_)
-    if (Jobs_.at(Key).Asked_.Deadline_ <= Now)
-      Late.push_back(Key);
-  for (const IdempotencyKey &Key : Late)
+    if (Jobs_.at(Key).Submission_.Deadline_ <= Now)
+      Expired.push_back(Key);
+  for (const IdempotencyKey &Key : Expired)
     refuse(Jobs_.at(Key), "expired_in_queue");
 }
 
-Dispatcher::Job *Dispatcher::jobOf(Ticket Of) {
-  const auto At = Tickets_.find(Of);
-  if (At == Tickets_.end())
+Dispatcher::Job *Dispatcher::findJob(Ticket Id) {
+  const auto Ticketed = Tickets_.find(Id);
+  if (Ticketed == Tickets_.end())
     return nullptr;
-  const auto Found = Jobs_.find(At->second);
+  const auto Found = Jobs_.find(Ticketed->second);
   return Found == Jobs_.end() ? nullptr : &Found->second;
 }
 
-std::vector<Action> Dispatcher::take() { return std::exchange(Actions_, {}); }
+std::vector<Action> Dispatcher::takeActions() {
+  return std::exchange(Actions_, {});
+}
 
 void Dispatcher::setLimits(const DispatcherLimits &Limits) { Limits_ = Limits; }
 
--- a/src/medlarmoor/request/dispatcher.hpp
+++ b/src/medlarmoor/request/dispatcher.hpp
@@ -19,120 +19,129 @@
 
 namespace medlarmoor::request {
 
-/// Who the dispatcher is: the entry and its run.
+/// The entry that dispatches, and its incarnation.
 struct DispatcherIdentity {
   EntryName Name_;
-  Incarnation Run_;
+  Incarnation Incarnation_;
 };
 
-/// Decides for one service what happens to each submission: whether it may
-/// run at all, when, where, and what its caller is told. Events go in, actions
-/// are collected with take(). A request of class once goes to an upstream only
-/// after enough other entries hold a copy of its record, and never again once
-/// it may have run.
+/// Decides for one service whether a submission may run, when and at which
+/// upstream, and which verdict its caller receives. Events are passed in; the
+/// resulting actions are collected with takeActions(). A request of class once
+/// is sent to an upstream only after enough other entries hold a replica of
+/// its record, and never again once it may have run.
 class Dispatcher {
 public:
-  /// Known, Office and Members are shared by the dispatchers of one entry and
+  /// Records, Role and Majority are shared by the dispatchers of one entry and
   /// must outlive them.
-  Dispatcher(DispatcherIdentity Self, DispatcherLimits Limits, Ledger &Known,
-             DispatcherRole &Office, Quorum &Members, upstream::SlotPool Slots,
-             Clock Time, Random Source);
-
-  /// Takes a submission; its ticket gets exactly one Resolve, at once where
-  /// the answer is known already. A duplicate of an open request waits for it.
-  [[nodiscard]] Ticket submit(const Submission &Asked);
-  /// The caller of Ticket has left. Queued and idempotent work is given up; a
-  /// request of class once that was sent runs on, and its ticket is resolved
-  /// when it ends.
-  void withdraw(Ticket Of);
-  /// What is known about Key; asking changes nothing.
+  Dispatcher(DispatcherIdentity Self, DispatcherLimits Limits, Ledger &Records,
+             DispatcherRole &Role, Quorum &Majority, upstream::SlotPool Slots,
+             Clock Time, Random Generator);
+
+  /// Accepts a submission. Its ticket gets exactly one Resolve, immediately if
+  /// the verdict is already known. A duplicate of an open request joins it and
+  /// gets the same verdict.
+  [[nodiscard]] Ticket submit(const Submission &Request);
+  /// Handles the departure of the caller of ticket Id. Queued requests and
+  /// running idempotent requests are abandoned. A request of class once that
+  /// was sent continues, and its ticket is resolved when it ends.
+  void withdraw(Ticket Id);
+  /// Returns what the ledger records about Key, without changing the record.
   [[nodiscard]] Verdict lookUp(const IdempotencyKey &Key);
-  /// Like a submission that must not run: a key without a record is refused
-  /// for good, a queued one is taken out, a running one is cancelled at its
-  /// upstream when Stop is set. Service, key and deadline of Asked count.
-  [[nodiscard]] Ticket refuse(const Submission &Asked, bool Stop);
-
-  /// Replication of the record of Of has ended.
-  void replicated(Ticket Of, ReplicaEnd End);
-  /// The attempt of Of has ended after Elapsed; Answer is set where a whole
-  /// answer is small enough to be kept.
-  void answered(Ticket Of, upstream::AttemptEnd End, Nanos Elapsed,
-                std::shared_ptr<const KeptAnswer> Answer = nullptr);
-  /// Drops what has expired and starts what can start.
+  /// Records that a submission must not run. A key without a record is refused
+  /// permanently; only a higher try reopens it. If CancelRunning is set, a
+  /// queued request is removed from the queue and a running one is cancelled at
+  /// its upstream; otherwise an open request is left unchanged. The service,
+  /// key and deadline of Request must be set.
+  [[nodiscard]] Ticket refuse(const Submission &Request, bool CancelRunning);
+
+  /// Handles the end of the replication that was started for ticket Id.
+  void onReplicationEnd(Ticket Id, ReplicationResult End);
+  /// Handles the end of the attempt of ticket Id after Elapsed. Answer is set
+  /// if the response is complete and small enough to be kept.
+  void onAttemptEnd(Ticket Id, upstream::AttemptResult End, Nanos Elapsed,
+                    std::shared_ptr<const KeptAnswer> Answer = nullptr);
+  /// Refuses expired requests and starts those that can run. Must be called
+  /// periodically.
   void tick();
-  /// This entry is no longer the dispatcher: what waits is moved on.
-  void moveOn();
+  /// Resolves all waiting submissions with a verdict that redirects them, since
+  /// this entry is no longer the dispatcher.
+  void redirectWaiting();
 
-  /// The actions decided since the last call.
-  [[nodiscard]] std::vector<Action> take();
+  /// Returns the actions decided since the last call, in order.
+  [[nodiscard]] std::vector<Action> takeActions();
 
-  [[nodiscard]] upstream::SlotPool &slots() noexcept { return Slots_; }
+  [[nodiscard]] upstream::SlotPool &slotPool() noexcept { return Slots_; }
+  /// Returns the number of queued requests.
   [[nodiscard]] std::size_t waiting() const noexcept { return Queue_.size(); }
-  /// Submissions that wait or run.
+  /// Returns the number of requests that are queued or in flight.
   [[nodiscard]] std::size_t open() const noexcept { return Jobs_.size(); }
   void setLimits(const DispatcherLimits &Limits);
 
 private:
   enum class Stage : unsigned char { Waiting, Replicating, Running, Refusing };
   struct Job {
-    Submission Asked_;
+    Submission Submission_;
     Stage Stage_ = Stage::Waiting;
     std::vector<Ticket> Callers_;
-    /// The ticket that Send and Replicate carry, also when its caller left.
-    Ticket Own_;
-    /// The slot it holds while it replicates or runs.
-    std::optional<config::Upstream> At_;
+    /// The ticket that Send and Replicate carry, even after its caller left.
+    Ticket ActionTicket_;
+    /// The upstream whose slot the job holds while it replicates or runs.
+    std::optional<config::Upstream> Slot_;
     AttemptId Attempt_;
     unsigned Attempts_ = 0;
     bool MayHaveRun_ = false;
     bool Replicated_ = false;
-    bool CancelAsked_ = false;
+    bool CancelRequested_ = false;
     TimePoint NotBefore_;
-    std::string Refusal_;
+    std::string RefusalReason_;
   };
   using Jobs = std::unordered_map<IdempotencyKey, Job>;
 
-  std::optional<Verdict> judge(const Submission &Asked);
-  std::optional<Verdict> judgeRecord(const Submission &Asked,
-                                     const Record &Known) const;
-  std::optional<std::string> reasonToShed(const Submission &Asked) const;
-  bool mayHaveRunBefore(const Submission &Asked);
-  bool holdBack(const Submission &Asked, Ticket Of);
-  void reviewHeldBack();
-
-  Ticket resolveNow(Verdict Of);
-  Job &open(const Submission &Asked, Ticket Of);
-  void admit(const Submission &Asked, Ticket Of);
-  bool record(const Job &Of, KeyState State, const std::string &Reason,
-              std::shared_ptr<const KeptAnswer> Answer = nullptr);
+  /// Returns the verdict that ends Request without running it, or nothing if
+  /// Request may be opened.
+  std::optional<Verdict> verdictFor(const Submission &Request);
+  std::optional<Verdict> verdictFromRecord(const Submission &Request,
+                                           const Record &Existing) const;
+  std::optional<std::string> reasonToShed(const Submission &Request) const;
+  bool mayHaveRunBefore(const Submission &Request);
+  bool deferForHandoff(const Submission &Request, Ticket Id);
+  void reviewDeferred();
+
+  Ticket resolveNow(Verdict Result);
+  Job &openJob(const Submission &Request, Ticket Id);
+  void admit(const Submission &Request, Ticket Id);
+  bool writeRecord(const Job &Current, KeyState State,
+                   const std::string &Reason,
+                   std::shared_ptr<const KeptAnswer> Answer = nullptr);
 
   void startNext();
-  bool start(Job &Each);
-  void send(Job &Each);
-  void replicate(Job &Each, KeyState State, TimePoint Deadline);
-  void requeue(Job &Each, Millis Pause);
-  void freeSlot(Job &Each, upstream::AttemptEnd End, Nanos Elapsed);
-  [[nodiscard]] bool mayRetry(const Job &Each, upstream::AttemptEnd End);
-
-  void refuse(Job &Each, std::string Why);
-  void finish(Job &Each, KeyState State, Verdict Of);
-  void onRefusalStored(Job &Each, ReplicaEnd End);
-  void dropExpired();
-  Job *jobOf(Ticket Of);
+  bool start(Job &Current);
+  void send(Job &Current);
+  void replicate(Job &Current, KeyState State, TimePoint Deadline);
+  void requeue(Job &Current, Millis Delay);
+  void releaseSlot(Job &Current, upstream::AttemptResult End, Nanos Elapsed);
+  [[nodiscard]] bool mayRetry(const Job &Current, upstream::AttemptResult End);
+
+  void refuse(Job &Current, std::string Reason);
+  void finish(Job &Current, KeyState State, Verdict Result);
+  void onRefusalReplicated(Job &Current, ReplicationResult End);
+  void refuseExpired();
+  Job *findJob(Ticket Id);
 
   DispatcherIdentity Self_;
   DispatcherLimits Limits_;
-  Ledger &Known_;
-  DispatcherRole &Office_;
-  Quorum &Members_;
+  Ledger &Ledger_;
+  DispatcherRole &Role_;
+  Quorum &Quorum_;
   upstream::SlotPool Slots_;
   Clock Time_;
-  Random Source_;
-  RetryBudget Budget_;
+  Random Random_;
+  RetryBudget RetryBudget_;
   std::deque<IdempotencyKey> Queue_;
   Jobs Jobs_;
-  /// Submissions that wait for a handover before they can be judged.
-  std::vector<std::pair<Ticket, Submission>> HeldBack_;
+  /// Submissions that cannot be decided before a handoff arrives.
+  std::vector<std::pair<Ticket, Submission>> Deferred_;
   std::unordered_map<Ticket, IdempotencyKey> Tickets_;
   std::vector<Action> Actions_;
   std::uint64_t NextTicket_ = 1;
--- a/src/medlarmoor/request/dispatcher_attempts.cpp
+++ b/src/medlarmoor/request/dispatcher_attempts.cpp
@@ -7,223 +7,236 @@
 
 namespace {
 
-using upstream::AttemptEnd;
-
-/// How long replication of a refusal may take.
-constexpr Millis RefusalTime{500};
-/// How long one try at replication may take.
-constexpr Millis ReplicationTime{500};
-constexpr Millis ReplicationPause{50};
-constexpr Millis LeastRetryPause{5};
-constexpr Millis LongestRetryPause{50};
-
-Verdict unknown(std::string Reason, bool Retry) {
-  return {Outcome::Unknown, std::move(Reason), Retry, nullptr, false};
+using upstream::AttemptResult;
+
+/// Time limit for replicating a refusal.
+constexpr Millis RefusalReplicationTimeout{500};
+/// Time limit for one replication attempt of a record.
+constexpr Millis ReplicationTimeout{500};
+constexpr Millis ReplicationRetryDelay{50};
+constexpr Millis MinRetryDelay{5};
+constexpr Millis MaxRetryDelay{50};
+
+Verdict unknown(std::string Reason, bool Retryable) {
+  return {Outcome::Unknown, std::move(Reason), Retryable, nullptr, false};
 }
 
 } // namespace
 
 void Dispatcher::startNext() {
-  Office_.check();
+  Role_.checkClock();
   const TimePoint Now = Time_.now();
-  std::size_t Next = 0;
-  while (Next < Queue_.size()) {
-    Job &Each = Jobs_.at(Queue_[Next]);
-    if (!Office_.isDispatcher(Each.Asked_.Service_))
+  std::size_t Position = 0;
+  while (Position < Queue_.size()) {
+    Job &Current = Jobs_.at(Queue_[Position]);
+    if (!Role_.isDispatcher(Current.Submission_.Service_))
       return;
-    const bool Once = Each.Asked_.Class_ == MethodClass::Once;
-    if (Each.NotBefore_ > Now || (Once && !Members_.holds())) {
-      ++Next;
+    const bool Once = Current.Submission_.Class_ == MethodClass::Once;
+    if (Current.NotBefore_ > Now || (Once && !Quorum_.hasMajority())) {
+      ++Position;
       continue;
     }
-    if (!start(Each))
+    if (!start(Current))
       return;
   }
 }
 
-bool Dispatcher::start(Job &Each) {
-  const Nanos Left = Each.Asked_.Deadline_ - Time_.now();
-  if (Left < Slots_.typicalTime() / 2) {
-    refuse(Each, "would_expire");
+bool Dispatcher::start(Job &Current) {
+  const Nanos Remaining = Current.Submission_.Deadline_ - Time_.now();
+  if (Remaining < Slots_.medianServiceTime() / 2) {
+    refuse(Current, "would_expire");
     return true;
   }
-  Each.At_ = Slots_.acquire();
-  if (!Each.At_)
+  Current.Slot_ = Slots_.acquire();
+  if (!Current.Slot_)
     return false;
-  std::erase(Queue_, Each.Asked_.Key_);
-  const bool Once = Each.Asked_.Class_ == MethodClass::Once;
-  if (!Once || Each.Replicated_ || Members_.copiesNeeded() == 0) {
-    send(Each);
+  std::erase(Queue_, Current.Submission_.Key_);
+  const bool Once = Current.Submission_.Class_ == MethodClass::Once;
+  if (!Once || Current.Replicated_ || Quorum_.replicasNeeded() == 0) {
+    send(Current);
     return true;
   }
-  Each.Stage_ = Stage::Replicating;
-  replicate(Each, KeyState::Dispatched,
-            std::min(Each.Asked_.Deadline_, Time_.now() + ReplicationTime));
+  Current.Stage_ = Stage::Replicating;
+  replicate(Current, KeyState::Dispatched,
+            std::min(Current.Submission_.Deadline_,
+                     Time_.now() + ReplicationTimeout));
   return true;
 }
 
-void Dispatcher::replicate(Job &Each, KeyState State, TimePoint Deadline) {
-  LedgerCopy Copy;
-  Copy.Key_ = Each.Asked_.Key_;
-  Copy.Service_ = Each.Asked_.Service_;
-  Copy.State_ = State;
-  Copy.Dispatcher_ = Self_.Name_;
-  Copy.Run_ = Self_.Run_;
-  Copy.Try_ = Each.Asked_.Try_;
-  Copy.Minted_ = Each.Asked_.Minted_;
-  Copy.KeepFor_ = std::chrono::ceil<Millis>(Each.Asked_.Deadline_ +
-                                            Limits_.Horizon_ - Time_.now());
-  Copy.Reason_ = Each.Refusal_;
+void Dispatcher::replicate(Job &Current, KeyState State, TimePoint Deadline) {
+  RecordReplica Replica;
+  Replica.Key_ = Current.Submission_.Key_;
+  Replica.Service_ = Current.Submission_.Service_;
+  Replica.State_ = State;
+  Replica.Dispatcher_ = Self_.Name_;
+  Replica.Incarnation_ = Self_.Incarnation_;
+  Replica.Try_ = Current.Submission_.Try_;
+  Replica.Minted_ = Current.Submission_.Minted_;
+  Replica.TimeToLive_ = std::chrono::ceil<Millis>(
+      Current.Submission_.Deadline_ + Limits_.Horizon_ - Time_.now());
+  Replica.Reason_ = Current.RefusalReason_;
   Actions_.emplace_back(
-      Replicate{Each.Own_, std::move(Copy),
-                Members_.holders(homeKey(Each.Asked_.Service_)),
-                Members_.copiesNeeded(), Deadline});
+      Replicate{Current.ActionTicket_, std::move(Replica),
+                Quorum_.replicaTargets(homeKey(Current.Submission_.Service_)),
+                Quorum_.replicasNeeded(), Deadline});
 }
 
-void Dispatcher::send(Job &Each) {
-  Each.Stage_ = Stage::Running;
-  ++Each.Attempts_;
-  Each.Attempt_ = AttemptId(
-      Self_.Name_.value() + "." + std::to_string(Self_.Run_.value()) + "." +
-      Each.Asked_.Service_.value() + "." + std::to_string(NextAttempt_++));
-  record(Each, KeyState::Dispatched, {});
+void Dispatcher::send(Job &Current) {
+  Current.Stage_ = Stage::Running;
+  ++Current.Attempts_;
+  Current.Attempt_ = AttemptId(Self_.Name_.value() + "." +
+                               std::to_string(Self_.Incarnation_.value()) +
+                               "." + Current.Submission_.Service_.value() +
+                               "." + std::to_string(NextAttempt_++));
+  writeRecord(Current, KeyState::Dispatched, {});
   const bool Fresh =
-      Each.Asked_.Class_ == MethodClass::Once || Each.Attempts_ > 1;
-  Actions_.emplace_back(
-      Send{Each.Own_, *Each.At_, Each.Attempt_, Each.Asked_.Deadline_, Fresh});
+      Current.Submission_.Class_ == MethodClass::Once || Current.Attempts_ > 1;
+  Actions_.emplace_back(Send{Current.ActionTicket_, *Current.Slot_,
+                             Current.Attempt_, Current.Submission_.Deadline_,
+                             Fresh});
 }
 
-void Dispatcher::replicated(Ticket Of, ReplicaEnd End) {
-  Office_.check();
-  const auto At = std::find_if(Jobs_.begin(), Jobs_.end(), [Of](auto &Each) {
-    return Each.second.Own_ == Of;
-  });
-  if (At == Jobs_.end())
+void Dispatcher::onReplicationEnd(Ticket Id, ReplicationResult End) {
+  Role_.checkClock();
+  const auto Found =
+      std::find_if(Jobs_.begin(), Jobs_.end(), [Id](auto &Candidate) {
+        return Candidate.second.ActionTicket_ == Id;
+      });
+  if (Found == Jobs_.end())
     return;
-  Job &Each = At->second;
-  if (Each.Stage_ == Stage::Refusing)
-    return onRefusalStored(Each, End);
-  if (Each.Stage_ != Stage::Replicating)
+  Job &Current = Found->second;
+  if (Current.Stage_ == Stage::Refusing)
+    return onRefusalReplicated(Current, End);
+  if (Current.Stage_ != Stage::Replicating)
     return;
-  Each.Replicated_ = true;
-  if (End == ReplicaEnd::Held) {
-    freeSlot(Each, AttemptEnd::Abandoned, Nanos(0));
-    return finish(Each, KeyState::Unknown, unknown("held_elsewhere", false));
+  Current.Replicated_ = true;
+  if (End == ReplicationResult::HeldElsewhere) {
+    releaseSlot(Current, AttemptResult::Abandoned, Nanos(0));
+    return finish(Current, KeyState::Unknown, unknown("held_elsewhere", false));
   }
-  const bool Wanted = !Each.CancelAsked_ && !Each.Callers_.empty();
-  const bool MaySend = Office_.isDispatcher(Each.Asked_.Service_) &&
-                       Time_.now() < Each.Asked_.Deadline_;
-  if (End == ReplicaEnd::Enough && Wanted && MaySend)
-    return send(Each);
-  freeSlot(Each, AttemptEnd::Abandoned, Nanos(0));
-  if (!Wanted || !MaySend)
-    return refuse(Each, Wanted              ? "too_late_to_send"
-                        : Each.CancelAsked_ ? "cancelled"
-                                            : "caller_left");
-  Each.Replicated_ = false;
-  requeue(Each, ReplicationPause);
+  const bool StillWanted =
+      !Current.CancelRequested_ && !Current.Callers_.empty();
+  const bool MaySend = Role_.isDispatcher(Current.Submission_.Service_) &&
+                       Time_.now() < Current.Submission_.Deadline_;
+  if (End == ReplicationResult::Replicated && StillWanted && MaySend)
+    return send(Current);
+  releaseSlot(Current, AttemptResult::Abandoned, Nanos(0));
+  if (!StillWanted || !MaySend)
+    return refuse(Current, StillWanted                ? "too_late_to_send"
+                           : Current.CancelRequested_ ? "cancelled"
+                                                      : "caller_left");
+  Current.Replicated_ = false;
+  requeue(Current, ReplicationRetryDelay);
   startNext();
 }
 
-void Dispatcher::requeue(Job &Each, Millis Pause) {
-  Each.Stage_ = Stage::Waiting;
-  Each.NotBefore_ = Time_.now() + Pause;
-  record(Each, KeyState::Accepted, {});
-  Queue_.push_front(Each.Asked_.Key_);
+void Dispatcher::requeue(Job &Current, Millis Delay) {
+  Current.Stage_ = Stage::Waiting;
+  Current.NotBefore_ = Time_.now() + Delay;
+  writeRecord(Current, KeyState::Accepted, {});
+  Queue_.push_front(Current.Submission_.Key_);
 }
 
-void Dispatcher::freeSlot(Job &Each, AttemptEnd End, Nanos Elapsed) {
-  if (Each.At_)
-    Slots_.release(Each.At_->Name_, End, Elapsed);
-  Each.At_.reset();
+void Dispatcher::releaseSlot(Job &Current, AttemptResult End, Nanos Elapsed) {
+  if (Current.Slot_)
+    Slots_.release(Current.Slot_->Name_, End, Elapsed);
+  Current.Slot_.reset();
 }
 
-bool Dispatcher::mayRetry(const Job &Each, AttemptEnd End) {
-  const bool Possible =
-      End != AttemptEnd::Abandoned && !Each.Callers_.empty() &&
-      !Each.CancelAsked_ && Each.Attempts_ < Limits_.Attempts_ &&
-      Each.Asked_.Deadline_ - Time_.now() > Slots_.typicalTime();
-  if (!Possible)
+bool Dispatcher::mayRetry(const Job &Current, AttemptResult End) {
+  const bool RetryAllowed =
+      End != AttemptResult::Abandoned && !Current.Callers_.empty() &&
+      !Current.CancelRequested_ && Current.Attempts_ < Limits_.MaxAttempts_ &&
+      Current.Submission_.Deadline_ - Time_.now() > Slots_.medianServiceTime();
+  if (!RetryAllowed)
     return false;
-  // Nothing ran, and the upstream is left alone for its back-off time, which
-  // bounds these retries whatever the share of successes is.
-  if (End == AttemptEnd::Shed || End == AttemptEnd::NotConnected)
+  // Nothing ran, and the upstream receives no work during its backoff, which
+  // bounds these retries independently of the success rate.
+  if (End == AttemptResult::Shed || End == AttemptResult::NotConnected)
     return true;
-  return Each.Asked_.Class_ == MethodClass::Idempotent && Budget_.spend();
+  return Current.Submission_.Class_ == MethodClass::Idempotent &&
+         RetryBudget_.spend();
 }
 
-void Dispatcher::answered(Ticket Of, AttemptEnd End, Nanos Elapsed,
-                          std::shared_ptr<const KeptAnswer> Answer) {
-  const auto At = std::find_if(Jobs_.begin(), Jobs_.end(), [Of](auto &Each) {
-    return Each.second.Own_ == Of;
-  });
-  if (At == Jobs_.end() || At->second.Stage_ != Stage::Running)
+void Dispatcher::onAttemptEnd(Ticket Id, AttemptResult End, Nanos Elapsed,
+                              std::shared_ptr<const KeptAnswer> Answer) {
+  const auto Found =
+      std::find_if(Jobs_.begin(), Jobs_.end(), [Id](auto &Candidate) {
+        return Candidate.second.ActionTicket_ == Id;
+      });
+  if (Found == Jobs_.end() || Found->second.Stage_ != Stage::Running)
     return;
-  Job &Each = At->second;
-  freeSlot(Each, End, Elapsed);
-  if (End == AttemptEnd::Whole) {
-    Budget_.onSuccess();
-    const char *Note = Answer ? "" : "answer_not_kept";
-    finish(Each, KeyState::Done,
-           {Outcome::Done, Note, false, std::move(Answer), false});
+  Job &Current = Found->second;
+  releaseSlot(Current, End, Elapsed);
+  if (End == AttemptResult::Complete) {
+    RetryBudget_.onSuccess();
+    const char *Reason = Answer ? "" : "answer_not_kept";
+    finish(Current, KeyState::Done,
+           {Outcome::Done, Reason, false, std::move(Answer), false});
     return startNext();
   }
-  if (End == AttemptEnd::Failed || End == AttemptEnd::Abandoned)
-    Each.MayHaveRun_ = true;
-  if (mayRetry(Each, End)) {
-    std::uniform_int_distribution<std::int64_t> Jitter(
-        LeastRetryPause.count(), LongestRetryPause.count());
-    requeue(Each, Millis(Jitter(Source_)));
-  } else if (Each.MayHaveRun_) {
-    const bool Idempotent = Each.Asked_.Class_ == MethodClass::Idempotent;
-    finish(Each, KeyState::Unknown, unknown("no_whole_answer", Idempotent));
+  if (End == AttemptResult::Failed || End == AttemptResult::Abandoned)
+    Current.MayHaveRun_ = true;
+  if (mayRetry(Current, End)) {
+    std::uniform_int_distribution<std::int64_t> Jitter(MinRetryDelay.count(),
+                                                       MaxRetryDelay.count());
+    requeue(Current, Millis(Jitter(Random_)));
+  } else if (Current.MayHaveRun_) {
+    const bool Idempotent =
+        Current.Submission_.Class_ == MethodClass::Idempotent;
+    finish(Current, KeyState::Unknown, unknown("no_whole_answer", Idempotent));
   } else {
-    refuse(Each, End == AttemptEnd::Shed ? "shed_by_upstream"
-                                         : "upstream_unreachable");
+    refuse(Current, End == AttemptResult::Shed ? "shed_by_upstream"
+                                               : "upstream_unreachable");
   }
   startNext();
 }
 
-void Dispatcher::refuse(Job &Each, std::string Why) {
-  std::erase(Queue_, Each.Asked_.Key_);
-  Each.Refusal_ = std::move(Why);
-  if (Each.MayHaveRun_)
-    return finish(Each, KeyState::Unknown, unknown(Each.Refusal_, true));
-  const bool Alone = Each.Asked_.Class_ == MethodClass::Idempotent ||
-                     Members_.copiesNeeded() == 0;
-  if (Alone)
-    return onRefusalStored(Each, ReplicaEnd::Enough);
-  Each.Stage_ = Stage::Refusing;
-  replicate(Each, KeyState::NotRun, Time_.now() + RefusalTime);
+void Dispatcher::refuse(Job &Current, std::string Reason) {
+  std::erase(Queue_, Current.Submission_.Key_);
+  Current.RefusalReason_ = std::move(Reason);
+  if (Current.MayHaveRun_)
+    return finish(Current, KeyState::Unknown,
+                  unknown(Current.RefusalReason_, true));
+  const bool StoredLocallyOnly =
+      Current.Submission_.Class_ == MethodClass::Idempotent ||
+      Quorum_.replicasNeeded() == 0;
+  if (StoredLocallyOnly)
+    return onRefusalReplicated(Current, ReplicationResult::Replicated);
+  Current.Stage_ = Stage::Refusing;
+  replicate(Current, KeyState::NotRun, Time_.now() + RefusalReplicationTimeout);
 }
 
-void Dispatcher::onRefusalStored(Job &Each, ReplicaEnd End) {
-  if (End == ReplicaEnd::Held)
-    return finish(Each, KeyState::Unknown, unknown("held_elsewhere", false));
-  if (End == ReplicaEnd::TooFew)
-    return finish(Each, KeyState::Unknown,
+void Dispatcher::onRefusalReplicated(Job &Current, ReplicationResult End) {
+  if (End == ReplicationResult::HeldElsewhere)
+    return finish(Current, KeyState::Unknown, unknown("held_elsewhere", false));
+  if (End == ReplicationResult::TooFewReplicas)
+    return finish(Current, KeyState::Unknown,
                   unknown("no_majority_of_entries", true));
-  finish(Each, KeyState::NotRun,
-         {Outcome::NotRun, Each.Refusal_, true, nullptr, false});
+  finish(Current, KeyState::NotRun,
+         {Outcome::NotRun, Current.RefusalReason_, true, nullptr, false});
 }
 
-void Dispatcher::finish(Job &Each, KeyState State, Verdict Of) {
-  const IdempotencyKey Key = Each.Asked_.Key_;
-  const bool Recorded = record(Each, State, Of.Reason_, Of.Answer_);
-  if (!Recorded && Of.Outcome_ == Outcome::NotRun)
-    Of = unknown("ledger_full", true);
-  const bool Shared = Recorded && Each.Asked_.Class_ == MethodClass::Once &&
-                      Members_.copiesNeeded() > 0 && State != KeyState::NotRun;
-  if (Shared)
-    Actions_.emplace_back(
-        Announce{Known_.copyOf(Key, *Known_.find(Key)),
-                 Members_.holders(homeKey(Each.Asked_.Service_))});
-  for (const Ticket Caller : Each.Callers_) {
-    Actions_.emplace_back(Resolve{Caller, Of});
+void Dispatcher::finish(Job &Current, KeyState State, Verdict Result) {
+  const IdempotencyKey Key = Current.Submission_.Key_;
+  const bool Recorded =
+      writeRecord(Current, State, Result.Reason_, Result.Answer_);
+  if (!Recorded && Result.Outcome_ == Outcome::NotRun)
+    Result = unknown("ledger_full", true);
+  const bool Announced =
+      Recorded && Current.Submission_.Class_ == MethodClass::Once &&
+      Quorum_.replicasNeeded() > 0 && State != KeyState::NotRun;
+  if (Announced)
+    Actions_.emplace_back(Announce{
+        Ledger_.makeReplica(Key, *Ledger_.find(Key)),
+        Quorum_.replicaTargets(homeKey(Current.Submission_.Service_))});
+  for (const Ticket Caller : Current.Callers_) {
+    Actions_.emplace_back(Resolve{Caller, Result});
     Tickets_.erase(Caller);
   }
-  if (std::ranges::find(Each.Callers_, Each.Own_) == Each.Callers_.end())
-    Actions_.emplace_back(Resolve{Each.Own_, Of});
+  if (std::ranges::find(Current.Callers_, Current.ActionTicket_) ==
+      Current.Callers_.end())
+    Actions_.emplace_back(Resolve{Current.ActionTicket_, Result});
   Jobs_.erase(Key);
 }
 
--- a/src/medlarmoor/request/dispatcher_limits.hpp
+++ b/src/medlarmoor/request/dispatcher_limits.hpp
@@ -5,15 +5,15 @@
 
 namespace medlarmoor::request {
 
-/// Bounds of one dispatcher.
+/// Limits of one dispatcher.
 struct DispatcherLimits {
-  /// Requests that may wait, as a multiple of all slots.
+  /// Maximum queue length, as a multiple of all slots of the service.
   double QueuePerSlot_ = 4.0;
-  /// Retries of attempts that may have run, as a share of successes.
+  /// Maximum retries of attempts that may have run, per success.
   double RetryBudget_ = 0.1;
-  /// Attempts at most for one submission.
-  unsigned Attempts_ = 4;
-  /// A key is remembered this long after its deadline.
+  /// Maximum number of attempts per submission.
+  unsigned MaxAttempts_ = 4;
+  /// How long a key stays in the ledger after its deadline.
   Millis Horizon_ = Seconds(120);
 };
 
--- a/src/medlarmoor/request/dispatcher_role.cpp
+++ b/src/medlarmoor/request/dispatcher_role.cpp
@@ -5,42 +5,42 @@
 
 namespace {
 
-/// A handover that arrives ahead of the view counts for this many leases.
-constexpr int HandoverLeases = 4;
+/// How long a handoff that arrives before the view remains valid, in leases.
+constexpr int HandoffLeases = 4;
 
 } // namespace
 
 DispatcherRole::DispatcherRole(EntryName Self, Millis Lease, Clock Time)
     : Self_(std::move(Self)), Lease_(Lease), Time_(std::move(Time)),
-      View_(std::make_shared<membership::View>()), Checked_(Time_.now()) {}
+      View_(std::make_shared<membership::View>()), LastCheck_(Time_.now()) {}
 
-void DispatcherRole::onView(membership::ViewPtr Now) {
-  check();
-  View_ = std::move(Now);
-  Suspended_.reset();
+void DispatcherRole::onView(membership::ViewPtr View) {
+  checkClock();
+  View_ = std::move(View);
+  SuspendedAt_.reset();
   std::erase_if(Terms_,
-                [&](const auto &Each) { return !isDispatcher(Each.first); });
+                [&](const auto &Held) { return !isDispatcher(Held.first); });
 }
 
-void DispatcherRole::onHandover(const ServiceName &Service, WallTime From) {
-  Received_[Service] = {From, Time_.now()};
-  const auto At = Terms_.find(Service);
-  if (At == Terms_.end())
+void DispatcherRole::onHandoff(const ServiceName &Service, WallTime From) {
+  ReceivedHandoffs_[Service] = {From, Time_.now()};
+  const auto Found = Terms_.find(Service);
+  if (Found == Terms_.end())
     return;
-  At->second.From_ = std::min(At->second.From_, From);
-  At->second.HandedOver_ = true;
+  Found->second.DecidesFrom_ = std::min(Found->second.DecidesFrom_, From);
+  Found->second.HandoffReceived_ = true;
 }
 
-void DispatcherRole::check() {
+void DispatcherRole::checkClock() {
   const TimePoint Now = Time_.now();
-  if (Now - Checked_ > Lease_) {
-    Suspended_ = Now;
+  if (Now - LastCheck_ > Lease_) {
+    SuspendedAt_ = Now;
     Terms_.clear();
-    Received_.clear();
+    ReceivedHandoffs_.clear();
   }
-  Checked_ = Now;
-  if (Suspended_ && Now - *Suspended_ > 2 * Lease_)
-    Suspended_.reset();
+  LastCheck_ = Now;
+  if (SuspendedAt_ && Now - *SuspendedAt_ > 2 * Lease_)
+    SuspendedAt_.reset();
 }
 
 const membership::Member *
@@ -50,7 +50,7 @@
 }
 
 bool DispatcherRole::isDispatcher(const ServiceName &Service) const {
-  if (Suspended_ || Leaving_)
+  if (SuspendedAt_ || Leaving_)
     return false;
   const membership::Member *Home = View_->home(homeKey(Service));
   return Home && Home->Name_ == Self_;
@@ -59,29 +59,31 @@
 DispatcherRole::Term *DispatcherRole::term(const ServiceName &Service) {
   if (!isDispatcher(Service))
     return nullptr;
-  const auto [At, Fresh] = Terms_.try_emplace(Service);
-  if (!Fresh)
-    return &At->second;
-  At->second = {Time_.wallNow() + ClockBound, Time_.now(), false};
-  const auto Received = Received_.find(Service);
-  const bool Recent =
-      Received != Received_.end() &&
-      Time_.now() - Received->second.second < HandoverLeases * Lease_;
-  if (Recent) {
-    At->second.From_ = std::min(At->second.From_, Received->second.first);
-    At->second.HandedOver_ = true;
+  const auto [Found, Inserted] = Terms_.try_emplace(Service);
+  if (!Inserted)
+    return &Found->second;
+  Found->second = {Time_.wallNow() + MaxClockSkew, Time_.now(), false};
+  const auto Received = ReceivedHandoffs_.find(Service);
+  const bool StillValid =
+      Received != ReceivedHandoffs_.end() &&
+      Time_.now() - Received->second.second < HandoffLeases * Lease_;
+  if (StillValid) {
+    Found->second.DecidesFrom_ =
+        std::min(Found->second.DecidesFrom_, Received->second.first);
+    Found->second.HandoffReceived_ = true;
   }
-  return &At->second;
+  return &Found->second;
 }
 
-WallTime DispatcherRole::judgesFrom(const ServiceName &Service) {
-  const Term *Own = term(Service);
-  return Own ? Own->From_ : WallTime::max();
+WallTime DispatcherRole::decidesFrom(const ServiceName &Service) {
+  const Term *Current = term(Service);
+  return Current ? Current->DecidesFrom_ : WallTime::max();
 }
 
-bool DispatcherRole::awaitsHandover(const ServiceName &Service) {
-  const Term *Own = term(Service);
-  if (!Own || Own->HandedOver_ || Time_.now() - Own->Began_ > Lease_)
+bool DispatcherRole::awaitsHandoff(const ServiceName &Service) {
+  const Term *Current = term(Service);
+  if (!Current || Current->HandoffReceived_ ||
+      Time_.now() - Current->StartedAt_ > Lease_)
     return false;
   return View_->homeWithout(homeKey(Service), Self_) != nullptr;
 }
--- a/src/medlarmoor/request/dispatcher_role.hpp
+++ b/src/medlarmoor/request/dispatcher_role.hpp
@@ -11,51 +11,56 @@
 
 namespace medlarmoor::request {
 
-/// The number by which rendezvous hashing names the dispatcher of Service.
+/// Returns the hash that selects the dispatcher of Service by rendezvous
+/// hashing.
 [[nodiscard]] inline std::uint64_t homeKey(const ServiceName &Service) {
   return hashText(Service.value(), 0x7265717565737473ULL);
 }
 
-/// Decides for which services this entry is the dispatcher now, and from
-/// which minting time on it may judge a key that has no record.
+/// Determines for which services this entry is the dispatcher, and the minting
+/// time from which it may decide about keys without a record.
 class DispatcherRole {
 public:
   DispatcherRole(EntryName Self, Millis Lease, Clock Time);
 
-  /// Takes a new view.
-  void onView(membership::ViewPtr Now);
-  /// Takes over what the former dispatcher of Service handed on: it judged
-  /// keys minted from From on, and its whole ledger has arrived.
-  void onHandover(const ServiceName &Service, WallTime From);
-  /// This entry hands over and stops.
+  /// Applies a new view.
+  void onView(membership::ViewPtr View);
+  /// Handles a handoff from the previous dispatcher of Service, which decided
+  /// about keys minted from From on. Its complete ledger must be stored
+  /// already.
+  void onHandoff(const ServiceName &Service, WallTime From);
+  /// Gives up the role for all services, since this entry hands off and stops.
   void leave() noexcept { Leaving_ = true; }
-  /// Compares the clock with the last call. After a gap longer than the lease
-  /// this entry is nobody's dispatcher until a new view arrives or two leases
-  /// pass. Call it before each decision.
-  void check();
+  /// Compares the clock with the previous call. After a gap longer than the
+  /// lease this entry is not the dispatcher of any service until a new view
+  /// arrives or two leases have passed. Must be called before each decision.
+  void checkClock();
 
-  /// Whether this entry dispatches Service now.
+  /// Returns true if this entry is the dispatcher of Service.
   [[nodiscard]] bool isDispatcher(const ServiceName &Service) const;
-  /// Whether a gap of the clock holds all dispatching back.
+  /// Returns true while dispatching is suspended after a gap of the clock.
   [[nodiscard]] bool suspended() const noexcept {
-    return Suspended_.has_value();
+    return SuspendedAt_.has_value();
   }
-  /// Keys of Service minted before this cannot be judged without a record.
-  /// The tenure begins with the first call that finds this entry in office.
-  [[nodiscard]] WallTime judgesFrom(const ServiceName &Service);
-  /// Whether a former dispatcher that still lives may yet hand Service over.
-  [[nodiscard]] bool awaitsHandover(const ServiceName &Service);
-  /// The dispatcher of Service as this entry sees it, or null. A leaving
-  /// entry names its successor.
+  /// Returns the minting time before which keys of Service cannot be decided
+  /// without a record. The term begins with the first call during which this
+  /// entry is the dispatcher.
+  [[nodiscard]] WallTime decidesFrom(const ServiceName &Service);
+  /// Returns true if a previous dispatcher that is still live may hand Service
+  /// off.
+  [[nodiscard]] bool awaitsHandoff(const ServiceName &Service);
+  /// Returns the dispatcher of Service in this entry's view, or null. A leaving
+  /// entry returns its successor.
   [[nodiscard]] const membership::Member *
   dispatcher(const ServiceName &Service) const;
   [[nodiscard]] const membership::View &view() const noexcept { return *View_; }
 
 private:
+  /// A period in which this entry is the dispatcher of one service.
   struct Term {
-    WallTime From_;
-    TimePoint Began_;
-    bool HandedOver_ = false;
+    WallTime DecidesFrom_;
+    TimePoint StartedAt_;
+    bool HandoffReceived_ = false;
   };
 
   Term *term(const ServiceName &Service);
@@ -65,10 +70,12 @@
   Clock Time_;
   membership::ViewPtr View_;
   bool Leaving_ = false;
-  TimePoint Checked_;
-  std::optional<TimePoint> Suspended_;
+  TimePoint LastCheck_;
+  std::optional<TimePoint> SuspendedAt_;
   std::map<ServiceName, Term> Terms_;
-  std::map<ServiceName, std::pair<WallTime, TimePoint>> Received_;
+  /// Received handoffs: the start of the decided minting times, and the time of
+  /// arrival.
+  std::map<ServiceName, std::pair<WallTime, TimePoint>> ReceivedHandoffs_;
 };
 
 } // namespace medlarmoor::request
--- a/src/medlarmoor/request/internal/connection_pool.cpp
+++ b/src/medlarmoor/request/internal/connection_pool.cpp
@@ -22,30 +22,30 @@
   });
   if (Found->second.empty())
     return nullptr;
-  ConnectionPtr Out = std::move(Found->second.back());
+  ConnectionPtr Reused = std::move(Found->second.back());
   Found->second.pop_back();
-  Out->Reused_ = true;
-  return Out;
+  Reused->Reused_ = true;
+  return Reused;
 }
 
 Awaitable<ConnectionPtr> ConnectionPool::connect(Endpoint Remote,
                                                  Nanos Timeout) {
-  auto Out = std::make_shared<Connection>(Io_);
-  Out->Remote_ = Remote;
+  auto Opened = std::make_shared<Connection>(Io_);
+  Opened->Remote_ = Remote;
   Error Failed;
-  Out->Stream_.socket().open(asio::ip::tcp::v4(), Failed);
+  Opened->Stream_.socket().open(asio::ip::tcp::v4(), Failed);
   if (!Failed && Source_ != Ipv4())
-    Out->Stream_.socket().bind({asio::ip::address_v4(Source_.value()), 0},
-                               Failed);
+    Opened->Stream_.socket().bind({asio::ip::address_v4(Source_.value()), 0},
+                                  Failed);
   if (Failed)
     co_return nullptr;
-  Out->Stream_.expires_after(Timeout);
-  co_await Out->Stream_.async_connect(net::internal::toTcp(Remote),
-                                      storeError(Failed));
+  Opened->Stream_.expires_after(Timeout);
+  co_await Opened->Stream_.async_connect(net::internal::toTcp(Remote),
+                                         storeError(Failed));
   if (Failed)
     co_return nullptr;
-  Out->Stream_.socket().set_option(asio::ip::tcp::no_delay(true), Failed);
-  co_return Out;
+  Opened->Stream_.socket().set_option(asio::ip::tcp::no_delay(true), Failed);
+  co_return Opened;
 }
 
 void ConnectionPool::release(ConnectionPtr Idle) {
--- a/src/medlarmoor/request/internal/dispatch_executor.cpp
+++ b/src/medlarmoor/request/internal/dispatch_executor.cpp
@@ -10,7 +10,7 @@
 
 namespace {
 
-using upstream::AttemptEnd;
+using upstream::AttemptResult;
 
 /// Time after its deadline in which a submission may still receive its outcome.
 constexpr Millis OutcomeGrace{700};
@@ -27,23 +27,23 @@
 }
 
 HttpMessage postTo(const config::Upstream &Upstream, const char *Target) {
-  HttpMessage Out(http::verb::post, Target, 11);
-  Out.set(http::field::host, Upstream.Requests_.text());
-  return Out;
+  HttpMessage Message(http::verb::post, Target, 11);
+  Message.set(http::field::host, Upstream.Requests_.text());
+  return Message;
 }
 
 HttpMessage runMessage(const Send &Task, const OpenRequest &Request,
                        Nanos Remaining, const OpenSpan &Span) {
-  HttpMessage Out = postTo(Task.To_, "/run");
-  Out.set("Idempotency-Key", Request.Submission_.Key_.value());
-  Out.set("Medlarmoor-Attempt", Task.Attempt_.value());
-  Out.set("Medlarmoor-Class", text(Request.Submission_.Class_));
-  Out.set("Medlarmoor-Deadline-Ms",
-          std::to_string(std::chrono::ceil<Millis>(Remaining).count()));
-  Out.set("traceparent", Span.Context_.text());
-  Out.body() = Request.Body_;
-  Out.prepare_payload();
-  return Out;
+  HttpMessage Message = postTo(Task.Target_, "/run");
+  Message.set("Idempotency-Key", Request.Submission_.Key_.value());
+  Message.set("Medlarmoor-Attempt", Task.Attempt_.value());
+  Message.set("Medlarmoor-Class", text(Request.Submission_.Class_));
+  Message.set("Medlarmoor-Deadline-Ms",
+              std::to_string(std::chrono::ceil<Millis>(Remaining).count()));
+  Message.set("traceparent", Span.Context_.text());
+  Message.body() = Request.Body_;
+  Message.prepare_payload();
+  return Message;
 }
 
 std::optional<upstream::LoadReport> parseLoadReport(const std::string &Text) {
@@ -51,16 +51,16 @@
   if (!Parsed.is_object())
     return std::nullopt;
   try {
-    upstream::LoadReport Out;
-    Out.Running_ = Parsed.value("running", 0U);
-    Out.Queued_ = Parsed.value("queued", 0U);
-    Out.Age_ = Millis(std::max<std::int64_t>(0, Parsed.value("ageMs", 0)));
+    upstream::LoadReport Report;
+    Report.Running_ = Parsed.value("running", 0U);
+    Report.Queued_ = Parsed.value("queued", 0U);
+    Report.Age_ = Millis(std::max<std::int64_t>(0, Parsed.value("ageMs", 0)));
     const std::string State = Parsed.value("state", "ready");
     if (State == "warming")
-      Out.State_ = upstream::ServingState::Warming;
+      Report.State_ = upstream::ServingState::Warming;
     if (State == "draining")
-      Out.State_ = upstream::ServingState::Draining;
-    return Out;
+      Report.State_ = upstream::ServingState::Draining;
+    return Report;
   } catch (const nlohmann::json::exception &) {
     return std::nullopt;
   }
@@ -84,7 +84,7 @@
   Limits.QueuePerSlot_ = Service.Policy_.QueuePerSlot_;
   Limits.RetryBudget_ = Service.Policy_.RetryBudget_;
   Dispatcher_.setLimits(Limits);
-  Dispatcher_.slots().configure(Upstreams_);
+  Dispatcher_.slotPool().configure(Upstreams_);
 }
 
 Awaitable<Verdict> DispatchExecutor::serve(OpenRequestPtr Request) {
@@ -140,7 +140,7 @@
 }
 
 void DispatchExecutor::redirectQueued() {
-  Dispatcher_.moveOn();
+  Dispatcher_.redirectWaiting();
   runActions();
 }
 
@@ -148,8 +148,8 @@
   if (RunningActions_)
     return;
   RunningActions_ = true;
-  for (std::vector<Action> Decided = Dispatcher_.take(); !Decided.empty();
-       Decided = Dispatcher_.take())
+  for (std::vector<Action> Decided = Dispatcher_.takeActions();
+       !Decided.empty(); Decided = Dispatcher_.takeActions())
     for (const Action &Next : Decided)
       std::visit([this](const auto &Task) { execute(Task); }, Next);
   RunningActions_ = false;
@@ -158,18 +158,19 @@
 void DispatchExecutor::execute(const Send &Task) {
   const auto Found = RequestByTicket_.find(Task.Ticket_);
   if (Found == RequestByTicket_.end())
-    return Dispatcher_.answered(Task.Ticket_, AttemptEnd::NotConnected,
-                                Nanos(0));
+    return Dispatcher_.onAttemptEnd(Task.Ticket_, AttemptResult::NotConnected,
+                                    Nanos(0));
   Metrics_.Attempts_.add();
   asio::co_spawn(Io_, attempt(Task, Found->second), asio::detached);
 }
 
 void DispatchExecutor::execute(const Replicate &Task) {
-  Replicator_.replicate(Task, Time_.now(),
-                        [Self = shared_from_this(), Task](ReplicaEnd End) {
-                          Self->Dispatcher_.replicated(Task.Ticket_, End);
-                          Self->runActions();
-                        });
+  Replicator_.replicate(
+      Task, Time_.now(),
+      [Self = shared_from_this(), Task](ReplicationResult End) {
+        Self->Dispatcher_.onReplicationEnd(Task.Ticket_, End);
+        Self->runActions();
+      });
 }
 
 void DispatchExecutor::execute(const Announce &Task) {
@@ -186,9 +187,9 @@
 }
 
 void DispatchExecutor::execute(const Cancel &Task) {
-  asio::co_spawn(Io_, cancel(Task.At_, Task.Attempt_), asio::detached);
+  asio::co_spawn(Io_, cancel(Task.Target_, Task.Attempt_), asio::detached);
   const auto Found = RequestByTicket_.find(Task.Ticket_);
-  if (!Task.GiveUp_ || Found == RequestByTicket_.end())
+  if (!Task.Abandon_ || Found == RequestByTicket_.end())
     return;
   Found->second->Abandoned_ = true;
   if (Found->second->UpstreamConnection_)
@@ -201,64 +202,65 @@
   const Nanos Remaining = Task.Deadline_ - Started;
   const OpenSpan Span = Tracer_.startChild(Request->Trace_);
   const HttpMessage Message = runMessage(Task, *Request, Remaining, Span);
-  const Nanos HeaderTimeout =
-      std::max<Nanos>(MinHeaderTimeout,
-                      HeaderTimeoutFactor * Dispatcher_.slots().typicalTime());
-  const CallResult Result = co_await call(
-      Pool_,
-      {Task.To_.Requests_, steadyIn(Remaining), Task.Fresh_, HeaderTimeout},
-      Message, Request->UpstreamConnection_);
-  AttemptEnd End = Result.End_ == CallEnd::NotConnected
-                       ? AttemptEnd::NotConnected
-                       : AttemptEnd::Failed;
+  const Nanos HeaderTimeout = std::max<Nanos>(
+      MinHeaderTimeout,
+      HeaderTimeoutFactor * Dispatcher_.slotPool().medianServiceTime());
+  const CallResult Result =
+      co_await call(Pool_,
+                    {Task.Target_.Requests_, steadyIn(Remaining),
+                     Task.FreshConnection_, HeaderTimeout},
+                    Message, Request->UpstreamConnection_);
+  AttemptResult End = Result.End_ == CallEnd::NotConnected
+                          ? AttemptResult::NotConnected
+                          : AttemptResult::Failed;
   std::shared_ptr<const KeptAnswer> Kept;
   if (Result.Answer_)
     End = co_await processAnswer(Task, Request, Result.Answer_, Kept);
-  if (Request->Abandoned_ && End != AttemptEnd::Whole)
-    End = AttemptEnd::Abandoned;
+  if (Request->Abandoned_ && End != AttemptResult::Complete)
+    End = AttemptResult::Abandoned;
   Tracer_.end(Span, "request.attempt", telemetry::SpanKind::Client,
-              {{"upstream", Task.To_.Name_.value()},
+              {{"upstream", Task.Target_.Name_.value()},
                {"attempt", Task.Attempt_.value()}},
-              End == AttemptEnd::Whole ? "" : "no_whole_answer");
+              End == AttemptResult::Complete ? "" : "no_whole_answer");
   Metrics_.AttemptTime_.record(Time_.now() - Started);
-  Dispatcher_.answered(Task.Ticket_, End, Time_.now() - Started,
-                       std::move(Kept));
+  Dispatcher_.onAttemptEnd(Task.Ticket_, End, Time_.now() - Started,
+                           std::move(Kept));
   runActions();
 }
 
-Awaitable<AttemptEnd>
+Awaitable<AttemptResult>
 DispatchExecutor::processAnswer(const Send &Task, OpenRequestPtr Request,
                                 AnswerPtr Received,
                                 std::shared_ptr<const KeptAnswer> &Kept) {
   if (Received->header("Medlarmoor-Attempt") != Task.Attempt_.value()) {
     Metrics_.MismatchedAnswers_.add();
     Received->Connection_->Stream_.close();
-    Pool_.purge(Task.To_.Requests_);
-    co_return AttemptEnd::Failed;
+    Pool_.purge(Task.Target_.Requests_);
+    co_return AttemptResult::Failed;
   }
   if (Received->status() == 503 &&
       Received->header("Medlarmoor-Not-Run") == "1")
-    co_return AttemptEnd::Shed;
+    co_return AttemptResult::Shed;
   if (Received->Complete_) {
     Request->CompleteAnswer_ = Received->message();
-    if (Received->BodyPrefix_.size() <= KeptAnswerBytes)
+    if (Received->BodyPrefix_.size() <= MaxKeptAnswerBytes)
       Kept =
           std::make_shared<KeptAnswer>(KeptAnswer{*Request->CompleteAnswer_});
-    co_return AttemptEnd::Whole;
+    co_return AttemptResult::Complete;
   }
   const CallerStream Caller = Request->Caller_;
   Request->AnswerStarted_ = Caller != nullptr;
   net::HttpHeaders Extra;
   Extra.add("Medlarmoor-Outcome", "done");
   if (co_await relay(*Received, Caller.get(), Extra, Request->CloseConnection_))
-    co_return AttemptEnd::Whole;
+    co_return AttemptResult::Complete;
   Metrics_.TruncatedAnswers_.add();
   Received->Connection_->Stream_.close();
   Request->AnswerTruncated_ = Request->AnswerStarted_;
   // Once part of the answer has been sent to the caller, no other attempt can
   // complete it.
-  co_return Request->AnswerTruncated_ ? AttemptEnd::Abandoned
-                                      : AttemptEnd::Failed;
+  co_return Request->AnswerTruncated_ ? AttemptResult::Abandoned
+                                      : AttemptResult::Failed;
 }
 
 Awaitable<void> DispatchExecutor::cancel(config::Upstream Target,
@@ -291,7 +293,7 @@
       Result.Answer_->status() != 200)
     co_return;
   if (const auto Report = parseLoadReport(Result.Answer_->BodyPrefix_))
-    Dispatcher_.slots().report(Target.Name_, *Report);
+    Dispatcher_.slotPool().recordReport(Target.Name_, *Report);
 }
 
 } // namespace medlarmoor::request::internal
--- a/src/medlarmoor/request/internal/dispatch_executor.hpp
+++ b/src/medlarmoor/request/internal/dispatch_executor.hpp
@@ -61,7 +61,7 @@
   [[nodiscard]] Awaitable<void> attempt(Send Task, OpenRequestPtr Request);
   /// Keeps or relays an answer and returns how its attempt ended. Kept is set
   /// if the answer is small enough to be kept.
-  [[nodiscard]] Awaitable<upstream::AttemptEnd>
+  [[nodiscard]] Awaitable<upstream::AttemptResult>
   processAnswer(const Send &Task, OpenRequestPtr Request, AnswerPtr Received,
                 std::shared_ptr<const KeptAnswer> &Kept);
   [[nodiscard]] Awaitable<void> cancel(config::Upstream Target,
--- a/src/medlarmoor/request/internal/exchange.cpp
+++ b/src/medlarmoor/request/internal/exchange.cpp
@@ -113,19 +113,19 @@
 
 http::response<http::buffer_body>
 relayedHeader(const Answer &Source, const net::HttpHeaders &Extra, bool Close) {
-  http::response<http::buffer_body> Out;
-  Out.version(11);
-  Out.result(Source.status());
+  http::response<http::buffer_body> Header;
+  Header.version(11);
+  Header.result(Source.status());
   for (const auto &Field : Source.Parser_.get())
     if (!isHopByHopHeader(Field.name_string()))
-      Out.set(Field.name_string(), Field.value());
-  net::internal::putFields(Extra, Out);
+      Header.set(Field.name_string(), Field.value());
+  net::internal::putFields(Extra, Header);
   if (Source.Parser_.content_length())
-    Out.content_length(*Source.Parser_.content_length());
+    Header.content_length(*Source.Parser_.content_length());
   else
-    Out.chunked(true);
-  Out.keep_alive(!Close);
-  return Out;
+    Header.chunked(true);
+  Header.keep_alive(!Close);
+  return Header;
 }
 
 } // namespace
@@ -139,12 +139,12 @@
 }
 
 net::HttpResponse Answer::message() const {
-  net::HttpResponse Out{status(), {}, BodyPrefix_};
+  net::HttpResponse Response{status(), {}, BodyPrefix_};
   for (const auto &Field : Parser_.get())
     if (!isHopByHopHeader(Field.name_string()))
-      Out.Headers_.add(std::string(Field.name_string()),
-                       std::string(Field.value()));
-  return Out;
+      Response.Headers_.add(std::string(Field.name_string()),
+                            std::string(Field.value()));
+  return Response;
 }
 
 Awaitable<CallResult> call(ConnectionPool &Pool, CallOptions Options,
--- a/src/medlarmoor/request/internal/ledger_codec.cpp
+++ b/src/medlarmoor/request/internal/ledger_codec.cpp
@@ -9,52 +9,52 @@
 using Json = nlohmann::json;
 
 constexpr int LastKeyState = static_cast<int>(KeyState::Unknown);
-constexpr int LastAnswer = static_cast<int>(CopyAnswer::Refused);
+constexpr int LastAnswer = static_cast<int>(ReplicaAnswer::Refused);
 /// Upper bound of the retention time that a sender may ask for.
 constexpr Millis MaxRetention = std::chrono::hours(1);
 
-Json toJson(const LedgerCopy &Replica) {
+Json toJson(const RecordReplica &Replica) {
   return {{"key", Replica.Key_.value()},
           {"service", Replica.Service_.value()},
           {"state", static_cast<int>(Replica.State_)},
           {"dispatcher", Replica.Dispatcher_.value()},
-          {"run", Replica.Run_.value()},
+          {"run", Replica.Incarnation_.value()},
           {"try", Replica.Try_},
           {"mintedMs", Replica.Minted_.time_since_epoch().count()},
-          {"keepMs", Replica.KeepFor_.count()},
+          {"keepMs", Replica.TimeToLive_.count()},
           {"reason", Replica.Reason_}};
 }
 
-LedgerCopy replicaFromJson(const Json &Object) {
-  LedgerCopy Out;
-  Out.Key_ = IdempotencyKey(Object.at("key").get<std::string>());
-  Out.Service_ = ServiceName(Object.at("service").get<std::string>());
+RecordReplica replicaFromJson(const Json &Object) {
+  RecordReplica Replica;
+  Replica.Key_ = IdempotencyKey(Object.at("key").get<std::string>());
+  Replica.Service_ = ServiceName(Object.at("service").get<std::string>());
   const int State = Object.at("state").get<int>();
   if (State < 0 || State > LastKeyState)
     throw std::out_of_range("unknown key state");
-  Out.State_ = static_cast<KeyState>(State);
-  Out.Dispatcher_ = EntryName(Object.at("dispatcher").get<std::string>());
-  Out.Run_ = Incarnation(Object.at("run").get<std::uint64_t>());
-  Out.Try_ = Object.at("try").get<std::uint32_t>();
-  Out.Minted_ = WallTime(Millis(Object.at("mintedMs").get<std::int64_t>()));
+  Replica.State_ = static_cast<KeyState>(State);
+  Replica.Dispatcher_ = EntryName(Object.at("dispatcher").get<std::string>());
+  Replica.Incarnation_ = Incarnation(Object.at("run").get<std::uint64_t>());
+  Replica.Try_ = Object.at("try").get<std::uint32_t>();
+  Replica.Minted_ = WallTime(Millis(Object.at("mintedMs").get<std::int64_t>()));
   const Millis Retention(Object.at("keepMs").get<std::int64_t>());
-  Out.KeepFor_ = std::clamp(Retention, Millis(0), MaxRetention);
-  Out.Reason_ = Object.at("reason").get<std::string>();
-  return Out;
+  Replica.TimeToLive_ = std::clamp(Retention, Millis(0), MaxRetention);
+  Replica.Reason_ = Object.at("reason").get<std::string>();
+  return Replica;
 }
 
-std::vector<LedgerCopy> replicasFromJson(const Json &Array) {
-  std::vector<LedgerCopy> Out;
+std::vector<RecordReplica> replicasFromJson(const Json &Array) {
+  std::vector<RecordReplica> Replicas;
   for (const Json &Object : Array)
-    Out.push_back(replicaFromJson(Object));
-  return Out;
+    Replicas.push_back(replicaFromJson(Object));
+  return Replicas;
 }
 
-Json toJson(const std::vector<LedgerCopy> &Replicas) {
-  Json Out = Json::array();
-  for (const LedgerCopy &Replica : Replicas)
-    Out.push_back(toJson(Replica));
-  return Out;
+Json toJson(const std::vector<RecordReplica> &Replicas) {
+  Json Array = Json::array();
+  for (const RecordReplica &Replica : Replicas)
+    Array.push_back(toJson(Replica));
+  return Array;
 }
 
 /// Returns what Read makes of the parsed text, or nothing if parsing or Read
@@ -71,31 +71,32 @@
 
 } // namespace
 
-std::string encode(const std::vector<LedgerCopy> &Replicas) {
+std::string encode(const std::vector<RecordReplica> &Replicas) {
   return toJson(Replicas).dump();
 }
 
-std::optional<std::vector<LedgerCopy>> decodeReplicas(std::string_view Text) {
+std::optional<std::vector<RecordReplica>>
+decodeReplicas(std::string_view Text) {
   return tryRead(Text, replicasFromJson);
 }
 
-std::string encode(const std::vector<CopyAnswer> &Answers) {
-  Json Out = Json::array();
-  for (const CopyAnswer Answer : Answers)
-    Out.push_back(static_cast<int>(Answer));
-  return Out.dump();
+std::string encode(const std::vector<ReplicaAnswer> &Answers) {
+  Json Array = Json::array();
+  for (const ReplicaAnswer Answer : Answers)
+    Array.push_back(static_cast<int>(Answer));
+  return Array.dump();
 }
 
-std::optional<std::vector<CopyAnswer>> decodeAnswers(std::string_view Text) {
+std::optional<std::vector<ReplicaAnswer>> decodeAnswers(std::string_view Text) {
   return tryRead(Text, [](const Json &Array) {
-    std::vector<CopyAnswer> Out;
+    std::vector<ReplicaAnswer> Answers;
     for (const Json &Number : Array) {
       const int Value = Number.get<int>();
       if (Value < 0 || Value > LastAnswer)
         throw std::out_of_range("unknown answer to a ledger replica");
-      Out.push_back(static_cast<CopyAnswer>(Value));
+      Answers.push_back(static_cast<ReplicaAnswer>(Value));
     }
-    return Out;
+    return Answers;
   });
 }
 
@@ -108,12 +109,12 @@
 
 std::optional<LedgerHandoff> decodeHandoff(std::string_view Text) {
   return tryRead(Text, [](const Json &Object) {
-    LedgerHandoff Out;
-    Out.Service_ = ServiceName(Object.at("service").get<std::string>());
-    Out.CompleteSince_ =
+    LedgerHandoff Handoff;
+    Handoff.Service_ = ServiceName(Object.at("service").get<std::string>());
+    Handoff.CompleteSince_ =
         WallTime(Millis(Object.at("fromMs").get<std::int64_t>()));
-    Out.Records_ = replicasFromJson(Object.at("copies"));
-    return Out;
+    Handoff.Records_ = replicasFromJson(Object.at("copies"));
+    return Handoff;
   });
 }
 
--- a/src/medlarmoor/request/internal/ledger_codec.hpp
+++ b/src/medlarmoor/request/internal/ledger_codec.hpp
@@ -1,7 +1,7 @@
 #ifndef MEDLARMOOR_REQUEST_INTERNAL_LEDGER_CODEC_HPP
 #define MEDLARMOOR_REQUEST_INTERNAL_LEDGER_CODEC_HPP
 
-#include <medlarmoor/request/ledger_copy.hpp>
+#include <medlarmoor/request/record_replica.hpp>
 
 #include <optional>
 #include <string>
@@ -15,20 +15,20 @@
   ServiceName Service_;
   /// Records_ is complete for keys that were minted at or after this time.
   WallTime CompleteSince_;
-  std::vector<LedgerCopy> Records_;
+  std::vector<RecordReplica> Records_;
 };
 
 /// Encodes replicas as a JSON array.
-[[nodiscard]] std::string encode(const std::vector<LedgerCopy> &Replicas);
+[[nodiscard]] std::string encode(const std::vector<RecordReplica> &Replicas);
 /// Returns nothing if Text does not have the form that encode() writes.
-[[nodiscard]] std::optional<std::vector<LedgerCopy>>
+[[nodiscard]] std::optional<std::vector<RecordReplica>>
 decodeReplicas(std::string_view Text);
 
 /// Encodes the answers to replicas as a JSON array, in the order of the
 /// replicas.
-[[nodiscard]] std::string encode(const std::vector<CopyAnswer> &Answers);
+[[nodiscard]] std::string encode(const std::vector<ReplicaAnswer> &Answers);
 /// Returns nothing if Text does not have the form that encode() writes.
-[[nodiscard]] std::optional<std::vector<CopyAnswer>>
+[[nodiscard]] std::optional<std::vector<ReplicaAnswer>>
 decodeAnswers(std::string_view Text);
 
 /// Encodes a handoff as a JSON object.
--- a/src/medlarmoor/request/internal/ledger_replicator.cpp
+++ b/src/medlarmoor/request/internal/ledger_replicator.cpp
@@ -20,7 +20,7 @@
 struct LedgerReplicator::Replication {
   Replication(asio::io_context &Io) : Timer_(Io) {}
 
-  LedgerCopy Replica_;
+  RecordReplica Replica_;
   std::vector<membership::Member> Candidates_;
   std::size_t Needed_ = 0;
   /// Index of the next candidate to which nothing was sent yet.
@@ -29,9 +29,9 @@
   std::size_t InFlight_ = 0;
   asio::steady_timer Timer_;
   /// Empty once the replication has ended.
-  std::function<void(ReplicaEnd)> OnDone_;
+  std::function<void(ReplicationResult)> OnDone_;
 
-  void complete(ReplicaEnd End) {
+  void complete(ReplicationResult End) {
     if (!OnDone_)
       return;
     Timer_.cancel();
@@ -43,17 +43,18 @@
                                    std::uint16_t Port, Signer Sign)
     : Io_(Io), Pool_(Pool), Port_(Port), Sign_(std::move(Sign)) {}
 
-void LedgerReplicator::replicate(const Replicate &Task, TimePoint Now,
-                                 std::function<void(ReplicaEnd)> OnDone) {
+void LedgerReplicator::replicate(
+    const Replicate &Task, TimePoint Now,
+    std::function<void(ReplicationResult)> OnDone) {
   auto Current = std::make_shared<Replication>(Io_);
-  Current->Replica_ = Task.Copy_;
-  Current->Candidates_ = Task.To_;
-  Current->Needed_ = Task.Needed_;
+  Current->Replica_ = Task.Replica_;
+  Current->Candidates_ = Task.Targets_;
+  Current->Needed_ = Task.NeededReplicas_;
   Current->OnDone_ = std::move(OnDone);
   Current->Timer_.expires_after(Task.Deadline_ - Now);
   Current->Timer_.async_wait([Current](Error Cancelled) {
     if (!Cancelled)
-      Current->complete(ReplicaEnd::TooFew);
+      Current->complete(ReplicationResult::TooFewReplicas);
   });
   for (std::size_t I = 0; I < Current->Needed_; ++I)
     sendToNext(Current);
@@ -62,33 +63,33 @@
 void LedgerReplicator::sendToNext(const std::shared_ptr<Replication> &Current) {
   if (Current->Next_ == Current->Candidates_.size()) {
     if (Current->InFlight_ + Current->Accepted_ < Current->Needed_)
-      Current->complete(ReplicaEnd::TooFew);
+      Current->complete(ReplicationResult::TooFewReplicas);
     return;
   }
   ++Current->InFlight_;
   enqueue(
       Current->Candidates_[Current->Next_++],
-      {Current->Replica_, [this, Current](std::optional<CopyAnswer> Answer) {
+      {Current->Replica_, [this, Current](std::optional<ReplicaAnswer> Answer) {
          onAnswer(Current, Answer);
        }});
 }
 
 void LedgerReplicator::onAnswer(const std::shared_ptr<Replication> &Current,
-                                std::optional<CopyAnswer> Answer) {
+                                std::optional<ReplicaAnswer> Answer) {
   --Current->InFlight_;
   if (!Current->OnDone_)
     return;
-  if (Answer == CopyAnswer::Held)
-    return Current->complete(ReplicaEnd::Held);
-  if (Answer != CopyAnswer::Taken)
+  if (Answer == ReplicaAnswer::HeldElsewhere)
+    return Current->complete(ReplicationResult::HeldElsewhere);
+  if (Answer != ReplicaAnswer::Stored)
     return sendToNext(Current);
   if (++Current->Accepted_ >= Current->Needed_)
-    Current->complete(ReplicaEnd::Enough);
+    Current->complete(ReplicationResult::Replicated);
 }
 
 void LedgerReplicator::announce(const Announce &Task) {
-  for (const membership::Member &Peer : Task.To_)
-    enqueue(Peer, {Task.Copy_, nullptr});
+  for (const membership::Member &Peer : Task.Targets_)
+    enqueue(Peer, {Task.Replica_, nullptr});
 }
 
 void LedgerReplicator::enqueue(const membership::Member &Peer,
@@ -107,7 +108,7 @@
 Awaitable<void> LedgerReplicator::sendQueued(std::shared_ptr<PeerQueue> Queue) {
   while (!Queue->Queued_.empty()) {
     std::vector<QueuedReplica> Batch;
-    std::vector<LedgerCopy> Replicas;
+    std::vector<RecordReplica> Replicas;
     while (!Queue->Queued_.empty() && Batch.size() < MaxReplicasPerCall) {
       Replicas.push_back(Queue->Queued_.front().Replica_);
       Batch.push_back(std::move(Queue->Queued_.front()));
--- a/src/medlarmoor/request/internal/ledger_replicator.hpp
+++ b/src/medlarmoor/request/internal/ledger_replicator.hpp
@@ -26,12 +26,12 @@
   LedgerReplicator(asio::io_context &Io, ConnectionPool &Pool,
                    std::uint16_t Port, Signer Sign);
 
-  /// Sends the replica to Task.Needed_ of the entries Task.To_, in their
-  /// order. The next entry is tried for each that does not accept it. Calls
-  /// OnDone once, at Task.Deadline_ at the latest.
+  /// Sends the replica to Task.NeededReplicas_ of the entries Task.Targets_, in
+  /// their order. The next entry is tried for each that does not accept it.
+  /// Calls OnDone once, at Task.Deadline_ at the latest.
   void replicate(const Replicate &Task, TimePoint Now,
-                 std::function<void(ReplicaEnd)> OnDone);
-  /// Sends the replica to all entries Task.To_ without waiting for their
+                 std::function<void(ReplicationResult)> OnDone);
+  /// Sends the replica to all entries Task.Targets_ without waiting for their
   /// answers.
   void announce(const Announce &Task);
   /// Sends Handoff to Successor. Calls OnDone with true if it was accepted.
@@ -40,9 +40,9 @@
 
 private:
   struct QueuedReplica {
-    LedgerCopy Replica_;
+    RecordReplica Replica_;
     /// Receives nothing if the call failed. May be empty.
-    std::function<void(std::optional<CopyAnswer>)> OnAnswer_;
+    std::function<void(std::optional<ReplicaAnswer>)> OnAnswer_;
   };
   struct PeerQueue {
     Endpoint Remote_;
@@ -57,7 +57,7 @@
   /// few candidates are left.
   void sendToNext(const std::shared_ptr<Replication> &Current);
   void onAnswer(const std::shared_ptr<Replication> &Current,
-                std::optional<CopyAnswer> Answer);
+                std::optional<ReplicaAnswer> Answer);
   Awaitable<void> sendQueued(std::shared_ptr<PeerQueue> Queue);
   /// Returns the body of the answer, or nothing if the call failed.
   Awaitable<std::optional<std::string>>
--- a/src/medlarmoor/request/internal/responses.cpp
+++ b/src/medlarmoor/request/internal/responses.cpp
@@ -17,7 +17,7 @@
 constexpr unsigned StatusUnknown = 504;
 
 unsigned statusOf(const Verdict &Result) {
-  if (Result.Moved_)
+  if (Result.NotDispatcher_)
     return StatusMisdirected;
   if (Result.Outcome_ == Outcome::Done)
     return StatusGone;
@@ -40,21 +40,21 @@
 
 net::HttpResponse responseTo(const Verdict &Result) {
   if (Result.Outcome_ == Outcome::Done && Result.Answer_) {
-    net::HttpResponse Out = Result.Answer_->Response_;
-    setOutcome(Out, Result.Outcome_);
-    return Out;
+    net::HttpResponse Response = Result.Answer_->Response_;
+    setOutcome(Response, Result.Outcome_);
+    return Response;
   }
   Json Body = bodyOf(Result);
-  Body["retry"] = Result.Retry_;
-  net::HttpResponse Out = jsonResponse(statusOf(Result), Body.dump());
-  setOutcome(Out, Result.Outcome_);
-  return Out;
+  Body["retry"] = Result.Retryable_;
+  net::HttpResponse Response = jsonResponse(statusOf(Result), Body.dump());
+  setOutcome(Response, Result.Outcome_);
+  return Response;
 }
 
 net::HttpResponse lookUpResponse(const Verdict &Result) {
-  net::HttpResponse Out = jsonResponse(200, bodyOf(Result).dump());
-  setOutcome(Out, Result.Outcome_);
-  return Out;
+  net::HttpResponse Response = jsonResponse(200, bodyOf(Result).dump());
+  setOutcome(Response, Result.Outcome_);
+  return Response;
 }
 
 net::HttpResponse findingsResponse(unsigned Status, const Findings &Found,
@@ -66,9 +66,9 @@
     Body["findings"].push_back({{"at", Item.Place_.File_},
                                 {"message", Item.Message_},
                                 {"hint", Item.Hint_}});
-  net::HttpResponse Out = jsonResponse(Status, Body.dump());
-  setOutcome(Out, Result);
-  return Out;
+  net::HttpResponse Response = jsonResponse(Status, Body.dump());
+  setOutcome(Response, Result);
+  return Response;
 }
 
 } // namespace medlarmoor::request::internal
--- a/src/medlarmoor/request/internal/router.cpp
+++ b/src/medlarmoor/request/internal/router.cpp
@@ -26,26 +26,26 @@
   const auto Parsed = nlohmann::json::parse(Text, nullptr, false);
   if (!Parsed.is_object() || !Parsed.contains("instances"))
     return std::nullopt;
-  std::vector<EntryName> Out;
+  std::vector<EntryName> Names;
   for (const auto &Instance : Parsed["instances"]) {
     const bool Live = Instance.is_object() && Instance.contains("name") &&
                       Instance["name"].is_string() &&
                       Instance.contains("state") && Instance["state"] == "live";
     if (Live)
-      Out.emplace_back(Instance["name"].get<std::string>());
+      Names.emplace_back(Instance["name"].get<std::string>());
   }
-  return Out;
+  return Names;
 }
 
 /// Returns the upstreams in the failure domain of this entry, or all upstreams
 /// if it has none.
 std::vector<config::Upstream> usedUpstreams(const config::Service &Service,
                                             const DomainName &OwnDomain) {
-  std::vector<config::Upstream> Out;
+  std::vector<config::Upstream> Used;
   for (const config::Upstream &Candidate : Service.Upstreams_)
     if (Candidate.Domain_ == OwnDomain)
-      Out.push_back(Candidate);
-  return Out.empty() ? Service.Upstreams_ : Out;
+      Used.push_back(Candidate);
+  return Used.empty() ? Service.Upstreams_ : Used;
 }
 
 } // namespace
@@ -57,9 +57,9 @@
       Tracer_(Spans, Time, Random(Source())),
       Source_(Source), Identity_{Settings.Name_, wire::drawIncarnation(
                                                      Time.wallNow(), Source_)},
-      Seal_(Settings.Name_, Identity_.Run_, wire::KeyRing(Settings.Keys_),
-            Time),
-      Ledger_(Settings.Requests_.LedgerKeys_, Time),
+      Seal_(Settings.Name_, Identity_.Incarnation_,
+            wire::KeyRing(Settings.Keys_), Time),
+      Ledger_(Settings.Requests_.MaxLedgerKeys_, Time),
       Role_(Settings.Name_, Settings.Membership_.Lease_, Time),
       Quorum_(Settings.Name_, QuorumSettleTime, Time),
       Pool_(Io, Settings.Address_),
@@ -68,7 +68,7 @@
       Reader_(Settings.Domain_, Time, Random(Source_())),
       Started_(Time_.now()) {}
 
-void Router::onConfig(config::InForcePtr Config) {
+void Router::onConfig(config::ActiveConfigPtr Config) {
   Config_ = std::move(Config);
   std::erase_if(Executors_, [&](const auto &Existing) {
     const auto &Services = Config_->Environment_.Services_;
@@ -118,7 +118,8 @@
     return Dispatched_.clear();
   for (const auto &[Name, Executor] : Executors_) {
     if (Role_.isDispatcher(Name)) {
-      Dispatched_[Name] = std::max(Role_.judgesFrom(Name), Quorum_.since());
+      Dispatched_[Name] =
+          std::max(Role_.decidesFrom(Name), Quorum_.majoritySince());
       Handoffs_.erase(Name);
     } else if (const auto Lost = Dispatched_.find(Name);
                Lost != Dispatched_.end()) {
@@ -140,7 +141,8 @@
   Log_.info("ledger_handover",
             {{"service", Service.value()}, {"to", Successor->Name_.value()}});
   Replicator_.handOff(
-      *Successor, {Service, Handoff.CompleteSince_, Ledger_.copies(Service)},
+      *Successor,
+      {Service, Handoff.CompleteSince_, Ledger_.replicasForHandoff(Service)},
       [this, Service](bool Accepted) {
         const auto Found = Handoffs_.find(Service);
         if (Found == Handoffs_.end())
@@ -162,7 +164,7 @@
 }
 
 void Router::tick() {
-  Role_.check();
+  Role_.checkClock();
   refreshMemberList();
   Quorum_.tick();
   Ledger_.expire();
@@ -210,12 +212,12 @@
 }
 
 void Router::refreshMemberList() {
-  if (!Quorum_.wantsList())
+  if (!Quorum_.needsPlatformList())
     return;
   const bool Unavailable =
       Settings_.Platform_ == Endpoint() || Time_.now() - Started_ > MaxListWait;
   if (Unavailable)
-    Quorum_.introduce();
+    Quorum_.proceedWithoutList();
   const bool Due =
       Time_.now() - ListRequested_ > Settings_.Membership_.ListPeriod_;
   if (!Due || Settings_.Platform_ == Endpoint())
@@ -240,7 +242,7 @@
       Result.Answer_->status() != 200)
     co_return;
   if (const auto Names = parseLiveNames(Result.Answer_->BodyPrefix_))
-    Quorum_.onListed(*Names);
+    Quorum_.onPlatformList(*Names);
 }
 
 net::HttpResponse Router::acceptReplicas(const HttpMessage &Message,
@@ -248,10 +250,10 @@
   const auto Replicas = decodeReplicas(Message.body());
   if (!Replicas)
     return jsonResponse(400, "[]");
-  std::vector<CopyAnswer> Answers;
-  for (const LedgerCopy &Replica : *Replicas)
-    Answers.push_back(Quorum_.isMember(Sender) ? Ledger_.take(Replica)
-                                               : CopyAnswer::Refused);
+  std::vector<ReplicaAnswer> Answers;
+  for (const RecordReplica &Replica : *Replicas)
+    Answers.push_back(Quorum_.isMember(Sender) ? Ledger_.storeReplica(Replica)
+                                               : ReplicaAnswer::Refused);
   return jsonResponse(200, encode(Answers));
 }
 
@@ -259,35 +261,35 @@
   const auto Handoff = decodeHandoff(Message.body());
   if (!Handoff)
     return jsonResponse(400, "{}");
-  for (const LedgerCopy &Received : Handoff->Records_)
+  for (const RecordReplica &Received : Handoff->Records_)
     Ledger_.adopt(Received);
-  Role_.onHandover(Handoff->Service_, Handoff->CompleteSince_);
+  Role_.onHandoff(Handoff->Service_, Handoff->CompleteSince_);
   return jsonResponse(200, "{}");
 }
 
 std::string Router::explain(const IdempotencyKey &Key) {
-  nlohmann::ordered_json Out;
-  Out["key"] = Key.value();
+  nlohmann::ordered_json Explanation;
+  Explanation["key"] = Key.value();
   if (Config_)
-    Out["version"] = Config_->Version_.value();
+    Explanation["version"] = Config_->Version_.value();
   const Record *Found = Ledger_.find(Key);
   if (!Found) {
-    Out["rule"] = "no record at this entry: the key was never submitted, its "
-                  "record expired after the horizon, or another entry "
-                  "dispatches it";
-    return Out.dump();
+    Explanation["rule"] =
+        "no record at this entry: the key was never submitted, its record "
+        "expired after the horizon, or another entry dispatches it";
+    return Explanation.dump();
   }
   static constexpr std::array States{"accepted", "dispatched", "done",
                                      "not_run", "unknown"};
-  Out["service"] = Found->Service_.value();
-  Out["state"] = States[static_cast<std::size_t>(Found->State_)];
-  Out["dispatcher"] = Found->Dispatcher_.value();
-  Out["rule"] = Found->Dispatcher_ == Identity_.Name_
-                    ? "judged by this entry"
-                    : "copy held for its dispatcher";
-  Out["reason"] = Found->Reason_;
-  Out["try"] = Found->Try_;
-  return Out.dump();
+  Explanation["service"] = Found->Service_.value();
+  Explanation["state"] = States[static_cast<std::size_t>(Found->State_)];
+  Explanation["dispatcher"] = Found->Dispatcher_.value();
+  Explanation["rule"] = Found->Dispatcher_ == Identity_.Name_
+                            ? "judged by this entry"
+                            : "copy held for its dispatcher";
+  Explanation["reason"] = Found->Reason_;
+  Explanation["try"] = Found->Try_;
+  return Explanation.dump();
 }
 
 } // namespace medlarmoor::request::internal
--- a/src/medlarmoor/request/internal/router.hpp
+++ b/src/medlarmoor/request/internal/router.hpp
@@ -1,7 +1,7 @@
 #ifndef MEDLARMOOR_REQUEST_INTERNAL_ROUTER_HPP
 #define MEDLARMOOR_REQUEST_INTERNAL_ROUTER_HPP
 
-#include <medlarmoor/config/in_force.hpp>
+#include <medlarmoor/config/active_config.hpp>
 #include <medlarmoor/config/settings.hpp>
 #include <medlarmoor/core/findings.hpp>
 #include <medlarmoor/net/http_request.hpp>
@@ -25,7 +25,7 @@
          RequestMetrics &Metrics, telemetry::EventLog &Log,
          telemetry::SpanLog &Spans, Random Source);
 
-  void onConfig(config::InForcePtr Config);
+  void onConfig(config::ActiveConfigPtr Config);
   void onView(membership::ViewPtr View);
   /// Performs periodic work. Call it several times a second; load reports are
   /// polled on every tenth call.
@@ -101,8 +101,8 @@
   [[nodiscard]] Awaitable<Verdict> dispatchHere(InboundRequest &Inbound,
                                                 DispatchExecutor &Executor);
   /// Forwards Inbound to the dispatcher Target. Returns true if its answer has
-  /// been relayed. Otherwise, Result.Moved_ is set if Target did not answer or
-  /// is not the dispatcher.
+  /// been relayed. Otherwise, Result.NotDispatcher_ is set if Target did not
+  /// answer or is not the dispatcher.
   [[nodiscard]] Awaitable<bool> forward(InboundRequest &Inbound,
                                         membership::Member Target,
                                         Verdict &Result, bool Close);
@@ -154,7 +154,7 @@
   ConnectionPool Pool_;
   LedgerReplicator Replicator_;
   SubmissionReader Reader_;
-  config::InForcePtr Config_;
+  config::ActiveConfigPtr Config_;
   std::map<ServiceName, std::shared_ptr<DispatchExecutor>> Executors_;
   /// The services that this entry dispatched at the last updateRoles(). For
   /// each, the ledger is complete for keys that were minted at or after the
--- a/src/medlarmoor/request/internal/router_answers.cpp
+++ b/src/medlarmoor/request/internal/router_answers.cpp
@@ -40,9 +40,9 @@
     return std::nullopt;
   Target.remove_prefix(Prefix.size());
   const std::size_t End = Target.find('/');
-  ResourcePath Out{ServiceName(std::string(Target.substr(0, End))), {}};
+  ResourcePath Path{ServiceName(std::string(Target.substr(0, End))), {}};
   if (FromEntry)
-    return End == std::string_view::npos ? std::optional(Out) : std::nullopt;
+    return End == std::string_view::npos ? std::optional(Path) : std::nullopt;
   if (End == std::string_view::npos)
     return std::nullopt;
   Target.remove_prefix(End);
@@ -50,22 +50,22 @@
     return std::nullopt;
   Target.remove_prefix(PublicCollection.size());
   if (Target.empty())
-    return Out;
+    return Path;
   if (Target.front() != '/' || Target.size() == 1)
     return std::nullopt;
-  Out.Key_ = std::string(Target.substr(1));
-  return Out;
+  Path.Key_ = std::string(Target.substr(1));
+  return Path;
 }
 
 net::HttpRequest toHttpRequest(const HttpMessage &Message) {
-  net::HttpRequest Out{std::string(Message.method_string()),
-                       std::string(Message.target()),
-                       {},
-                       Message.body()};
+  net::HttpRequest Request{std::string(Message.method_string()),
+                           std::string(Message.target()),
+                           {},
+                           Message.body()};
   for (const auto &Field : Message)
-    Out.Headers_.add(std::string(Field.name_string()),
-                     std::string(Field.value()));
-  return Out;
+    Request.Headers_.add(std::string(Field.name_string()),
+                         std::string(Field.value()));
+  return Request;
 }
 
 Verdict unknown(std::string Reason) {
@@ -100,8 +100,8 @@
   if (Path && Config_)
     for (const config::Service &Service : Config_->Environment_.Services_)
       if (Service.Name_ == Path->Service_)
-        return ReadLimitFactor * Service.Policy_.BodyBytes_;
-  return ReadLimitFactor * config::ServicePolicy().BodyBytes_;
+        return ReadLimitFactor * Service.Policy_.MaxBodyBytes_;
+  return ReadLimitFactor * config::ServicePolicy().MaxBodyBytes_;
 }
 
 Awaitable<void> Router::refuseTooLarge(CallerStream Caller) {
@@ -157,15 +157,15 @@
 
 Router::InboundRequest Router::parse(const HttpMessage &Message,
                                      CallerStream Caller, bool FromEntry) {
-  InboundRequest Out;
-  Out.FromEntry_ = FromEntry;
-  Out.Open_ = std::make_shared<OpenRequest>(Io_);
-  Out.Open_->Caller_ = std::move(Caller);
+  InboundRequest Inbound;
+  Inbound.FromEntry_ = FromEntry;
+  Inbound.Open_ = std::make_shared<OpenRequest>(Io_);
+  Inbound.Open_->Caller_ = std::move(Caller);
   const std::string_view Target(Message.target().data(),
                                 Message.target().size());
   const std::optional<ResourcePath> Path = parsePath(Target, FromEntry);
   const net::HttpRequest Request = toHttpRequest(Message);
-  Out.Traceparent_ = Request.Headers_.find("traceparent").value_or("");
+  Inbound.Traceparent_ = Request.Headers_.find("traceparent").value_or("");
   const std::string ForwardedVerb =
       FromEntry ? Request.Headers_.find("Medlarmoor-Verb").value_or("submit")
                 : "";
@@ -177,27 +177,27 @@
       (FromEntry || Request.Method_ == "GET" || Request.Method_ == "DELETE") &&
       (FromEntry || !Path->Key_.empty());
   if (!Config_ || (!IsSubmission && !IsKeyRequest)) {
-    Out.Findings_.add({Request.Target_, 0, 0},
-                      Config_ ? "no such resource"
-                              : "no configuration in force yet");
-    Out.Status_ = Config_ ? 404 : 503;
-    Out.Undispatchable_ = true;
-    return Out;
+    Inbound.Findings_.add({Request.Target_, 0, 0},
+                          Config_ ? "no such resource"
+                                  : "no configuration in force yet");
+    Inbound.Status_ = Config_ ? 404 : 503;
+    Inbound.Undispatchable_ = true;
+    return Inbound;
   }
   if (IsSubmission) {
-    parseSubmission(Request, Path->Service_, Out);
-    return Out;
+    parseSubmission(Request, Path->Service_, Inbound);
+    return Inbound;
   }
-  Out.Verb_ = Request.Method_ == "DELETE" ? Verb::Cancel : Verb::LookUp;
+  Inbound.Verb_ = Request.Method_ == "DELETE" ? Verb::Cancel : Verb::LookUp;
   for (std::size_t I = 0; FromEntry && I < VerbNames.size(); ++I)
     if (ForwardedVerb == VerbNames[I])
-      Out.Verb_ = static_cast<Verb>(I);
+      Inbound.Verb_ = static_cast<Verb>(I);
   parseKeyRequest(Path->Service_,
                   FromEntry
                       ? Request.Headers_.find("Idempotency-Key").value_or("")
                       : Path->Key_,
-                  Out);
-  return Out;
+                  Inbound);
+  return Inbound;
 }
 
 Awaitable<bool> Router::answerCaller(HttpMessage Message, CallerStream Caller,
@@ -247,21 +247,21 @@
   const TimePoint Until =
       std::min(Submitted.Deadline_, Time_.now() + SearchTimeout);
   while (!ForeignKey && Time_.now() < Until && Inbound.Open_->Caller_) {
-    Role_.check();
+    Role_.checkClock();
     const membership::Member *Target = Role_.dispatcher(Submitted.Service_);
     DispatchExecutor *Executor = executor(Submitted.Service_);
     const bool Own = Target && Target->Name_ == Identity_.Name_;
     if (Executor && Own && !Role_.suspended()) {
       Result = co_await dispatchHere(Inbound, *Executor);
-      if (!Result.Moved_ || Inbound.FromEntry_)
+      if (!Result.NotDispatcher_ || Inbound.FromEntry_)
         co_return false;
     } else if (Inbound.FromEntry_) {
-      Result.Moved_ = true;
+      Result.NotDispatcher_ = true;
       co_return false;
     } else if (Target && !Own) {
       if (co_await forward(Inbound, *Target, Result, Close))
         co_return true;
-      if (!Result.Moved_)
+      if (!Result.NotDispatcher_)
         co_return false;
     }
     Result = unknown("dispatcher_unreachable");
@@ -309,13 +309,13 @@
   Tracer_.end(Span, "request.forward", telemetry::SpanKind::Client,
               {{"to", Target.Name_.value()}},
               Called.Answer_ ? "" : "no_answer");
-  Result.Moved_ = true;
+  Result.NotDispatcher_ = true;
   if (!Called.Answer_ ||
       (Called.Answer_->Complete_ &&
        (Called.Answer_->status() == 421 || Called.Answer_->status() == 401)))
     co_return false;
   Result.Outcome_ = outcomeOf(Called.Answer_->header("Medlarmoor-Outcome"));
-  Result.Moved_ = false;
+  Result.NotDispatcher_ = false;
   if (!Inbound.Findings_.empty() || !Inbound.Open_->Caller_)
     co_return false;
   countOutcome(Result);
@@ -328,23 +328,23 @@
                                    const membership::Member &Target,
                                    const OpenSpan &Span) {
   const OpenRequest &Open = *Inbound.Open_;
-  HttpMessage Out(
+  HttpMessage Message(
       http::verb::post,
       std::string(InternalPrefix) + Open.Submission_.Service_.value(), 11);
-  Out.set(http::field::host, Target.Address_.text());
-  Out.set("Medlarmoor-Verb",
-          VerbNames[static_cast<std::size_t>(Inbound.Verb_)]);
-  Out.set("Idempotency-Key", Open.Submission_.Key_.value());
-  Out.set("Medlarmoor-Class", text(Open.Submission_.Class_));
-  Out.set("Medlarmoor-Try", std::to_string(Open.Submission_.Try_));
+  Message.set(http::field::host, Target.Address_.text());
+  Message.set("Medlarmoor-Verb",
+              VerbNames[static_cast<std::size_t>(Inbound.Verb_)]);
+  Message.set("Idempotency-Key", Open.Submission_.Key_.value());
+  Message.set("Medlarmoor-Class", text(Open.Submission_.Class_));
+  Message.set("Medlarmoor-Try", std::to_string(Open.Submission_.Try_));
   const auto Remaining =
       std::chrono::ceil<Millis>(Open.Submission_.Deadline_ - Time_.now());
-  Out.set("Medlarmoor-Deadline-Ms", std::to_string(Remaining.count()));
-  Out.set("traceparent", Span.Context_.text());
-  Out.body() = Open.Body_;
-  Out.prepare_payload();
-  sign(Out);
-  return Out;
+  Message.set("Medlarmoor-Deadline-Ms", std::to_string(Remaining.count()));
+  Message.set("traceparent", Span.Context_.text());
+  Message.body() = Open.Body_;
+  Message.prepare_payload();
+  sign(Message);
+  return Message;
 }
 
 Awaitable<bool> Router::respond(const InboundRequest &Inbound,
--- a/src/medlarmoor/request/kept_answer.hpp
+++ b/src/medlarmoor/request/kept_answer.hpp
@@ -5,14 +5,14 @@
 
 namespace medlarmoor::request {
 
-/// A whole answer of an upstream that is small enough to be kept for
+/// A complete response of an upstream that is small enough to be kept for
 /// duplicates of its request.
 struct KeptAnswer {
   net::HttpResponse Response_;
 };
 
-/// Answers over this size are not kept, in bytes.
-inline constexpr std::size_t KeptAnswerBytes = 4096;
+/// Maximum body size of a kept response, in bytes.
+inline constexpr std::size_t MaxKeptAnswerBytes = 4096;
 
 } // namespace medlarmoor::request
 
--- a/src/medlarmoor/request/key_parts.hpp
+++ b/src/medlarmoor/request/key_parts.hpp
@@ -9,7 +9,7 @@
 
 namespace medlarmoor::request {
 
-/// What an idempotency key tells: where it belongs and when it was minted.
+/// The failure domain and minting time that an idempotency key encodes.
 struct KeyParts {
   DomainName Domain_;
   WallTime Minted_;
@@ -17,13 +17,13 @@
   friend bool operator==(const KeyParts &, const KeyParts &) = default;
 };
 
-/// Reads "{failure domain}-{unix milliseconds}-{random}"; nothing for other
-/// text. The failure domain itself may hold dashes.
+/// Parses "{failure domain}-{unix milliseconds}-{random}", or returns nothing
+/// if Key has another form. The failure domain may contain dashes.
 [[nodiscard]] std::optional<KeyParts> parseKey(const IdempotencyKey &Key);
 
-/// A new key of Domain, minted at Now.
+/// Returns a new key of Domain, minted at Now.
 [[nodiscard]] IdempotencyKey mintKey(const DomainName &Domain, WallTime Now,
-                                     Random &Source);
+                                     Random &Generator);
 
 } // namespace medlarmoor::request
 
--- a/src/medlarmoor/request/ledger.cpp
+++ b/src/medlarmoor/request/ledger.cpp
@@ -16,97 +16,100 @@
 
 Ledger::Ledger(std::size_t Capacity, Clock Time)
     : Capacity_(Capacity), Time_(std::move(Time)),
-      Since_(Time_.wallNow() + ClockBound) {}
+      CompleteSince_(Time_.wallNow() + MaxClockSkew) {}
 
 Record *Ledger::find(const IdempotencyKey &Key) {
-  const auto At = Records_.find(Key);
-  return At == Records_.end() ? nullptr : &At->second;
+  const auto Found = Records_.find(Key);
+  return Found == Records_.end() ? nullptr : &Found->second;
 }
 
 bool Ledger::hasRoom() const noexcept {
   return Records_.size() < Capacity_ - Capacity_ / 10;
 }
 
-bool Ledger::put(const IdempotencyKey &Key, Record Value) {
-  const auto At = Records_.find(Key);
-  if (At == Records_.end() && Records_.size() >= Capacity_)
+bool Ledger::put(const IdempotencyKey &Key, Record Stored) {
+  const auto Found = Records_.find(Key);
+  if (Found == Records_.end() && Records_.size() >= Capacity_)
     return false;
-  Expiry_.emplace(Value.Expires_, Key);
-  Records_.insert_or_assign(Key, std::move(Value));
+  Expiry_.emplace(Stored.Expires_, Key);
+  Records_.insert_or_assign(Key, std::move(Stored));
   return true;
 }
 
 void Ledger::erase(const IdempotencyKey &Key) { Records_.erase(Key); }
 
-bool Ledger::vouches(const LedgerCopy &Copy) const {
-  return Copy.Minted_ >= Since_ || isFinal(Copy.State_);
+bool Ledger::covers(const RecordReplica &Replica) const {
+  return Replica.Minted_ >= CompleteSince_ || isFinal(Replica.State_);
 }
 
-CopyAnswer Ledger::take(const LedgerCopy &Copy) {
-  const Record *Held = find(Copy.Key_);
-  const bool Same =
-      Held && Held->Dispatcher_ == Copy.Dispatcher_ && Held->Run_ == Copy.Run_;
-  const bool Reopened =
-      Held && Held->State_ == KeyState::NotRun && Copy.Try_ > Held->Try_;
-  if (Held && !Same && !Reopened)
-    return CopyAnswer::Held;
-  if (!Held && !vouches(Copy))
-    return CopyAnswer::Gap;
-  const bool Late = Held && Copy.Try_ <= Held->Try_ && isFinal(Held->State_) &&
-                    !isFinal(Copy.State_);
-  if (Late)
-    return CopyAnswer::Taken;
-  return putCopy(Copy) ? CopyAnswer::Taken : CopyAnswer::Refused;
+ReplicaAnswer Ledger::storeReplica(const RecordReplica &Replica) {
+  const Record *Existing = find(Replica.Key_);
+  const bool SameDispatcher = Existing &&
+                              Existing->Dispatcher_ == Replica.Dispatcher_ &&
+                              Existing->Incarnation_ == Replica.Incarnation_;
+  const bool Reopened = Existing && Existing->State_ == KeyState::NotRun &&
+                        Replica.Try_ > Existing->Try_;
+  if (Existing && !SameDispatcher && !Reopened)
+    return ReplicaAnswer::HeldElsewhere;
+  if (!Existing && !covers(Replica))
+    return ReplicaAnswer::NotCovered;
+  const bool Outdated = Existing && Replica.Try_ <= Existing->Try_ &&
+                        isFinal(Existing->State_) && !isFinal(Replica.State_);
+  if (Outdated)
+    return ReplicaAnswer::Stored;
+  return putReplica(Replica) ? ReplicaAnswer::Stored : ReplicaAnswer::Refused;
 }
 
-bool Ledger::putCopy(const LedgerCopy &Copy) {
-  Record Value;
-  Value.Service_ = Copy.Service_;
-  Value.State_ = Copy.State_;
-  Value.Dispatcher_ = Copy.Dispatcher_;
-  Value.Run_ = Copy.Run_;
-  Value.Try_ = Copy.Try_;
-  Value.Expires_ = Time_.now() + Copy.KeepFor_;
-  Value.Reason_ = Copy.Reason_;
-  if (const Record *Held = find(Copy.Key_))
-    Value.Answer_ = Held->Answer_;
-  return put(Copy.Key_, std::move(Value));
+bool Ledger::putReplica(const RecordReplica &Replica) {
+  Record Stored;
+  Stored.Service_ = Replica.Service_;
+  Stored.State_ = Replica.State_;
+  Stored.Dispatcher_ = Replica.Dispatcher_;
+  Stored.Incarnation_ = Replica.Incarnation_;
+  Stored.Try_ = Replica.Try_;
+  Stored.Expires_ = Time_.now() + Replica.TimeToLive_;
+  Stored.Reason_ = Replica.Reason_;
+  if (const Record *Existing = find(Replica.Key_))
+    Stored.Answer_ = Existing->Answer_;
+  return put(Replica.Key_, std::move(Stored));
 }
 
-void Ledger::adopt(const LedgerCopy &Copy) {
-  if (!find(Copy.Key_))
-    putCopy(Copy);
+void Ledger::adopt(const RecordReplica &Replica) {
+  if (!find(Replica.Key_))
+    putReplica(Replica);
 }
 
-LedgerCopy Ledger::copyOf(const IdempotencyKey &Key,
-                          const Record &Value) const {
+RecordReplica Ledger::makeReplica(const IdempotencyKey &Key,
+                                  const Record &Stored) const {
   const std::optional<KeyParts> Parts = parseKey(Key);
-  const auto KeepFor = std::chrono::ceil<Millis>(Value.Expires_ - Time_.now());
+  const auto TimeToLive =
+      std::chrono::ceil<Millis>(Stored.Expires_ - Time_.now());
   return {Key,
-          Value.Service_,
-          Value.State_,
-          Value.Dispatcher_,
-          Value.Run_,
-          Value.Try_,
+          Stored.Service_,
+          Stored.State_,
+          Stored.Dispatcher_,
+          Stored.Incarnation_,
+          Stored.Try_,
           Parts ? Parts->Minted_ : WallTime(),
-          std::max(KeepFor, Millis(0)),
-          Value.Reason_};
+          std::max(TimeToLive, Millis(0)),
+          Stored.Reason_};
 }
 
-std::vector<LedgerCopy> Ledger::copies(const ServiceName &Service) const {
-  std::vector<LedgerCopy> Out;
-  for (const auto &[Key, Value] : Records_)
-    if (Value.Service_ == Service && Value.State_ != KeyState::Accepted)
-      Out.push_back(copyOf(Key, Value));
-  return Out;
+std::vector<RecordReplica>
+Ledger::replicasForHandoff(const ServiceName &Service) const {
+  std::vector<RecordReplica> Replicas;
+  for (const auto &[Key, Stored] : Records_)
+    if (Stored.Service_ == Service && Stored.State_ != KeyState::Accepted)
+      Replicas.push_back(makeReplica(Key, Stored));
+  return Replicas;
 }
 
 void Ledger::expire() {
   const TimePoint Now = Time_.now();
   while (!Expiry_.empty() && Expiry_.begin()->first <= Now) {
-    const auto At = Records_.find(Expiry_.begin()->second);
-    if (At != Records_.end() && At->second.Expires_ <= Now)
-      Records_.erase(At);
+    const auto Found = Records_.find(Expiry_.begin()->second);
+    if (Found != Records_.end() && Found->second.Expires_ <= Now)
+      Records_.erase(Found);
     Expiry_.erase(Expiry_.begin());
   }
 }
--- a/src/medlarmoor/request/ledger.hpp
+++ b/src/medlarmoor/request/ledger.hpp
@@ -2,8 +2,8 @@
 #define MEDLARMOOR_REQUEST_LEDGER_HPP
 
 #include <medlarmoor/core/clock.hpp>
-#include <medlarmoor/request/ledger_copy.hpp>
 #include <medlarmoor/request/record.hpp>
+#include <medlarmoor/request/record_replica.hpp>
 
 #include <cstddef>
 #include <map>
@@ -12,49 +12,54 @@
 
 namespace medlarmoor::request {
 
-/// The keys that this entry judges or holds copies of, bounded by count and
-/// time. It lives in memory only: what it knows begins with its construction.
+/// The records of the keys that this entry dispatches or stores replicas of,
+/// bounded by number and by time. Records are held in memory only, so the
+/// ledger covers keys from its construction on.
 class Ledger {
 public:
-  /// Capacity is in keys. Refusals may use all of it, new requests nine
-  /// tenths, so that a refusal can still be recorded when requests cannot.
+  /// Capacity is the maximum number of keys. Refusals may use all of it, new
+  /// requests nine tenths, so that a refusal can still be recorded when no new
+  /// request can.
   Ledger(std::size_t Capacity, Clock Time);
 
-  /// The record of Key, or null.
+  /// Returns the record of Key, or null.
   [[nodiscard]] Record *find(const IdempotencyKey &Key);
-  /// Whether a new request still has room.
+  /// Returns true if there is room for a new request.
   [[nodiscard]] bool hasRoom() const noexcept;
-  /// Puts or replaces the record; false when there is no room for it.
-  bool put(const IdempotencyKey &Key, Record Value);
+  /// Inserts or replaces the record. Returns false if there is no room for it.
+  bool put(const IdempotencyKey &Key, Record Stored);
   void erase(const IdempotencyKey &Key);
 
-  /// Takes a copy from another dispatcher. A key that another dispatcher or
-  /// another run of it holds is not given up; a key from before this ledger
-  /// began cannot be vouched for.
-  [[nodiscard]] CopyAnswer take(const LedgerCopy &Copy);
-  /// Takes a record that its dispatcher hands over, whatever its age; one that
-  /// is held here already stays.
-  void adopt(const LedgerCopy &Copy);
-  /// All records of Service that were sent or have ended, to hand them over.
-  [[nodiscard]] std::vector<LedgerCopy>
-  copies(const ServiceName &Service) const;
-  /// The form in which one record travels.
-  [[nodiscard]] LedgerCopy copyOf(const IdempotencyKey &Key,
-                                  const Record &Value) const;
-  /// Forgets what has expired.
+  /// Stores a replica from another dispatcher. Rejects it if another dispatcher
+  /// or another incarnation holds the key, and if the key is older than this
+  /// ledger, which may then lack an earlier record.
+  [[nodiscard]] ReplicaAnswer storeReplica(const RecordReplica &Replica);
+  /// Stores a record that its dispatcher hands off, regardless of its age. A
+  /// record that this ledger already holds is kept.
+  void adopt(const RecordReplica &Replica);
+  /// Returns replicas of all records of Service that were sent or have ended,
+  /// for the handoff to another dispatcher.
+  [[nodiscard]] std::vector<RecordReplica>
+  replicasForHandoff(const ServiceName &Service) const;
+  /// Returns the record as it is sent to other entries.
+  [[nodiscard]] RecordReplica makeReplica(const IdempotencyKey &Key,
+                                          const Record &Stored) const;
+  /// Removes expired records.
   void expire();
 
   [[nodiscard]] std::size_t size() const noexcept { return Records_.size(); }
-  /// Keys minted before this may be missing.
-  [[nodiscard]] WallTime since() const noexcept { return Since_; }
+  /// Returns the minting time before which keys may be missing.
+  [[nodiscard]] WallTime completeSince() const noexcept {
+    return CompleteSince_;
+  }
 
 private:
-  [[nodiscard]] bool vouches(const LedgerCopy &Copy) const;
-  bool putCopy(const LedgerCopy &Copy);
+  [[nodiscard]] bool covers(const RecordReplica &Replica) const;
+  bool putReplica(const RecordReplica &Replica);
 
   std::size_t Capacity_;
   Clock Time_;
-  WallTime Since_;
+  WallTime CompleteSince_;
   std::unordered_map<IdempotencyKey, Record> Records_;
   std::multimap<TimePoint, IdempotencyKey> Expiry_;
 };
--- a/src/medlarmoor/request/method_class.hpp
+++ b/src/medlarmoor/request/method_class.hpp
@@ -5,14 +5,14 @@
 
 namespace medlarmoor::request {
 
-/// Whether running a request twice does harm.
+/// Whether a request may run more than once.
 enum class MethodClass : unsigned char {
   Idempotent,
-  /// Not idempotent: runs at most once.
+  /// Not idempotent: must run at most once.
   Once,
 };
 
-/// The form on the wire: "idempotent" or "once".
+/// Returns the form on the wire: "idempotent" or "once".
 [[nodiscard]] constexpr std::string_view text(MethodClass Value) noexcept {
   return Value == MethodClass::Once ? "once" : "idempotent";
 }
--- a/src/medlarmoor/request/outcome.hpp
+++ b/src/medlarmoor/request/outcome.hpp
@@ -6,17 +6,17 @@
 
 namespace medlarmoor::request {
 
-/// What a caller is told about its request.
+/// The outcome that is reported to a caller.
 enum class Outcome : unsigned char {
-  /// It ran, and the whole answer is known to have arrived.
+  /// The request ran, and its response arrived completely.
   Done,
-  /// No attempt of its key was ever run by an upstream.
+  /// No upstream ever ran an attempt of its key.
   NotRun,
-  /// It may have run.
+  /// The request may have run.
   Unknown,
 };
 
-/// The form on the wire: "done", "not_run" or "unknown".
+/// Returns the form on the wire: "done", "not_run" or "unknown".
 [[nodiscard]] constexpr std::string_view text(Outcome Value) noexcept {
   if (Value == Outcome::Done)
     return "done";
--- a/src/medlarmoor/request/quorum.cpp
+++ b/src/medlarmoor/request/quorum.cpp
@@ -4,77 +4,78 @@
 
 namespace medlarmoor::request {
 
-Quorum::Quorum(EntryName Self, Millis Settle, Clock Time)
-    : Self_(std::move(Self)), Settle_(Settle), Time_(std::move(Time)),
-      View_(std::make_shared<membership::View>()) {}
+Quorum::Quorum(EntryName Self, Millis SettlingTime, Clock Time)
+    : Self_(std::move(Self)), SettlingTime_(SettlingTime),
+      Time_(std::move(Time)), View_(std::make_shared<membership::View>()) {}
 
-void Quorum::onView(membership::ViewPtr Now) {
-  const bool Before = holds();
-  View_ = std::move(Now);
-  for (const membership::Member &Each : View_->members()) {
-    if (Each.State_ == membership::MemberState::Live)
-      Electorate_[Each.Name_] = Time_.now();
+void Quorum::onView(membership::ViewPtr View) {
+  const bool HadMajority = hasMajority();
+  View_ = std::move(View);
+  for (const membership::Member &Member : View_->members()) {
+    if (Member.State_ == membership::MemberState::Live)
+      Electorate_[Member.Name_] = Time_.now();
     else
-      Electorate_.erase(Each.Name_);
+      Electorate_.erase(Member.Name_);
   }
-  noteHeld(Before);
+  recordMajorityStart(HadMajority);
 }
 
-void Quorum::onListed(std::span<const EntryName> Names) {
-  const bool Before = holds();
-  std::erase_if(Electorate_, [&](const auto &Each) {
+void Quorum::onPlatformList(std::span<const EntryName> Names) {
+  const bool HadMajority = hasMajority();
+  std::erase_if(Electorate_, [&](const auto &Elector) {
     const bool Listed =
-        std::find(Names.begin(), Names.end(), Each.first) != Names.end();
-    return !Listed && !isMember(Each.first);
+        std::find(Names.begin(), Names.end(), Elector.first) != Names.end();
+    return !Listed && !isMember(Elector.first);
   });
-  for (const EntryName &Each : Names)
-    Electorate_.try_emplace(Each, Time_.now());
-  Introduced_ = true;
-  noteHeld(Before);
+  for (const EntryName &Name : Names)
+    Electorate_.try_emplace(Name, Time_.now());
+  ListKnown_ = true;
+  recordMajorityStart(HadMajority);
 }
 
-void Quorum::introduce() {
-  const bool Before = holds();
-  Introduced_ = true;
-  noteHeld(Before);
+void Quorum::proceedWithoutList() {
+  const bool HadMajority = hasMajority();
+  ListKnown_ = true;
+  recordMajorityStart(HadMajority);
 }
 
 void Quorum::tick() {
   const TimePoint Now = Time_.now();
-  for (const membership::Member &Each : View_->members())
-    if (Each.State_ == membership::MemberState::Live)
-      Electorate_[Each.Name_] = Now;
-  if (holds())
-    std::erase_if(Electorate_, [&](const auto &Each) {
-      return Now - Each.second > Settle_;
+  for (const membership::Member &Member : View_->members())
+    if (Member.State_ == membership::MemberState::Live)
+      Electorate_[Member.Name_] = Now;
+  if (hasMajority())
+    std::erase_if(Electorate_, [&](const auto &Elector) {
+      return Now - Elector.second > SettlingTime_;
     });
 }
 
-void Quorum::noteHeld(bool Before) {
-  if (!Before && holds())
-    Since_ = Time_.wallNow();
+void Quorum::recordMajorityStart(bool HadMajority) {
+  if (!HadMajority && hasMajority())
+    MajoritySince_ = Time_.wallNow();
 }
 
-bool Quorum::holds() const {
-  if (!Introduced_)
+bool Quorum::hasMajority() const {
+  if (!ListKnown_)
     return false;
   const membership::Member *Self = View_->find(Self_);
   if (!Self || Self->State_ != membership::MemberState::Live)
     return false;
   const auto Present = std::count_if(
-      Electorate_.begin(), Electorate_.end(), [&](const auto &Each) {
-        const membership::Member *Found = View_->find(Each.first);
+      Electorate_.begin(), Electorate_.end(), [&](const auto &Elector) {
+        const membership::Member *Found = View_->find(Elector.first);
         return Found && Found->State_ == membership::MemberState::Live;
       });
   return 2 * static_cast<std::size_t>(Present) > Electorate_.size();
 }
 
-std::vector<membership::Member> Quorum::holders(std::uint64_t Key) const {
-  std::vector<membership::Member> Out;
-  for (const membership::Member *Each : View_->line(Key))
-    if (Each->Name_ != Self_)
-      Out.push_back(*Each);
-  return Out;
+std::vector<membership::Member>
+Quorum::replicaTargets(std::uint64_t Key) const {
+  std::vector<membership::Member> Targets;
+  for (const membership::Member *Candidate : View_->homeCandidates(Key))
+    if (Candidate->Name_ != Self_)
+      Targets.push_back(*Candidate);
+  return Targets;
 }
 
 bool Quorum::isMember(const EntryName &Name) const {
--- a/src/medlarmoor/request/quorum.hpp
+++ b/src/medlarmoor/request/quorum.hpp
@@ -11,55 +11,62 @@
 
 namespace medlarmoor::request {
 
-/// Decides how many members must hold a copy before a request may go out, so
-/// that any two dispatchers that disagree about the view share at least one
-/// holder. The electorate is every member seen of late: one that vanished
-/// stays in it until a majority has done without it for the settling time, or
-/// until the platform's list no longer names it.
+/// Determines how many members must store a replica before a request may be
+/// sent, so that any two dispatchers with different views share at least one
+/// member that stores it. The electorate is all recently seen members: a member
+/// that disappears remains in it until a majority has been present without it
+/// for the settling time, or until the platform's list no longer names it.
 class Quorum {
 public:
-  Quorum(EntryName Self, Millis Settle, Clock Time);
+  Quorum(EntryName Self, Millis SettlingTime, Clock Time);
 
-  /// Takes a new view. Members that leave as planned drop out at once.
-  void onView(membership::ViewPtr Now);
-  /// Takes the platform's list: whoever is on it counts, and whoever is neither
-  /// on it nor in the view is gone for good.
-  void onListed(std::span<const EntryName> Names);
-  /// Whether the platform's list would help: it was never read, or the view
-  /// holds no majority.
-  [[nodiscard]] bool wantsList() const { return !Introduced_ || !holds(); }
-  /// Does without the list, since none can be had: the view alone counts.
-  void introduce();
-  /// Lets members drop out whose settling time has passed.
+  /// Applies a new view. Members that leave as planned are removed from the
+  /// electorate immediately.
+  void onView(membership::ViewPtr View);
+  /// Applies the platform's list. Listed entries belong to the electorate;
+  /// entries that are neither listed nor in the view are removed from it.
+  void onPlatformList(std::span<const EntryName> Names);
+  /// Returns true if the platform's list should be read: it was never read, or
+  /// the view has no majority.
+  [[nodiscard]] bool needsPlatformList() const {
+    return !ListKnown_ || !hasMajority();
+  }
+  /// Proceeds with the view alone, for use if no list can be obtained.
+  void proceedWithoutList();
+  /// Removes members whose settling time has passed from the electorate.
   void tick();
 
-  /// Whether the view holds this entry and a majority of the electorate.
-  [[nodiscard]] bool holds() const;
-  /// The wall time at which holds() last became true.
-  [[nodiscard]] WallTime since() const noexcept { return Since_; }
-  /// Copies needed besides the own record.
-  [[nodiscard]] std::size_t copiesNeeded() const noexcept {
+  /// Returns true if the view contains this entry and a majority of the
+  /// electorate, all live.
+  [[nodiscard]] bool hasMajority() const;
+  /// Returns the wall time at which hasMajority() last became true.
+  [[nodiscard]] WallTime majoritySince() const noexcept {
+    return MajoritySince_;
+  }
+  /// Returns the number of replicas needed in addition to the local record.
+  [[nodiscard]] std::size_t replicasNeeded() const noexcept {
     return Electorate_.size() / 2;
   }
-  /// The other live members, the next in line for Key first.
+  /// Returns the other live members, in the order in which they succeed the
+  /// home of Key.
   [[nodiscard]] std::vector<membership::Member>
-  holders(std::uint64_t Key) const;
-  /// Whether Name is a member of the view, leaving or not.
+  replicaTargets(std::uint64_t Key) const;
+  /// Returns true if Name is a member of the view, leaving or not.
   [[nodiscard]] bool isMember(const EntryName &Name) const;
 
 private:
-  void noteHeld(bool Before);
+  void recordMajorityStart(bool HadMajority);
 
   EntryName Self_;
-  /// A new entry that sees few others cannot tell whether there are more, so
-  /// it holds no majority before it has seen a list.
-  bool Introduced_ = false;
-  Millis Settle_;
+  /// True once a list was read or given up. A new entry that sees few others
+  /// cannot know whether there are more, so it has no majority before that.
+  bool ListKnown_ = false;
+  Millis SettlingTime_;
   Clock Time_;
   membership::ViewPtr View_;
-  /// Each member with the time at which it was last in the view.
+  /// Maps each member to the time at which it was last live in the view.
   std::map<EntryName, TimePoint> Electorate_;
-  WallTime Since_;
+  WallTime MajoritySince_;
 };
 
 } // namespace medlarmoor::request
--- a/src/medlarmoor/request/record.hpp
+++ b/src/medlarmoor/request/record.hpp
@@ -12,33 +12,33 @@
 
 namespace medlarmoor::request {
 
-/// How far the request of a key has come.
+/// The progress of the request of a key. The numbers are sent between entries.
 enum class KeyState : unsigned char {
-  /// Waits for a slot; no byte of it has gone to an upstream.
+  /// Waits for a slot; no byte has been sent to an upstream.
   Accepted,
   /// It may have reached an upstream.
   Dispatched,
-  /// It ran and its answer arrived whole.
+  /// It ran, and its response arrived completely.
   Done,
   /// It was refused; no upstream ran it.
   NotRun,
-  /// It may have run, and nobody will find out.
+  /// It may have run, and this can no longer be determined.
   Unknown,
 };
 
-/// What the ledger holds for one key.
+/// The ledger record of one key.
 struct Record {
   ServiceName Service_;
   MethodClass Class_ = MethodClass::Once;
   KeyState State_ = KeyState::Accepted;
-  /// The entry that judges the key, and its run.
+  /// The entry that dispatches the key, and its incarnation.
   EntryName Dispatcher_;
-  Incarnation Run_;
+  Incarnation Incarnation_;
   std::uint32_t Try_ = 1;
-  /// Forgotten after this.
+  /// The time at which the record is removed.
   TimePoint Expires_;
   std::string Reason_;
-  /// The answer, where it is small enough to be kept.
+  /// The response, if it is small enough to be kept.
   std::shared_ptr<const KeptAnswer> Answer_;
 };
 
--- a/src/medlarmoor/request/request_thread.cpp
+++ b/src/medlarmoor/request/request_thread.cpp
@@ -24,13 +24,13 @@
 using internal::CallerStream;
 using internal::HttpMessage;
 
-constexpr Millis TickTime{20};
-constexpr Millis ExplainTime = Seconds(1);
-/// Connections that were opened before the callers learnt of the stop are
-/// still accepted for this long.
-constexpr Millis AcceptAfterHandover{500};
+constexpr Millis TickInterval{20};
+constexpr Millis ExplainTimeout = Seconds(1);
+/// How long connections are still accepted after the handoff, since callers may
+/// have opened them before they learned about the stop.
+constexpr Millis AcceptAfterHandoff{500};
 
-Random seeded() {
+Random makeSeededRandom() {
   std::random_device Device;
   std::seed_seq Seed{Device(), Device(), Device(), Device()};
   return Random(Seed);
@@ -40,32 +40,34 @@
 
 class RequestThread::Impl {
 public:
-  Impl(const config::Settings &Own, Mailbox<config::InForcePtr> &FromConfig,
+  Impl(const config::Settings &Settings,
+       Mailbox<config::ActiveConfigPtr> &ConfigUpdates,
        Mailbox<membership::ViewPtr> &Views, Clock Time,
        telemetry::Registry &Metrics, telemetry::EventLog &Log,
        telemetry::SpanLog &Spans)
-      : FromConfig_(FromConfig), Views_(Views), Log_(Log), Counts_(Metrics),
-        Router_(Io_, Own, Time, Counts_, Log, Spans, seeded()),
-        Callers_(
-            Io_, {Own.Address_, Own.Ports_.Requests_}, limit(),
-            [this](HttpMessage Message, CallerStream From, bool Close) {
-              return Router_.answerCaller(std::move(Message), std::move(From),
-                                          Close);
+      : ConfigUpdates_(ConfigUpdates), Views_(Views), Log_(Log),
+        Metrics_(Metrics),
+        Router_(Io_, Settings, Time, Metrics_, Log, Spans, makeSeededRandom()),
+        CallerListener_(
+            Io_, {Settings.Address_, Settings.Ports_.Requests_}, bodyLimit(),
+            [this](HttpMessage Message, CallerStream Stream, bool CloseAfter) {
+              return Router_.answerCaller(std::move(Message), std::move(Stream),
+                                          CloseAfter);
             },
-            refuse()),
-        Entries_(
-            Io_, {Own.Address_, Own.Ports_.Internal_}, limit(),
-            [this](HttpMessage Message, CallerStream From, bool Close) {
-              return Router_.answerEntry(std::move(Message), std::move(From),
-                                         Close);
+            tooLargeHandler()),
+        EntryListener_(
+            Io_, {Settings.Address_, Settings.Ports_.Internal_}, bodyLimit(),
+            [this](HttpMessage Message, CallerStream Stream, bool CloseAfter) {
+              return Router_.answerEntry(std::move(Message), std::move(Stream),
+                                         CloseAfter);
             },
-            refuse()),
-        ConfigWake_(Io_, dup(FromConfig.descriptor())),
-        ViewWake_(Io_, dup(Views.descriptor())), Timer_(Io_) {}
+            tooLargeHandler()),
+        ConfigWakeup_(Io_, dup(ConfigUpdates.descriptor())),
+        ViewWakeup_(Io_, dup(Views.descriptor())), Timer_(Io_) {}
 
   bool start() {
-    if (!Callers_.listen() || !Entries_.listen()) {
-      Reason_ = Callers_.lastReason() + Entries_.lastReason();
+    if (!CallerListener_.listen() || !EntryListener_.listen()) {
+      LastReason_ = CallerListener_.lastReason() + EntryListener_.lastReason();
       return false;
     }
     awaitConfig();
@@ -84,34 +86,36 @@
   void leave() {
     asio::post(Io_, [this] {
       Router_.leave();
-      Callers_.drain();
+      CallerListener_.drain();
     });
   }
 
-  [[nodiscard]] bool handedOver() const { return HandedOver_; }
+  [[nodiscard]] bool handoffComplete() const { return HandoffComplete_; }
 
   std::string explain(const std::string &Key) {
     auto Answer = std::make_shared<std::promise<std::string>>();
-    std::future<std::string> Got = Answer->get_future();
+    std::future<std::string> Result = Answer->get_future();
     asio::post(Io_, [this, Key, Answer] {
       Answer->set_value(Router_.explain(IdempotencyKey(Key)));
     });
-    if (Got.wait_for(ExplainTime) != std::future_status::ready)
+    if (Result.wait_for(ExplainTimeout) != std::future_status::ready)
       return R"({"error":"the request thread is busy"})";
-    return Got.get();
+    return Result.get();
   }
 
-  [[nodiscard]] const std::string &reason() const noexcept { return Reason_; }
+  [[nodiscard]] const std::string &lastReason() const noexcept {
+    return LastReason_;
+  }
 
 private:
-  internal::BodyLimit limit() {
+  internal::BodyLimit bodyLimit() {
     return
         [this](std::string_view Target) { return Router_.bodyLimit(Target); };
   }
 
-  internal::TooLargeHandler refuse() {
-    return [this](CallerStream From) {
-      return Router_.refuseTooLarge(std::move(From));
+  internal::TooLargeHandler tooLargeHandler() {
+    return [this](CallerStream Stream) {
+      return Router_.refuseTooLarge(std::move(Stream));
     };
   }
 
@@ -119,85 +123,85 @@
     while (!Io_.stopped()) {
       try {
         Io_.run();
-      } catch (const std::exception &Thrown) {
-        Log_.error("request_thread_exception", {{"what", Thrown.what()}});
+      } catch (const std::exception &Exception) {
+        Log_.error("request_thread_exception", {{"what", Exception.what()}});
       }
     }
   }
 
   void awaitConfig() {
-    ConfigWake_.async_wait(asio::posix::stream_descriptor::wait_read,
-                           [this](boost::system::error_code Stopped) {
-                             if (Stopped)
-                               return;
-                             FromConfig_.clearWake();
-                             while (auto Now = FromConfig_.pop())
-                               Router_.onConfig(std::move(*Now));
-                             awaitConfig();
-                           });
+    ConfigWakeup_.async_wait(asio::posix::stream_descriptor::wait_read,
+                             [this](boost::system::error_code Error) {
+                               if (Error)
+                                 return;
+                               ConfigUpdates_.clearWake();
+                               while (auto Config = ConfigUpdates_.pop())
+                                 Router_.onConfig(std::move(*Config));
+                               awaitConfig();
+                             });
   }
 
   void awaitViews() {
-    ViewWake_.async_wait(asio::posix::stream_descriptor::wait_read,
-                         [this](boost::system::error_code Stopped) {
-                           if (Stopped)
-                             return;
-                           Views_.clearWake();
-                           while (auto Now = Views_.pop())
-                             Router_.onView(std::move(*Now));
-                           awaitViews();
-                         });
+    ViewWakeup_.async_wait(asio::posix::stream_descriptor::wait_read,
+                           [this](boost::system::error_code Error) {
+                             if (Error)
+                               return;
+                             Views_.clearWake();
+                             while (auto View = Views_.pop())
+                               Router_.onView(std::move(*View));
+                             awaitViews();
+                           });
   }
 
   void tick() {
-    Timer_.expires_after(TickTime);
-    Timer_.async_wait([this](boost::system::error_code Stopped) {
-      if (Stopped)
+    Timer_.expires_after(TickInterval);
+    Timer_.async_wait([this](boost::system::error_code Error) {
+      if (Error)
         return;
-      Counts_.Ticks_.add();
+      Metrics_.Ticks_.add();
       Router_.tick();
-      reviewHandover();
+      reviewHandoff();
       tick();
     });
   }
 
-  void reviewHandover() {
-    if (!Router_.handoffComplete() || HandedOver_)
+  void reviewHandoff() {
+    if (!Router_.handoffComplete() || HandoffComplete_)
       return;
     const auto Now = std::chrono::steady_clock::now();
     if (!CloseAt_)
-      CloseAt_ = Now + AcceptAfterHandover;
+      CloseAt_ = Now + AcceptAfterHandoff;
     if (Now < *CloseAt_)
       return;
-    Callers_.close();
-    HandedOver_ = Callers_.open() == 0;
+    CallerListener_.close();
+    HandoffComplete_ = CallerListener_.open() == 0;
   }
 
-  Mailbox<config::InForcePtr> &FromConfig_;
+  Mailbox<config::ActiveConfigPtr> &ConfigUpdates_;
   Mailbox<membership::ViewPtr> &Views_;
   telemetry::EventLog &Log_;
   asio::io_context Io_{1};
-  internal::RequestMetrics Counts_;
+  internal::RequestMetrics Metrics_;
   internal::Router Router_;
-  internal::Listener Callers_;
-  internal::Listener Entries_;
-  asio::posix::stream_descriptor ConfigWake_;
-  asio::posix::stream_descriptor ViewWake_;
+  internal::Listener CallerListener_;
+  internal::Listener EntryListener_;
+  asio::posix::stream_descriptor ConfigWakeup_;
+  asio::posix::stream_descriptor ViewWakeup_;
   asio::steady_timer Timer_;
   std::optional<std::chrono::steady_clock::time_point> CloseAt_;
-  std::atomic<bool> HandedOver_{false};
+  std::atomic<bool> HandoffComplete_{false};
   std::thread Thread_;
-  std::string Reason_;
+  std::string LastReason_;
 };
 
-RequestThread::RequestThread(const config::Settings &Own,
-                             Mailbox<config::InForcePtr> &FromConfig,
+RequestThread::RequestThread(const config::Settings &Settings,
+                             Mailbox<config::ActiveConfigPtr> &ConfigUpdates,
                              Mailbox<membership::ViewPtr> &Views, Clock Time,
                              telemetry::Registry &Metrics,
                              telemetry::EventLog &Log,
                              telemetry::SpanLog &Spans)
-    : Impl_(std::make_unique<Impl>(Own, FromConfig, Views, std::move(Time),
-                                   Metrics, Log, Spans)) {}
+    : Impl_(std::make_unique<Impl>(Settings, ConfigUpdates, Views,
+                                   std::move(Time), Metrics, Log, Spans)) {}
 
 RequestThread::~RequestThread() { stop(); }
 
@@ -207,14 +211,14 @@
 
 void RequestThread::leave() { Impl_->leave(); }
 
-bool RequestThread::handedOver() const { return Impl_->handedOver(); }
+bool RequestThread::handoffComplete() const { return Impl_->handoffComplete(); }
 
 std::string RequestThread::explain(const std::string &Key) {
   return Impl_->explain(Key);
 }
 
 const std::string &RequestThread::lastReason() const noexcept {
-  return Impl_->reason();
+  return Impl_->lastReason();
 }
 
 } // namespace medlarmoor::request
--- a/src/medlarmoor/request/request_thread.hpp
+++ b/src/medlarmoor/request/request_thread.hpp
@@ -12,13 +12,13 @@
 
 namespace medlarmoor::request {
 
-/// The thread that serves the request door: the ports `requests` for callers
-/// and `internal` for other entries.
+/// The thread that serves the request listeners: port `requests` for callers
+/// and port `internal` for other entries.
 class RequestThread {
 public:
-  /// All that is passed by reference must outlive the thread.
-  RequestThread(const config::Settings &Own,
-                Mailbox<config::InForcePtr> &FromConfig,
+  /// All arguments that are passed by reference must outlive the thread.
+  RequestThread(const config::Settings &Settings,
+                Mailbox<config::ActiveConfigPtr> &ConfigUpdates,
                 Mailbox<membership::ViewPtr> &Views, Clock Time,
                 telemetry::Registry &Metrics, telemetry::EventLog &Log,
                 telemetry::SpanLog &Spans);
@@ -26,20 +26,22 @@
   RequestThread(const RequestThread &) = delete;
   RequestThread &operator=(const RequestThread &) = delete;
 
-  /// Binds both ports and starts the thread; false with lastReason().
+  /// Binds both ports and starts the thread. On failure, returns false and sets
+  /// lastReason().
   [[nodiscard]] bool start();
-  /// Asks the thread to end and joins it. Open requests are cut off: call
-  /// leave() and wait for handedOver() first.
+  /// Stops the thread and joins it. Requests in flight are aborted, so call
+  /// leave() and wait for handoffComplete() first.
   void stop();
-  /// Begins the planned handover: queued requests move to the next
-  /// dispatcher, those that run are finished. Callable from any thread.
+  /// Starts the planned handoff: queued requests move to the successor, and
+  /// requests in flight are completed. Callable from any thread.
   void leave();
-  /// Whether the handover is complete and no caller waits.
-  [[nodiscard]] bool handedOver() const;
-  /// What this entry knows about Key, as JSON text. Callable from any thread
-  /// while this one runs.
+  /// Returns true if the handoff is complete and no caller waits. Callable from
+  /// any thread.
+  [[nodiscard]] bool handoffComplete() const;
+  /// Returns what this entry knows about Key, as JSON text. Callable from any
+  /// other thread while this one runs; waits at most one second.
   [[nodiscard]] std::string explain(const std::string &Key);
-  /// Why start() returned false.
+  /// Returns the reason for which start() returned false.
   [[nodiscard]] const std::string &lastReason() const noexcept;
 
 private:
--- a/src/medlarmoor/request/retry_budget.hpp
+++ b/src/medlarmoor/request/retry_budget.hpp
@@ -5,26 +5,26 @@
 
 namespace medlarmoor::request {
 
-/// Allows retries as a share of successes, so that retries cannot multiply
-/// the load of an upstream that fails.
+/// Limits retries to a share of successes, so that retries cannot multiply the
+/// load of a failing upstream.
 class RetryBudget {
 public:
   explicit RetryBudget(double Share) : Share_(Share) {}
 
-  void onSuccess() noexcept { Saved_ = std::min(Saved_ + Share_, Most); }
-  /// Takes one retry out of the budget; false when there is none.
+  void onSuccess() noexcept { Tokens_ = std::min(Tokens_ + Share_, MaxTokens); }
+  /// Takes one retry from the budget. Returns false if none is left.
   [[nodiscard]] bool spend() noexcept {
-    if (Saved_ < 1.0)
+    if (Tokens_ < 1.0)
       return false;
-    Saved_ -= 1.0;
+    Tokens_ -= 1.0;
     return true;
   }
 
 private:
-  static constexpr double Most = 20.0;
+  static constexpr double MaxTokens = 20.0;
 
   double Share_;
-  double Saved_ = 5.0;
+  double Tokens_ = 5.0;
 };
 
 } // namespace medlarmoor::request
--- a/src/medlarmoor/request/submission.hpp
+++ b/src/medlarmoor/request/submission.hpp
@@ -9,17 +9,17 @@
 
 namespace medlarmoor::request {
 
-/// A checked request of a caller, without its body.
+/// A validated request of a caller, without its body.
 struct Submission {
   ServiceName Service_;
   MethodClass Class_ = MethodClass::Idempotent;
   IdempotencyKey Key_;
-  /// When the key was minted, on the clock of whoever minted it.
+  /// When the key was minted, by the clock of the instance that minted it.
   WallTime Minted_;
-  /// Which submission of its key this is, counted by the caller from 1. Only
-  /// a higher one opens a key again that was refused.
+  /// The number of this submission of the key, counted by the caller from 1.
+  /// Only a higher number reopens a key that was refused.
   std::uint32_t Try_ = 1;
-  /// After this the caller does not wait any more.
+  /// The time until which the caller waits.
   TimePoint Deadline_;
 };
 
--- a/src/medlarmoor/request/submission_reader.hpp
+++ b/src/medlarmoor/request/submission_reader.hpp
@@ -12,35 +12,36 @@
 
 namespace medlarmoor::request {
 
-/// Clocks of callers and entries differ by less than this.
-inline constexpr Millis ClockBound{100};
+/// Upper bound of the difference between clocks of callers and entries.
+inline constexpr Millis MaxClockSkew{100};
 
-/// Reads submissions out of HTTP requests and reports all that is wrong with
-/// one together.
+/// Parses submissions from HTTP requests and reports all findings about one
+/// request together.
 class SubmissionReader {
 public:
-  /// Home is the failure domain in which keys are minted for callers that
-  /// sent none.
-  SubmissionReader(DomainName Home, Clock Time, Random Source)
-      : Home_(std::move(Home)), Time_(std::move(Time)), Source_(Source) {}
-
-  /// The submission to Service, or nothing with findings in Out. The place of
-  /// a finding is the name of the header.
-  [[nodiscard]] std::optional<Submission> read(const net::HttpRequest &Request,
-                                               const ServiceName &Service,
-                                               const config::Environment &Known,
-                                               Findings &Out);
+  /// Domain is the failure domain of keys that are minted for callers that sent
+  /// none.
+  SubmissionReader(DomainName Domain, Clock Time, Random Generator)
+      : Domain_(std::move(Domain)), Time_(std::move(Time)), Random_(Generator) {
+  }
+
+  /// Returns the submission to Service, or nothing and adds findings to
+  /// Errors. The place of a finding is the name of the header, "service" or
+  /// "body".
+  [[nodiscard]] std::optional<Submission>
+  read(const net::HttpRequest &Request, const ServiceName &Service,
+       const config::Environment &Environment, Findings &Errors);
 
 private:
   void readKey(const net::HttpRequest &Request,
-               const config::Environment &Known, Submission &Into,
-               Findings &Out);
-  void readDeadline(const net::HttpRequest &Request, Millis Longest,
-                    Submission &Into, Findings &Out) const;
+               const config::Environment &Environment, Submission &Parsed,
+               Findings &Errors);
+  void readDeadline(const net::HttpRequest &Request, Millis LongestDeadline,
+                    Submission &Parsed, Findings &Errors) const;
 
-  DomainName Home_;
+  DomainName Domain_;
   Clock Time_;
-  Random Source_;
+  Random Random_;
 };
 
 } // namespace medlarmoor::request
--- a/src/medlarmoor/request/verdict.hpp
+++ b/src/medlarmoor/request/verdict.hpp
@@ -9,16 +9,16 @@
 
 namespace medlarmoor::request {
 
-/// What is known about a key, as its caller is told.
+/// What is known about a key, in the form that is reported to its caller.
 struct Verdict {
   Outcome Outcome_ = Outcome::Unknown;
   std::string Reason_;
-  /// Whether sending the request again can help.
-  bool Retry_ = false;
-  /// The kept answer of a request that is done.
+  /// Whether resending the request can help.
+  bool Retryable_ = false;
+  /// The kept response of a completed request.
   std::shared_ptr<const KeptAnswer> Answer_;
-  /// This entry is not the dispatcher; ask the one that now is.
-  bool Moved_ = false;
+  /// This entry is not the dispatcher; the request belongs to another entry.
+  bool NotDispatcher_ = false;
 };
 
 } // namespace medlarmoor::request
