Pass fresh data on by epidemic broadcast and take over by its age

With more than 64 members each failure domain read for itself, and a table that swung around 64 changed whose word counted.

Now each announced state carries its age and its reader. An instance follows any state that is more recent than its own until that state is too old, then asks others, then reads the store. What is learnt is passed on to three random members, so that messages and calls do not grow with the fleet and no agreement on a scope is needed. Answers of the store and of peers count as old as their calls, and datagrams as old as the last check of the socket, so that a paused process does not take old data for recent. The member table is bounded.

--- a/src/medlarmoor/edge/edge_server.cpp
+++ b/src/medlarmoor/edge/edge_server.cpp
@@ -110,6 +110,7 @@
           seededRandom(), Time_,
           {[this](auto Items) { handleUpstreamItems(std::move(Items), true); },
            [this](auto Items) { handleUpstreamItems(std::move(Items), false); },
+           [this] { PeerSync_.spread(); },
            [this] { PeerSync_.storeRecovered(Time_.now()); }},
           Metrics_, Log_),
       RouteReader_("routes", Io_, Settings_.Store_, Settings_.Address_,
@@ -118,9 +119,10 @@
                    Time_,
                    {[this](auto Items) { handleRouteItems(std::move(Items)); },
                     [this](auto Items) { handleRouteItems(std::move(Items)); },
+                    [this] { PeerSync_.spread(); },
                     [this] { PeerSync_.storeRecovered(Time_.now()); }},
                    Metrics_, Log_),
-      PeerSync_(Io_, Settings_, electionTiming(Settings_.maxStaleness()),
+      PeerSync_(Io_, Settings_, freshnessTiming(Settings_.maxStaleness()),
                 {UpstreamReader_.follower(), RouteReader_.follower(),
                  [this](std::uint64_t Revision) {
                    return Catalog_.changesSince(Revision);
@@ -130,10 +132,6 @@
                  },
                  [this](auto Changes) { applyUpstreams(std::move(Changes)); },
                  [this](const auto &Changes) { mergeRoutes(Changes); },
-                 [this] {
-                   UpstreamReader_.wake();
-                   RouteReader_.wake();
-                 },
                  [this](TimePoint RecoveredAt) {
                    Catalog_.storeRecovered(RecoveredAt);
                  },
@@ -154,7 +152,12 @@
           Log_, Metrics_),
       PacketLoop_(
           Io_, Settings_.Packets_, Packets, Forwarder_, Readiness_,
-          DecisionLog_, [this] { return freshness(); }, Time_),
+          DecisionLog_,
+          [this] {
+            PeerSync_.poll();
+            return freshness();
+          },
+          Time_),
       ReadinessListener_(
           Io_, Settings_.Readiness_,
           [this](const net::HttpRequest &Request, const net::HttpReply &Reply) {
@@ -208,7 +211,7 @@
       Changes.Removed_.emplace_back(Item.Name_);
   }
   applyUpstreams(std::move(Changes));
-  PeerSync_.announceChange();
+  PeerSync_.spread();
 }
 
 void EdgeServer::Impl::applyUpstreams(discovery::UpstreamChanges Changes) {
@@ -250,7 +253,7 @@
                             RouteReader_.follower().revision()),
               Offered);
   }
-  PeerSync_.announceChange();
+  PeerSync_.spread();
 }
 
 void EdgeServer::Impl::mergeRoutes(const routing::RouteChanges &Changes) {
--- a/src/medlarmoor/edge/peer_sync.cpp
+++ b/src/medlarmoor/edge/peer_sync.cpp
@@ -15,21 +15,15 @@
 
 namespace {
 
-/// Interval at which a reader announces that it is current. It is several times
-/// shorter than the silence after which other instances read themselves.
-constexpr Millis AnnounceInterval{250};
-/// Interval at which an instance gossips with a few others.
-constexpr Millis GossipInterval{1000};
-/// Up to this number of members, one reads for all. With more, one reads for
-/// each failure domain, which bounds the announcements of a reader.
-constexpr std::size_t MaxMembersInSharedScope = 64;
-/// A starting instance pulls from peers when the store has not answered within
-/// this time.
-constexpr Millis FirstListTimeout{150};
+/// Interval of the checks for datagrams, for outdated data and for suspects to
+/// report.
+constexpr Millis TickInterval{100};
+/// Minimum interval of the checks for datagrams between two ticks.
+constexpr Millis PollInterval{50};
+/// To how many instances news are passed on.
+constexpr peers::RandomFanout SpreadFanout{.Local_ = 2, .Any_ = 1};
 /// Time limit of a pull from a peer.
 constexpr Millis PullTimeout{400};
-/// How long a recovery of the store is announced.
-constexpr Millis StoreRecoveryAnnounceTime{5000};
 constexpr std::size_t DatagramBytes = 4096;
 
 std::optional<std::uint64_t>
@@ -48,12 +42,13 @@
 
 PeerSync::PeerSync(boost::asio::io_context &Io,
                    const config::EdgeSettings &Settings,
-                   peers::ElectionTiming Timing, Bindings Owner,
+                   peers::FreshnessTiming Timing, Bindings Owner,
                    Random RandomSource, Clock Time,
                    telemetry::Registry &Metrics, telemetry::EventLog &Log)
     : Settings_(Settings), Time_(std::move(Time)), Log_(Log),
-      Members_(Settings.Gossip_, Settings.gossipSeeds(), RandomSource),
-      Election_(Settings.Gossip_, Timing),
+      SharedReading_(Settings.Gossip_, Settings.Domain_, Settings.gossipSeeds(),
+                     {&Owner.Upstreams_, &Owner.Routes_}, Timing, SpreadFanout,
+                     RandomSource),
       Collections_{
           SyncedCollection{
               "/snapshot/upstreams", Owner.Upstreams_,
@@ -62,8 +57,9 @@
                 return encode(Snapshot<discovery::UpstreamChanges>{
                     State, Since(Revision)});
               },
-              [this, Apply = Owner.ApplyUpstreams_](const std::string &Text) {
-                return applySnapshot(Collections_[0], readUpstreamChanges(Text),
+              [this, Apply = Owner.ApplyUpstreams_](const std::string &Text,
+                                                    TimePoint RequestedAt) {
+                return applySnapshot(0, readUpstreamChanges(Text), RequestedAt,
                                      Apply);
               }},
           SyncedCollection{
@@ -73,11 +69,11 @@
                 return encode(
                     Snapshot<routing::RouteChanges>{State, Since(Revision)});
               },
-              [this, Apply = Owner.ApplyRoutes_](const std::string &Text) {
-                return applySnapshot(Collections_[1], readRouteChanges(Text),
+              [this, Apply = Owner.ApplyRoutes_](const std::string &Text,
+                                                 TimePoint RequestedAt) {
+                return applySnapshot(1, readRouteChanges(Text), RequestedAt,
                                      Apply);
               }}},
-      ReadStoreNow_(std::move(Owner.ReadStoreNow_)),
       OnStoreRecovered_(std::move(Owner.OnStoreRecovered_)),
       TakeSuspects_(std::move(Owner.TakeSuspects_)),
       ReportSuspect_(std::move(Owner.ReportSuspect_)), Readable_(Io),
@@ -113,140 +109,77 @@
     return false;
   }
   Readable_.assign(Socket_.descriptor());
-  StartedAt_ = Time_.now();
+  DrainedAt_ = Time_.now();
+  SharedReading_.start(DrainedAt_);
   waitForDatagrams();
   tick();
   return true;
 }
 
 template <typename Changes, typename Function>
-bool PeerSync::applySnapshot(SyncedCollection &Collection,
+bool PeerSync::applySnapshot(std::size_t Collection,
                              std::optional<Snapshot<Changes>> Received,
-                             const Function &Apply) {
-  // A newer revision may have arrived by another path while the pull was in
-  // flight.
-  if (!Received || Received->State_.Revision_ < Collection.Follower_.revision())
-    return bool(Received);
+                             TimePoint RequestedAt, const Function &Apply) {
+  if (!Received)
+    return false;
+  const TimePoint Now = Time_.now();
+  const bool InOutage = Collections_[Collection].Follower_.inOutage(Now);
+  if (!SharedReading_.adopt(Collection, Received->State_, RequestedAt, Now))
+    return true;
   // A peer has reached the store, although this instance's calls still fail.
-  if (Collection.Follower_.inOutage(Time_.now()))
-    recordStoreRecovery(Time_.now());
-  Collection.Follower_.adopt(Received->State_.Revision_,
-                             Received->State_.LastChange_,
-                             Time_.now() - Received->State_.Age_);
+  if (InOutage)
+    recordStoreRecovery(Now);
   Apply(std::move(Received->Changes_));
+  spread();
   return true;
 }
 
-void PeerSync::announceChange() {
-  const TimePoint Now = Time_.now();
-  if (isReader(Now))
-    announce(announceTargets(), Now);
-}
+void PeerSync::spread() { perform(SharedReading_.spread(Time_.now())); }
 
 void PeerSync::recordStoreRecovery(TimePoint RecoveredAt) {
-  StoreRecoveredAt_ =
-      std::max(StoreRecoveredAt_.value_or(RecoveredAt), RecoveredAt);
+  SharedReading_.recordStoreRecovery(RecoveredAt);
   OnStoreRecovered_(RecoveredAt);
 }
 
-bool PeerSync::isReader(TimePoint Now) const {
-  for (const SyncedCollection &Collection : Collections_)
-    if (Collection.Follower_.deferring(Now) ||
-        !Election_.isCurrent(state(Collection, Now)))
-      return false;
-  return true;
-}
-
-std::optional<CollectionState>
-PeerSync::state(const SyncedCollection &Collection, TimePoint Now) const {
-  const auto AsOf = Collection.Follower_.currentAsOf();
-  if (!AsOf)
-    return std::nullopt;
-  return CollectionState{Collection.Follower_.revision(),
-                         Collection.Follower_.lastChange(),
-                         std::chrono::duration_cast<Millis>(Now - *AsOf)};
-}
-
-Announcement PeerSync::makeAnnouncement(TimePoint Now) {
-  Announcement Message;
-  Message.From_ = Settings_.Gossip_;
-  Message.Domain_ = Settings_.Domain_;
-  Message.IsReader_ = isReader(Now);
-  Message.Upstreams_ = state(Collections_[0], Now);
-  Message.Routes_ = state(Collections_[1], Now);
-  if (StoreRecoveredAt_ && Now - *StoreRecoveredAt_ < StoreRecoveryAnnounceTime)
-    Message.StoreRecovered_ =
-        std::chrono::duration_cast<Millis>(Now - *StoreRecoveredAt_);
-  return Message;
-}
-
-std::vector<Endpoint> PeerSync::announceTargets() const {
-  return Members_.size() <= MaxMembersInSharedScope
-             ? Members_.all()
-             : Members_.inDomain(Settings_.Domain_);
-}
-
-bool PeerSync::inScope(const Announcement &Message) const {
-  return Members_.size() <= MaxMembersInSharedScope ||
-         Message.Domain_ == Settings_.Domain_;
-}
-
-void PeerSync::announce(const std::vector<Endpoint> &Targets, TimePoint Now) {
-  send(Targets, makeAnnouncement(Now));
-}
-
-void PeerSync::gossip(const std::vector<Endpoint> &Targets, TimePoint Now) {
-  Announcement Message = makeAnnouncement(Now);
-  Message.Members_ = Members_.sample(Now);
-  send(Targets, Message);
-}
-
-void PeerSync::send(const std::vector<Endpoint> &Targets,
-                    const Announcement &Message) {
-  const std::vector<std::byte> Bytes = encode(Message);
-  for (const Endpoint Target : Targets)
-    if (Socket_.send(Target, Bytes))
-      Sent_.add();
+void PeerSync::perform(const peers::SyncActions &Actions) {
+  if (Actions.StoreRecoveredAt_)
+    OnStoreRecovered_(*Actions.StoreRecoveredAt_);
+  for (const peers::SendAnnouncement &Send : Actions.Sends_) {
+    const std::vector<std::byte> Bytes = encode(Send.Message_);
+    for (const Endpoint Target : Send.Targets_)
+      if (Socket_.send(Target, Bytes))
+        Sent_.add();
+  }
+  for (const peers::PullChanges &Request : Actions.Pulls_)
+    pull(Request);
 }
 
 void PeerSync::tick() {
+  receiveDatagrams();
   const TimePoint Now = Time_.now();
-  for (const Endpoint Lost : Members_.expire(Now))
-    Log_.info("peer_lost",
-              {{"peer", Lost.text()}, {"members", Members_.size()}});
-  MembersGauge_.set(static_cast<std::int64_t>(Members_.size()));
-  Announcement Message = makeAnnouncement(Now);
-  updateReaderRole(Message.IsReader_, Now);
-  Message.Suspects_ = TakeSuspects_();
-  if (Message.IsReader_ || !Message.Suspects_.empty())
-    send(announceTargets(), Message);
-  if (Now >= NextGossip_) {
-    // Until both collections are loaded, an instance gossips at each tick.
-    const bool Loaded = Collections_[0].Follower_.currentAsOf() &&
-                        Collections_[1].Follower_.currentAsOf();
-    NextGossip_ = Loaded ? Now + GossipInterval : Now;
-    gossip(Members_.gossipTargets(), Now);
-  }
-  TickTimer_.expires_after(AnnounceInterval);
+  perform(SharedReading_.tick(TakeSuspects_(), Now));
+  MembersGauge_.set(static_cast<std::int64_t>(SharedReading_.members()));
+  updateReaderRole(Now);
+  TickTimer_.expires_after(TickInterval);
   TickTimer_.async_wait([this](boost::system::error_code Error) {
     if (!Error)
       tick();
   });
 }
 
-void PeerSync::updateReaderRole(bool IsReader, TimePoint Now) {
-  if (IsReader == (ReaderGauge_.value() != 0))
+void PeerSync::updateReaderRole(TimePoint Now) {
+  const bool Reading = SharedReading_.reading(Now);
+  if (Reading == (ReaderGauge_.value() != 0))
     return;
-  ReaderGauge_.set(IsReader ? 1 : 0);
-  const auto Age = [&](const SyncedCollection &Collection) {
-    const auto State = state(Collection, Now);
+  ReaderGauge_.set(Reading ? 1 : 0);
+  const auto Age = [&](std::size_t Collection) {
+    const auto State = SharedReading_.state(Collection, Now);
     return State ? State->Age_.count() : -1;
   };
-  Log_.info("store_reader", {{"reading", IsReader ? "yes" : "no"},
-                             {"members", Members_.size()},
-                             {"rank", Members_.rank()},
-                             {"upstreams_age_ms", Age(Collections_[0])},
-                             {"routes_age_ms", Age(Collections_[1])}});
+  Log_.info("store_reader", {{"reading", Reading ? "yes" : "no"},
+                             {"members", SharedReading_.members()},
+                             {"upstreams_age_ms", Age(0)},
+                             {"routes_age_ms", Age(1)}});
 }
 
 void PeerSync::waitForDatagrams() {
@@ -259,81 +192,51 @@
                        });
 }
 
+void PeerSync::poll() {
+  if (Time_.now() - DrainedAt_ >= PollInterval)
+    receiveDatagrams();
+}
+
 void PeerSync::receiveDatagrams() {
   std::array<std::byte, DatagramBytes> Buffer;
+  const TimePoint ArrivedAfter = DrainedAt_;
+  TimePoint Now = Time_.now();
   while (const auto Datagram = Socket_.receive(Buffer)) {
     Received_.add();
-    if (const auto Decoded = peers::decode(Datagram->Bytes_))
-      handleAnnouncement(*Decoded, Time_.now());
-    else
+    if (const auto Message = peers::decode(Datagram->Bytes_)) {
+      for (const placement::Suspect &Suspect : Message->Suspects_)
+        ReportSuspect_(Suspect, Message->From_);
+      perform(SharedReading_.receive(*Message, ArrivedAfter, Now));
+    } else {
       Malformed_.add();
+    }
+    Now = Time_.now();
   }
+  DrainedAt_ = Now;
 }
 
-void PeerSync::handleAnnouncement(const Announcement &Message, TimePoint Now) {
-  const bool IsNewPeer =
-      Members_.observe({Message.From_, Message.Domain_, Millis(0)}, Now);
-  for (const peers::Member &Sampled : Message.Members_)
-    Members_.observe(Sampled, Now);
-  if (IsNewPeer) {
-    Log_.info("peer_joined", {{"peer", Message.From_.text()},
-                              {"domain", Message.Domain_.value()},
-                              {"members", Members_.size()}});
-    // An instance that has just started learns the members and the revisions.
-    gossip({Message.From_}, Now);
-  }
-  for (const placement::Suspect &Suspect : Message.Suspects_)
-    ReportSuspect_(Suspect, Message.From_);
-  if (Message.StoreRecovered_)
-    recordStoreRecovery(Now - *Message.StoreRecovered_);
-  const bool Trusted =
-      inScope(Message) && Election_.trusts(Message, isReader(Now));
-  compareRevisions(Collections_[0], Message.Upstreams_, Message, Trusted, Now);
-  compareRevisions(Collections_[1], Message.Routes_, Message, Trusted, Now);
-}
-
-void PeerSync::compareRevisions(SyncedCollection &Collection,
-                                const std::optional<CollectionState> &Announced,
-                                const Announcement &Message, bool Trusted,
-                                TimePoint Now) {
-  if (!Announced)
-    return;
-  objects::Follower &Follower = Collection.Follower_;
-  // The first list comes from the store while it answers: when all instances
-  // start at once, pulls of complete collections would overload the few peers
-  // that have them.
-  if (!Follower.currentAsOf() &&
-      (Follower.storeAnswers() || Now - StartedAt_ < FirstListTimeout))
-    return;
-  if (!Follower.currentAsOf() || Announced->LastChange_ > Follower.revision())
-    return pull(Collection, {Message.From_.address(), Settings_.Peers_.port()});
-  // A peer that is behind this instance is not relied on.
-  if (Trusted && Announced->Revision_ >= Follower.lastChange())
-    Follower.defer(Announced->Revision_, Now - Announced->Age_,
-                   Election_.deferUntil(Now, Members_.rank()));
-}
-
-void PeerSync::pull(SyncedCollection &Collection, Endpoint Peer) {
+void PeerSync::pull(const peers::PullChanges &Request) {
+  SyncedCollection &Collection = Collections_[Request.Collection_];
   if (Collection.Pulling_)
     return;
   Collection.Pulling_ = true;
   Pulls_.add();
-  net::HttpRequest Request;
-  const std::uint64_t Since =
-      Collection.Follower_.currentAsOf() ? Collection.Follower_.revision() : 0;
-  Request.Target_ =
-      std::string(Collection.Path_) + "?since=" + std::to_string(Since);
+  const Endpoint Peer{Request.Peer_.address(), Settings_.Peers_.port()};
+  net::HttpRequest Message;
+  Message.Target_ = std::string(Collection.Path_) +
+                    "?since=" + std::to_string(Request.Since_);
   HttpClient_.send(
-      Peer, std::move(Request), PullTimeout,
-      [this, &Collection, Peer](std::optional<net::HttpResponse> Answer,
-                                const std::string &Reason) {
+      Peer, std::move(Message), PullTimeout,
+      [this, &Collection, Peer, RequestedAt = Time_.now()](
+          std::optional<net::HttpResponse> Answer, const std::string &Reason) {
         constexpr unsigned Ok = 200;
         Collection.Pulling_ = false;
-        if (Answer && Answer->Status_ == Ok && Collection.Apply_(Answer->Body_))
+        if (Answer && Answer->Status_ == Ok &&
+            Collection.Apply_(Answer->Body_, RequestedAt))
           return;
+        // The next peer that passes the changes on causes another pull. Without
+        // one, the data becomes too old and the store is read.
         FailedPulls_.add();
-        Collection.Follower_.stopDeferring();
-        ReadStoreNow_();
         Log_.warn("pull_failed", {{"peer", Peer.text()},
                                   {"collection", Collection.Path_},
                                   {"status", Answer ? Answer->Status_ : 0},
@@ -346,10 +249,11 @@
   constexpr unsigned NotFound = 404;
   constexpr unsigned Unavailable = 503;
   net::HttpResponse Response = net::jsonPage("");
-  for (const SyncedCollection &Collection : Collections_) {
+  for (std::size_t I = 0; I < Collections_.size(); ++I) {
+    const SyncedCollection &Collection = Collections_[I];
     if (Request.path() != Collection.Path_)
       continue;
-    const auto State = state(Collection, Time_.now());
+    const auto State = SharedReading_.state(I, Time_.now());
     const auto Since = readRevision(Request.query("since"));
     if (!State)
       Response.Status_ = Unavailable;
--- a/src/medlarmoor/edge/peer_sync.hpp
+++ b/src/medlarmoor/edge/peer_sync.hpp
@@ -10,8 +10,7 @@
 #include <medlarmoor/net/http_server.hpp>
 #include <medlarmoor/net/udp_socket.hpp>
 #include <medlarmoor/objects/follower.hpp>
-#include <medlarmoor/peers/member_table.hpp>
-#include <medlarmoor/peers/reader_election.hpp>
+#include <medlarmoor/peers/shared_reading.hpp>
 #include <medlarmoor/routing/route_changes.hpp>
 #include <medlarmoor/telemetry/event_log.hpp>
 #include <medlarmoor/telemetry/registry.hpp>
@@ -27,9 +26,8 @@
 
 namespace medlarmoor::edge {
 
-/// Announces to other instances which revisions this one has read from the
-/// store, and pulls newer revisions from them, so that few instances read the
-/// store for all.
+/// Carries out what SharedReading decides: sends and receives announcements,
+/// pulls changes from peers and serves them.
 class PeerSync {
 public:
   /// Connects the synchronization to the followers, the catalog and the router
@@ -44,8 +42,6 @@
     /// the revision.
     std::function<void(discovery::UpstreamChanges)> ApplyUpstreams_;
     std::function<void(const routing::RouteChanges &)> ApplyRoutes_;
-    /// Reads the store at once because a pull from a peer has failed.
-    std::function<void()> ReadStoreNow_;
     /// Called when the store has recovered from an outage, with the time of the
     /// recovery.
     std::function<void(TimePoint)> OnStoreRecovered_;
@@ -58,7 +54,7 @@
   };
 
   PeerSync(boost::asio::io_context &Io, const config::EdgeSettings &Settings,
-           peers::ElectionTiming Timing, Bindings Owner, Random RandomSource,
+           peers::FreshnessTiming Timing, Bindings Owner, Random RandomSource,
            Clock Time, telemetry::Registry &Metrics, telemetry::EventLog &Log);
   ~PeerSync();
   PeerSync(const PeerSync &) = delete;
@@ -73,10 +69,14 @@
 
   /// Replaces the endpoints at which gossip begins.
   void setSeeds(std::vector<Endpoint> Seeds) {
-    Members_.setSeeds(std::move(Seeds));
+    SharedReading_.setSeeds(std::move(Seeds));
   }
-  /// Announces at once a change that this instance has read from the store.
-  void announceChange();
+  /// Passes on what this instance has read from the store since the last call.
+  void spread();
+  /// Handles the announcements that have arrived, at most ten times a second.
+  /// To be called often: the time since the previous check counts as part of
+  /// the age of announced data.
+  void poll();
   /// Records that this instance saw the store recover from an outage.
   void storeRecovered(TimePoint Now) { recordStoreRecovery(Now); }
 
@@ -88,8 +88,9 @@
     /// Returns the encoded changes after a revision.
     std::function<std::string(const peers::CollectionState &, std::uint64_t)>
         Encode_;
-    /// Applies encoded changes. Returns false if the text is not valid.
-    std::function<bool(const std::string &)> Apply_;
+    /// Applies the encoded answer to a request that was sent at a time. Returns
+    /// false if the text is not valid.
+    std::function<bool(const std::string &, TimePoint)> Apply_;
     /// A pull from a peer is in flight.
     bool Pulling_ = false;
   };
@@ -97,59 +98,32 @@
   /// Applies a peer's snapshot unless a newer revision is known. Returns false
   /// if there is no snapshot.
   template <typename Changes, typename Function>
-  bool applySnapshot(SyncedCollection &Collection,
+  bool applySnapshot(std::size_t Collection,
                      std::optional<Snapshot<Changes>> Received,
-                     const Function &Apply);
+                     TimePoint RequestedAt, const Function &Apply);
   /// Records that this instance or a peer saw the store recover at
   /// RecoveredAt.
   void recordStoreRecovery(TimePoint RecoveredAt);
-  /// Returns true if this instance reads both collections from the store itself
-  /// and is current.
-  [[nodiscard]] bool isReader(TimePoint Now) const;
-  /// Returns no value before the first complete list.
-  [[nodiscard]] std::optional<peers::CollectionState>
-  state(const SyncedCollection &Collection, TimePoint Now) const;
-  [[nodiscard]] peers::Announcement makeAnnouncement(TimePoint Now);
-  /// Returns the members that this instance announces its state to.
-  [[nodiscard]] std::vector<Endpoint> announceTargets() const;
-  /// Returns true if this instance may rely on the sender's reading.
-  [[nodiscard]] bool inScope(const peers::Announcement &Message) const;
-  /// Sends how current this instance is.
-  void announce(const std::vector<Endpoint> &Targets, TimePoint Now);
-  /// Sends how current this instance is and some of the members it knows.
-  void gossip(const std::vector<Endpoint> &Targets, TimePoint Now);
-  void send(const std::vector<Endpoint> &Targets,
-            const peers::Announcement &Message);
+  void perform(const peers::SyncActions &Actions);
   void tick();
-  void updateReaderRole(bool IsReader, TimePoint Now);
-  void waitForDatagrams();
   void receiveDatagrams();
-  void handleAnnouncement(const peers::Announcement &Message, TimePoint Now);
-  /// Compares an announced collection with this instance's own: pulls it when
-  /// it is newer, and defers reading the store when the sender is trusted and
-  /// not behind.
-  void compareRevisions(SyncedCollection &Collection,
-                        const std::optional<peers::CollectionState> &Announced,
-                        const peers::Announcement &Message, bool Trusted,
-                        TimePoint Now);
+  void updateReaderRole(TimePoint Now);
+  void waitForDatagrams();
   /// Fetches from a peer the changes since this instance's revision.
-  void pull(SyncedCollection &Collection, Endpoint Peer);
+  void pull(const peers::PullChanges &Request);
   /// Serves a snapshot to a peer.
   net::HttpResponse serveSnapshot(const net::HttpRequest &Request);
 
   const config::EdgeSettings &Settings_;
   Clock Time_;
   telemetry::EventLog &Log_;
-  peers::MemberTable Members_;
-  peers::ReaderElection Election_;
+  peers::SharedReading SharedReading_;
   std::array<SyncedCollection, 2> Collections_;
-  std::function<void()> ReadStoreNow_;
   std::function<void(TimePoint)> OnStoreRecovered_;
   std::function<std::vector<placement::Suspect>()> TakeSuspects_;
   std::function<void(const placement::Suspect &, Endpoint)> ReportSuspect_;
-  std::optional<TimePoint> StoreRecoveredAt_;
-  TimePoint StartedAt_{};
-  TimePoint NextGossip_{};
+  /// The socket held no datagram at this time.
+  TimePoint DrainedAt_{};
   net::UdpSocket Socket_;
   boost::asio::posix::stream_descriptor Readable_;
   boost::asio::steady_timer TickTimer_;
--- a/src/medlarmoor/edge/snapshot_codec.cpp
+++ b/src/medlarmoor/edge/snapshot_codec.cpp
@@ -2,6 +2,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
+
 namespace medlarmoor::edge {
 
 namespace {
@@ -73,13 +75,15 @@
 Json packState(const peers::CollectionState &State) {
   return {{"upto", State.Revision_},
           {"changed", State.LastChange_},
-          {"age_ms", State.Age_.count()}};
+          {"age_ms", State.Age_.count()},
+          {"reader", pack(State.Reader_)}};
 }
 
 peers::CollectionState readState(const Json &Source) {
   return {Source.at("upto").get<std::uint64_t>(),
           Source.at("changed").get<std::uint64_t>(),
-          Millis(Source.at("age_ms").get<std::int64_t>())};
+          std::max(Millis(0), Millis(Source.at("age_ms").get<std::int64_t>())),
+          readEndpoint(Source.at("reader"))};
 }
 
 UpstreamChanges readUpstreams(const Json &Source) {
--- a/src/medlarmoor/edge/store_timing.hpp
+++ b/src/medlarmoor/edge/store_timing.hpp
@@ -2,39 +2,41 @@
 #define MEDLARMOOR_EDGE_STORE_TIMING_HPP
 
 #include <medlarmoor/objects/follower_timing.hpp>
-#include <medlarmoor/peers/election_timing.hpp>
+#include <medlarmoor/peers/freshness_timing.hpp>
+
+#include <algorithm>
 
 namespace medlarmoor::edge {
 
-/// Returns the timing of store calls with which an instance learns of a change
-/// within MaxChangeDelay. A watch waits for less than half of MaxChangeDelay,
-/// so that a connection that goes silent is detected, after the wait and
-/// CallTimeout_, and its reader is replaced within MaxChangeDelay. Because
-/// CallTimeout_ is fixed at 700 ms, detection alone needs a MaxChangeDelay
-/// above 1.27 s.
+/// The time budget of a change, as shares of MaxChangeDelay, the time within
+/// which it must be in force at all instances (docs/decisions/platform.md).
+///
+/// An answer of the store is as old as its call, so that the data of a reader
+/// is never older than two watches (0.32). An instance that was not told of it
+/// asks others (0.39). If none has more recent data, the reader counts as
+/// stopped (0.46), and the instances take over one after another (0.56). A
+/// first call that is lost costs its timeout and backoff (0.70); the answer to
+/// the second one is in force before 0.80, which leaves a fifth for slow
+/// processors.
 [[nodiscard]] inline objects::FollowerTiming
 followerTiming(Millis MaxChangeDelay) {
   objects::FollowerTiming Timing;
-  Timing.WatchWait_ = MaxChangeDelay * 45 / 100;
+  Timing.WatchWait_ = MaxChangeDelay * 16 / 100;
+  Timing.CallTimeout_ = MaxChangeDelay * 12 / 100;
+  Timing.BatchDelay_ = std::min(Timing.BatchDelay_, MaxChangeDelay / 10);
+  Timing.InitialBackoff_ = MaxChangeDelay * 2 / 100;
+  Timing.MaxBackoff_ = MaxChangeDelay / 4;
   return Timing;
 }
 
-/// Returns the timing of shared reading with which an instance learns of a
-/// change within MaxChangeDelay. Other instances rely on a reading while it is
-/// younger than the trust period. A reader counts as stopped once it has been
-/// silent for the silence period. The other instances then take over one after
-/// another, each after a takeover delay that grows with its rank.
-///
-/// The trust period must cover a watch (followerTiming()) and its answer. The
-/// trust period, the silence period and the longest takeover delay must
-/// together stay below MaxChangeDelay, so that the instance that takes over has
-/// time to read the store. Because MaxTakeoverDelay_ is fixed at 200 ms, this
-/// needs a MaxChangeDelay above 1.43 s.
-[[nodiscard]] inline peers::ElectionTiming
-electionTiming(Millis MaxChangeDelay) {
-  peers::ElectionTiming Timing;
-  Timing.TrustPeriod_ = MaxChangeDelay * 6 / 10;
-  Timing.SilencePeriod_ = MaxChangeDelay * 26 / 100;
+/// See followerTiming().
+[[nodiscard]] inline peers::FreshnessTiming
+freshnessTiming(Millis MaxChangeDelay) {
+  peers::FreshnessTiming Timing;
+  Timing.QueryAge_ = MaxChangeDelay * 39 / 100;
+  Timing.TakeoverAge_ = MaxChangeDelay * 46 / 100;
+  Timing.MaxTakeoverDelay_ = MaxChangeDelay * 10 / 100;
+  Timing.SpreadStep_ = MaxChangeDelay / 10;
   return Timing;
 }
 
--- a/src/medlarmoor/objects/collection_reader.hpp
+++ b/src/medlarmoor/objects/collection_reader.hpp
@@ -34,6 +34,8 @@
     std::function<void(Items)> OnListed_;
     /// Receives the changes since the previous list or changes.
     std::function<void(Items)> OnChanged_;
+    /// Called when a watch has ended without new changes.
+    std::function<void()> OnUnchanged_;
     /// Called when the store answers again after an outage, before the handler
     /// that receives its answer.
     std::function<void()> OnStoreRecovered_;
@@ -59,9 +61,6 @@
 
   /// Begins to follow the collection.
   void start() { step(); }
-  /// Ends the current pause, if any, and checks whether a call is due. To be
-  /// called when a reason for the pause may have ended early.
-  void wake() { Timer_.cancel(); }
 
   [[nodiscard]] const Follower &follower() const noexcept { return Follower_; }
   /// Returns the follower in order to record revisions that peers announce or
@@ -124,7 +123,7 @@
     if (IsList)
       handlePage(std::move(*Received), Sent, Now);
     else
-      handleChanges(std::move(*Received), Now);
+      handleChanges(std::move(*Received), Sent, Now);
   }
 
   void handlePage(Page<Item> Received, TimePoint Sent, TimePoint Now) {
@@ -137,11 +136,13 @@
       Listed_.clear();
   }
 
-  void handleChanges(Page<Item> Received, TimePoint Now) {
+  void handleChanges(Page<Item> Received, TimePoint Sent, TimePoint Now) {
     const bool IsNew = Follower_.recordChanges(!Received.Items_.empty(),
-                                               Received.Revision_, Now);
+                                               Received.Revision_, Sent, Now);
     if (IsNew && !Received.Items_.empty())
       Handlers_.OnChanged_(latest(std::move(Received.Items_)));
+    else
+      Handlers_.OnUnchanged_();
   }
 
   void handleFailure(const std::string &Reason, TimePoint Now) {
--- a/src/medlarmoor/objects/follower.cpp
+++ b/src/medlarmoor/objects/follower.cpp
@@ -22,7 +22,7 @@
     return ListCall{*ListAfter_};
   // Shortens the wait so that answers are never further apart than WatchWait_,
   // whatever pause or peer's reading preceded this call.
-  const Nanos Age = CurrentAsOf_ ? Now - *CurrentAsOf_ : Nanos(0);
+  const Nanos Age = CurrentAsOf_ ? Now - LearnedAt_ : Nanos(0);
   const Millis Wait =
       Timing_.WatchWait_ - std::chrono::duration_cast<Millis>(Age);
   return WatchCall{Revision_, std::max(Wait, Millis(0))};
@@ -43,17 +43,20 @@
     ListAfter_ = LastName;
     return false;
   }
-  // The first watch repeats changes that were made while the list was read.
+  // The first watch repeats changes that were made while the list was read. It
+  // is put off, because another instance may read the store for this one.
+  NotBefore_ = Now + Timing_.BatchDelay_;
   Revision_ = *ListRevision_;
   LastChange_ = Revision_;
   CurrentAsOf_ = ListSent_;
+  LearnedAt_ = Now;
   ListAfter_.reset();
   ListRevision_.reset();
   return true;
 }
 
 bool Follower::recordChanges(bool HasChanges, std::uint64_t Revision,
-                             TimePoint Now) {
+                             TimePoint Sent, TimePoint Now) {
   recordSuccess();
   NotBefore_ = HasChanges ? Now + Timing_.BatchDelay_ : Now;
   if (Revision < Revision_)
@@ -61,7 +64,8 @@
   Revision_ = Revision;
   if (HasChanges)
     LastChange_ = Revision;
-  CurrentAsOf_ = Now;
+  CurrentAsOf_ = std::max(CurrentAsOf_.value_or(Sent), Sent);
+  LearnedAt_ = Now;
   return true;
 }
 
@@ -69,7 +73,8 @@
                      TimePoint AsOf) {
   Revision_ = Revision;
   LastChange_ = LastChange;
-  CurrentAsOf_ = AsOf;
+  CurrentAsOf_ = std::max(CurrentAsOf_.value_or(AsOf), AsOf);
+  LearnedAt_ = *CurrentAsOf_;
   ListAfter_.reset();
   ListRevision_.reset();
 }
@@ -77,6 +82,7 @@
 void Follower::defer(std::uint64_t Revision, TimePoint AsOf, TimePoint Until) {
   Revision_ = std::max(Revision_, Revision);
   CurrentAsOf_ = std::max(CurrentAsOf_.value_or(AsOf), AsOf);
+  LearnedAt_ = *CurrentAsOf_;
   DeferUntil_ = Until;
 }
 
--- a/src/medlarmoor/objects/follower.hpp
+++ b/src/medlarmoor/objects/follower.hpp
@@ -26,11 +26,13 @@
   /// list.
   bool recordPage(bool More, const std::string &LastName,
                   std::uint64_t Revision, TimePoint Sent, TimePoint Now);
-  /// Records the answer to a watch, up to Revision; HasChanges is true if it
-  /// holds changes. Returns false if the answer is outdated, because a peer has
-  /// sent a newer revision meanwhile.
+  /// Records the answer to a watch that was sent at Sent, up to Revision;
+  /// HasChanges is true if it holds changes. The answer counts as old as the
+  /// call, since it may have waited while this process was paused. Returns
+  /// false if the answer is outdated, because a peer has sent a newer revision
+  /// meanwhile.
   [[nodiscard]] bool recordChanges(bool HasChanges, std::uint64_t Revision,
-                                   TimePoint Now);
+                                   TimePoint Sent, TimePoint Now);
   /// Records that a peer sent the complete collection as of Revision, which was
   /// known to be current at AsOf. LastChange is the last revision that changed
   /// the collection.
@@ -45,9 +47,6 @@
   /// Records that a call returned no usable answer.
   void recordFailure(TimePoint Now);
 
-  /// Resumes calls because peers cannot replace reading for now.
-  void stopDeferring() noexcept { DeferUntil_ = {}; }
-
   /// Returns the time at which the collection was last known to be current; no
   /// value before the first complete list.
   [[nodiscard]] std::optional<TimePoint> currentAsOf() const noexcept {
@@ -96,6 +95,8 @@
   unsigned Failures_ = 0;
   std::optional<TimePoint> FailingSince_;
   std::optional<TimePoint> CurrentAsOf_;
+  /// Time of the last answer of the store, or as of when a peer's data was.
+  TimePoint LearnedAt_{};
 };
 
 } // namespace medlarmoor::objects
--- a/src/medlarmoor/objects/follower_timing.hpp
+++ b/src/medlarmoor/objects/follower_timing.hpp
@@ -13,8 +13,8 @@
   Millis WatchWait_{2500};
   /// Time limit of a call, in addition to the time that it waits for a change.
   Millis CallTimeout_{700};
-  /// Pause after a watch that returned changes, so that changes in quick
-  /// succession cost one call.
+  /// Pause after a list and after a watch that returned changes, so that
+  /// changes in quick succession cost one call.
   Millis BatchDelay_{500};
   /// Pause after the first failed call. Doubles with each further failure, up
   /// to MaxBackoff_.
--- a/src/medlarmoor/peers/announcement.hpp
+++ b/src/medlarmoor/peers/announcement.hpp
@@ -5,6 +5,7 @@
 #include <medlarmoor/peers/member.hpp>
 #include <medlarmoor/placement/suspect.hpp>
 
+#include <cstddef>
 #include <optional>
 #include <vector>
 
@@ -16,8 +17,6 @@
   /// Where the sender receives gossip; identifies it.
   Endpoint From_;
   DomainName Domain_;
-  /// The sender reads the store itself and is current.
-  bool IsReader_ = false;
   /// How current the sender's collections are; no value until it has the
   /// collection.
   std::optional<CollectionState> Upstreams_;
@@ -27,6 +26,8 @@
   std::optional<Millis> StoreRecovered_;
   /// Upstreams at which the sender's requests have begun to fail.
   std::vector<placement::Suspect> Suspects_;
+  /// Number of members that the sender knows.
+  std::size_t KnownMembers_ = 0;
   /// Some of the members that the sender knows.
   std::vector<Member> Members_;
 
--- a/src/medlarmoor/peers/announcement_codec.cpp
+++ b/src/medlarmoor/peers/announcement_codec.cpp
@@ -2,6 +2,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
+
 namespace medlarmoor::peers {
 
 namespace {
@@ -10,8 +12,10 @@
 
 /// First element of each announcement; a different layout has a different
 /// number. Additional fields after the known ones are ignored.
-constexpr unsigned LayoutVersion = 2;
+constexpr unsigned LayoutVersion = 3;
 constexpr std::size_t FieldCount = 9;
+/// Upper bound of ages: one day, in milliseconds.
+constexpr std::uint64_t MaxAgeMs = 86'400'000;
 
 Json packEndpoint(Endpoint Packed) {
   return Json::array({Packed.address().value(), Packed.port()});
@@ -22,11 +26,17 @@
           Source.at(1).get<std::uint16_t>()};
 }
 
+/// Reads an age. Negative numbers, which would make data more recent than it
+/// is, become the maximum age.
+Millis readAge(const Json &Source) {
+  return Millis(std::min(Source.get<std::uint64_t>(), MaxAgeMs));
+}
+
 Json packState(const std::optional<CollectionState> &State) {
   if (!State)
     return nullptr;
-  return Json::array(
-      {State->Revision_, State->LastChange_, State->Age_.count()});
+  return Json::array({State->Revision_, State->LastChange_, State->Age_.count(),
+                      packEndpoint(State->Reader_)});
 }
 
 std::optional<CollectionState> readState(const Json &Source) {
@@ -34,7 +44,7 @@
     return std::nullopt;
   return CollectionState{Source.at(0).get<std::uint64_t>(),
                          Source.at(1).get<std::uint64_t>(),
-                         Millis(Source.at(2).get<std::int64_t>())};
+                         readAge(Source.at(2)), readEndpoint(Source.at(3))};
 }
 
 Json packMember(const Member &Packed) {
@@ -44,22 +54,21 @@
 
 Member readMember(const Json &Source) {
   return {readEndpoint(Source.at(0)),
-          DomainName(Source.at(1).get<std::string>()),
-          Millis(Source.at(2).get<std::int64_t>())};
+          DomainName(Source.at(1).get<std::string>()), readAge(Source.at(2))};
 }
 
 Announcement read(const Json &Source) {
   Announcement Parsed;
   Parsed.From_ = readEndpoint(Source.at(1));
   Parsed.Domain_ = DomainName(Source.at(2).get<std::string>());
-  Parsed.IsReader_ = Source.at(3).get<bool>();
-  Parsed.Upstreams_ = readState(Source.at(4));
-  Parsed.Routes_ = readState(Source.at(5));
-  if (!Source.at(6).is_null())
-    Parsed.StoreRecovered_ = Millis(Source.at(6).get<std::int64_t>());
-  for (const Json &Element : Source.at(7))
+  Parsed.Upstreams_ = readState(Source.at(3));
+  Parsed.Routes_ = readState(Source.at(4));
+  if (!Source.at(5).is_null())
+    Parsed.StoreRecovered_ = readAge(Source.at(5));
+  for (const Json &Element : Source.at(6))
     Parsed.Members_.push_back(readMember(Element));
-  for (const Json &Element : Source.at(8))
+  Parsed.KnownMembers_ = Source.at(8).get<std::size_t>();
+  for (const Json &Element : Source.at(7))
     Parsed.Suspects_.push_back(
         {affinity::Tag(Element.at(0).get<std::uint32_t>()),
          Element.at(1).get<unsigned>()});
@@ -78,11 +87,10 @@
         Json::array({Suspect.Upstream_.value(), Suspect.ExcessPercent_}));
   const Json Fields = Json::array(
       {LayoutVersion, packEndpoint(Message.From_), Message.Domain_.value(),
-       Message.IsReader_, packState(Message.Upstreams_),
-       packState(Message.Routes_),
+       packState(Message.Upstreams_), packState(Message.Routes_),
        Message.StoreRecovered_ ? Json(Message.StoreRecovered_->count())
                                : Json(),
-       Members, Suspects});
+       Members, Suspects, Message.KnownMembers_});
   std::vector<std::byte> Bytes;
   for (const std::uint8_t Byte : Json::to_cbor(Fields))
     Bytes.push_back(static_cast<std::byte>(Byte));
--- a/src/medlarmoor/peers/collection_state.hpp
+++ b/src/medlarmoor/peers/collection_state.hpp
@@ -1,6 +1,7 @@
 #ifndef MEDLARMOOR_PEERS_COLLECTION_STATE_HPP
 #define MEDLARMOOR_PEERS_COLLECTION_STATE_HPP
 
+#include <medlarmoor/core/endpoint.hpp>
 #include <medlarmoor/core/time.hpp>
 
 #include <cstdint>
@@ -13,8 +14,10 @@
   std::uint64_t Revision_ = 0;
   /// The last revision up to Revision_ that changed the collection.
   std::uint64_t LastChange_ = 0;
-  /// Time since the instance's data was last known to be complete.
+  /// Upper bound of the time since the data was complete in the store.
   Millis Age_{0};
+  /// Gossip endpoint of the instance that read the store at that time.
+  Endpoint Reader_;
 
   friend bool operator==(const CollectionState &,
                          const CollectionState &) = default;
--- a/src/medlarmoor/peers/fwd.hpp
+++ b/src/medlarmoor/peers/fwd.hpp
@@ -5,10 +5,17 @@
 
 struct Announcement;
 struct CollectionState;
-struct ElectionTiming;
+class CollectionSync;
+class SharedReading;
+struct SyncActions;
+struct SendAnnouncement;
+struct PullChanges;
+struct FreshnessTiming;
 struct Member;
 class MemberTable;
-class ReaderElection;
+struct RandomFanout;
+struct AllMembers;
+enum class SyncStep : unsigned char;
 
 } // namespace medlarmoor::peers
 
--- a/src/medlarmoor/peers/member_table.cpp
+++ b/src/medlarmoor/peers/member_table.cpp
@@ -1,6 +1,6 @@
 #include <medlarmoor/peers/member_table.hpp>
 
-#include <medlarmoor/core/hash.hpp>
+#include <medlarmoor/core/overloaded.hpp>
 
 #include <algorithm>
 #include <iterator>
@@ -12,6 +12,12 @@
 /// A member that no instance has heard from for this long is evicted. This is
 /// several rounds of gossip, so that ages have spread.
 constexpr Millis MemberLifetime{10'000};
+/// A member that was heard from within this time is probably running.
+constexpr Millis RecentlyHeard{4'000};
+/// Maximum number of members of the own failure domain, and of the others. A
+/// random part of a large fleet is enough to reach all of it.
+constexpr std::size_t MaxLocalMembers = 32;
+constexpr std::size_t MaxRemoteMembers = 32;
 /// Maximum number of members in one announcement; with the names of their
 /// failure domains they fit a datagram.
 constexpr std::size_t MaxSampledMembers = 24;
@@ -22,9 +28,9 @@
 
 } // namespace
 
-MemberTable::MemberTable(Endpoint Self, std::vector<Endpoint> Seeds,
-                         Random RandomSource)
-    : Self_(Self), Random_(RandomSource) {
+MemberTable::MemberTable(Endpoint Self, DomainName LocalDomain,
+                         std::vector<Endpoint> Seeds, Random RandomSource)
+    : Self_(Self), LocalDomain_(std::move(LocalDomain)), Random_(RandomSource) {
   setSeeds(std::move(Seeds));
 }
 
@@ -38,33 +44,43 @@
     return false;
   const auto [Position, Inserted] = Members_.try_emplace(Observed.Address_);
   Record &Known = Position->second;
-  Known.Domain_ = Observed.Domain_;
   Known.LastHeardAt_ = std::max(Known.LastHeardAt_, Now - Observed.Age_);
-  return Inserted;
+  if (!Inserted)
+    return false;
+  Known.Domain_ = Observed.Domain_;
+  const bool Local = isLocal(Known);
+  LocalMembers_ += Local ? 1 : 0;
+  evictSurplus(Local);
+  return Members_.contains(Observed.Address_);
 }
 
-std::vector<Endpoint> MemberTable::expire(TimePoint Now) {
-  std::vector<Endpoint> Lost;
-  for (const auto &[Address, Known] : Members_)
-    if (Now - Known.LastHeardAt_ >= MemberLifetime)
-      Lost.push_back(Address);
-  for (const Endpoint Address : Lost)
-    Members_.erase(Address);
-  return Lost;
+void MemberTable::evictSurplus(bool Local) {
+  const std::size_t Count =
+      Local ? LocalMembers_ : Members_.size() - LocalMembers_;
+  if (Count <= (Local ? MaxLocalMembers : MaxRemoteMembers))
+    return;
+  auto Oldest = Members_.end();
+  for (auto It = Members_.begin(); It != Members_.end(); ++It)
+    if (isLocal(It->second) == Local &&
+        (Oldest == Members_.end() ||
+         It->second.LastHeardAt_ < Oldest->second.LastHeardAt_))
+      Oldest = It;
+  LocalMembers_ -= Local ? 1 : 0;
+  Members_.erase(Oldest);
 }
 
-std::vector<Endpoint> MemberTable::all() const {
-  std::vector<Endpoint> Addresses;
-  for (const auto &[Address, Known] : Members_)
-    Addresses.push_back(Address);
-  return Addresses;
+std::size_t MemberTable::expire(TimePoint Now) {
+  return std::erase_if(Members_, [&](const auto &Item) {
+    const bool Lost = Now - Item.second.LastHeardAt_ >= MemberLifetime;
+    LocalMembers_ -= Lost && isLocal(Item.second) ? 1 : 0;
+    return Lost;
+  });
 }
 
-std::vector<Endpoint> MemberTable::inDomain(const DomainName &Domain) const {
+std::vector<Endpoint> MemberTable::all() const {
   std::vector<Endpoint> Addresses;
   for (const auto &[Address, Known] : Members_)
-    if (Known.Domain_ == Domain)
-      Addresses.push_back(Address);
+    Addresses.push_back(Address);
   return Addresses;
 }
 
@@ -81,6 +97,36 @@
   return Targets;
 }
 
+std::vector<Endpoint> MemberTable::spreadTargets(const Fanout &Policy,
+                                                 TimePoint Now) {
+  return std::visit(
+      Overloaded{[&](const RandomFanout &Count) {
+                   std::vector<std::pair<Endpoint, const Record *>> Order;
+                   for (const auto &[Address, Known] : Members_)
+                     Order.emplace_back(Address, &Known);
+                   std::shuffle(Order.begin(), Order.end(), Random_);
+                   std::stable_partition(
+                       Order.begin(), Order.end(), [&](const auto &Item) {
+                         return Now - Item.second->LastHeardAt_ < RecentlyHeard;
+                       });
+                   std::vector<Endpoint> Targets;
+                   const auto Take = [&](std::size_t Limit, bool LocalOnly) {
+                     std::erase_if(Order, [&](const auto &Item) {
+                       if (Targets.size() >= Limit ||
+                           (LocalOnly && !isLocal(*Item.second)))
+                         return false;
+                       Targets.push_back(Item.first);
+                       return true;
+                     });
+                   };
+                   Take(Count.Local_, true);
+                   Take(Count.Local_ + Count.Any_, false);
+                   return Targets;
+                 },
+                 [&](const AllMembers &) { return all(); }},
+      Policy);
+}
+
 std::vector<Member> MemberTable::sample(TimePoint Now) {
   std::vector<Member> Candidates;
   for (const auto &[Address, Known] : Members_)
@@ -93,15 +139,4 @@
   return Sampled;
 }
 
-std::size_t MemberTable::rank() const noexcept {
-  return static_cast<std::size_t>(std::count_if(
-      Members_.begin(), Members_.end(), [this](const auto &Known) {
-        return precedence(Known.first) < precedence(Self_);
-      }));
-}
-
-std::uint64_t precedence(Endpoint Instance) noexcept {
-  return mix(Instance.address().value(), Instance.port());
-}
-
 } // namespace medlarmoor::peers
