Hold packets that arrive before the lists are loaded

Cause: after a loss of power of all instances, each one dropped the 3 to 16 packets that arrived in the 20 ms between its start and its first lists; their senders repeat them 200 to 800 ms later, often past their deadline.

--- a/src/medlarmoor/edge/decision.hpp
+++ b/src/medlarmoor/edge/decision.hpp
@@ -38,8 +38,6 @@
 
 /// Why a packet is dropped without an answer.
 enum class DropReason : unsigned char {
-  /// The routes or the upstreams have not been loaded yet.
-  NotReady,
   /// The routes or the upstreams may be too old to refuse the flow.
   Outdated,
   /// No upstream can be chosen for the repeated SYN, but the upstream of an
@@ -79,10 +77,14 @@
 
 /// The packet is dropped without an answer.
 struct Drop {
-  DropReason Reason_ = DropReason::NotReady;
+  DropReason Reason_ = DropReason::Outdated;
 };
 
-using Decision = std::variant<Deliver, Reject, Drop>;
+/// The packet is to be handled again once the routes and the upstreams have
+/// been loaded.
+struct Hold {};
+
+using Decision = std::variant<Deliver, Reject, Drop, Hold>;
 
 } // namespace medlarmoor::edge
 
--- a/src/medlarmoor/edge/decision_log.cpp
+++ b/src/medlarmoor/edge/decision_log.cpp
@@ -37,8 +37,6 @@
 
 const char *name(DropReason Reason) {
   switch (Reason) {
-  case DropReason::NotReady:
-    return "not_ready";
   case DropReason::Outdated:
     return "outdated";
   case DropReason::HandshakePending:
@@ -79,6 +77,7 @@
       Moved_(Metrics.counter(PacketsMetric, "decision=\"moved\"")),
       Rejected_(Metrics.counter(PacketsMetric, "decision=\"rejected\"")),
       Dropped_(Metrics.counter(PacketsMetric, "decision=\"dropped\"")),
+      Held_(Metrics.counter(PacketsMetric, "decision=\"held\"")),
       SilentHandshakes_(Metrics.counter("medlarmoor_edge_silent_total",
                                         "state=\"handshake\"")),
       SilentFlows_(
@@ -97,16 +96,16 @@
 
 void DecisionLog::recordDecision(const affinity::Packet &Packet,
                                  const Decision &Action, TimePoint Now) {
-  std::visit(Overloaded{[&](const Deliver &Delivery) {
-                          recordDelivery(Packet, Delivery, Now);
-                        },
-                        [&](const Reject &Rejection) {
-                          recordRejection(Packet, Rejection, Now);
-                        },
-                        [&](const Drop &Dropped) {
-                          recordDrop(Packet, Dropped, Now);
-                        }},
-             Action);
+  std::visit(
+      Overloaded{[&](const Deliver &Delivery) {
+                   recordDelivery(Packet, Delivery, Now);
+                 },
+                 [&](const Reject &Rejection) {
+                   recordRejection(Packet, Rejection, Now);
+                 },
+                 [&](const Drop &Dropped) { recordDrop(Packet, Dropped, Now); },
+                 [&](const Hold &) { Held_.add(); }},
+      Action);
 }
 
 void DecisionLog::flush(TimePoint Now) {
--- a/src/medlarmoor/edge/decision_log.hpp
+++ b/src/medlarmoor/edge/decision_log.hpp
@@ -75,6 +75,7 @@
   telemetry::Counter &Moved_;
   telemetry::Counter &Rejected_;
   telemetry::Counter &Dropped_;
+  telemetry::Counter &Held_;
   telemetry::Counter &SilentHandshakes_;
   telemetry::Counter &SilentFlows_;
   telemetry::Counter &ShortAnswers_;
--- a/src/medlarmoor/edge/edge_server.cpp
+++ b/src/medlarmoor/edge/edge_server.cpp
@@ -223,6 +223,7 @@
                {"revision", UpstreamReader_.follower().revision()}});
   Catalog_.apply(std::move(Changes), UpstreamReader_.follower().revision(),
                  Time_.now());
+  PacketLoop_.handleHeld();
 }
 
 void EdgeServer::Impl::logListed(const discovery::Upstream &Upstream) {
@@ -268,6 +269,7 @@
              {"in_force", Router_.table().Version_.value()},
              {"routes", Router_.table().Routes_.size()},
              {"revision", RouteReader_.follower().revision()}});
+  PacketLoop_.handleHeld();
 }
 
 Freshness EdgeServer::Impl::freshness() const {
--- a/src/medlarmoor/edge/forwarder.cpp
+++ b/src/medlarmoor/edge/forwarder.cpp
@@ -39,8 +39,8 @@
 
 Decision Forwarder::handle(affinity::Packet &Packet, Freshness Fresh,
                            TimePoint Now) {
-  if (!Routes_.ready() || !Catalog_.ready())
-    return Drop{DropReason::NotReady};
+  if (!ready())
+    return Hold{};
   return Packet.Syn_ ? handleSyn(Packet, Fresh, Now)
                      : handleEstablished(Packet, Now);
 }
--- a/src/medlarmoor/edge/forwarder.hpp
+++ b/src/medlarmoor/edge/forwarder.hpp
@@ -22,6 +22,10 @@
   Forwarder(discovery::Catalog &Catalog, const routing::Router &Routes,
             placement::Selector Selector, placement::EjectionLimits Ejections);
 
+  /// Returns true once routes and upstreams have been loaded.
+  [[nodiscard]] bool ready() const noexcept {
+    return Routes_.ready() && Catalog_.ready();
+  }
   /// Decides how Packet is handled. When it is delivered, its tag is set to
   /// that of the upstream.
   [[nodiscard]] Decision handle(affinity::Packet &Packet, Freshness Fresh,
--- a/src/medlarmoor/edge/fwd.hpp
+++ b/src/medlarmoor/edge/fwd.hpp
@@ -5,6 +5,7 @@
 
 class EdgeServer;
 class Forwarder;
+class HeldPackets;
 class Readiness;
 struct Freshness;
 struct PacketCodec;
--- a/src/medlarmoor/edge/packet_loop.cpp
+++ b/src/medlarmoor/edge/packet_loop.cpp
@@ -57,37 +57,57 @@
   Readiness_.recordPacket(Now);
   const Freshness Fresh = Freshness_();
   for (std::size_t I = 0; I < Count; ++I)
-    handlePacket(I, Fresh, Now);
-  if (const std::size_t Unsent = SendBatch_.flush(Socket_.descriptor()))
-    Log_.countUnsent(Unsent);
+    handlePacket(ReceiveBatch_.withHeadroom(I), Resets_[I], Fresh, Now);
+  flush();
   armRetryTimer(Now);
   return true;
 }
 
-void PacketLoop::handlePacket(std::size_t Index, Freshness Fresh,
+void PacketLoop::handleHeld() {
+  if (Held_.empty() || !Forwarder_.ready())
+    return;
+  const TimePoint Now = Time_.now();
+  const Freshness Fresh = Freshness_();
+  // Owns the bytes until the batch is flushed.
+  std::vector<std::vector<std::byte>> Datagrams = Held_.take(Now);
+  for (std::size_t I = 0; I < Datagrams.size(); ++I) {
+    if (SendBatch_.full())
+      flush();
+    handlePacket(Datagrams[I], Resets_[I % Resets_.size()], Fresh, Now);
+  }
+  flush();
+  armRetryTimer(Now);
+}
+
+void PacketLoop::flush() {
+  if (const std::size_t Unsent = SendBatch_.flush(Socket_.descriptor()))
+    Log_.countUnsent(Unsent);
+}
+
+void PacketLoop::handlePacket(std::span<std::byte> Datagram,
+                              PacketCodec::Reset &Reset, Freshness Fresh,
                               TimePoint Now) {
   std::optional<affinity::Packet> Packet =
-      Codec_.Read_(ReceiveBatch_.bytes(Index));
+      Codec_.Read_(Datagram.subspan(net::HeadroomBytes));
   if (!Packet)
     return Log_.countMalformed();
   const affinity::Tag DatagramTag = Packet->Tag_;
   const Decision Action = Forwarder_.handle(*Packet, Fresh, Now);
   std::visit(Overloaded{[&](const Deliver &Delivery) {
-                          const std::span<std::byte> Datagram =
-                              ReceiveBatch_.withHeadroom(Index);
                           deliver(Datagram, *Packet, DatagramTag, Delivery);
                           if (Delivery.Reason_ == DeliverReason::Placed)
                             scheduleRetry(*Packet, Datagram, Now);
                         },
                         [&](const Reject &) {
-                          Resets_[Index] = Codec_.MakeReset_(*Packet);
+                          Reset = Codec_.MakeReset_(*Packet);
                           // Clients receive on the port number of the packet
                           // address.
                           SendBatch_.add({Packet->Flow_.Client_.address(),
                                           Address_.port()},
-                                         Resets_[Index]);
+                                         Reset);
                         },
-                        [](const Drop &) {}},
+                        [](const Drop &) {},
+                        [&](const Hold &) { Held_.hold(Datagram, Now); }},
              Action);
   Log_.recordDecision(*Packet, Action, Now);
 }
@@ -151,8 +171,7 @@
     deliver(Syn.Bytes_, Syn.Packet_, DatagramTag, *Delivery);
     Log_.recordDecision(Syn.Packet_, *Delivery, Now);
   }
-  if (const std::size_t Unsent = SendBatch_.flush(Socket_.descriptor()))
-    Log_.countUnsent(Unsent);
+  flush();
   armRetryTimer(Now);
 }
 
--- a/src/medlarmoor/edge/packet_loop.hpp
+++ b/src/medlarmoor/edge/packet_loop.hpp
@@ -4,6 +4,7 @@
 #include <medlarmoor/core/clock.hpp>
 #include <medlarmoor/edge/decision_log.hpp>
 #include <medlarmoor/edge/forwarder.hpp>
+#include <medlarmoor/edge/held_packets.hpp>
 #include <medlarmoor/edge/packet_codec.hpp>
 #include <medlarmoor/edge/readiness.hpp>
 #include <medlarmoor/net/packet_batch.hpp>
@@ -40,6 +41,9 @@
   [[nodiscard]] const std::string &lastReason() const noexcept {
     return Socket_.lastReason();
   }
+  /// Handles the packets that were held until the lists were loaded. To be
+  /// called when routes or upstreams have been loaded.
+  void handleHeld();
 
 private:
   /// A SYN that is sent to another upstream unless its handshake completes by
@@ -55,7 +59,11 @@
   void waitForPackets();
   /// Receives and handles one batch. Returns false if no packet was waiting.
   bool receiveBatch();
-  void handlePacket(std::size_t Index, Freshness Fresh, TimePoint Now);
+  /// Handles a packet with the headroom before it. Reset provides memory for
+  /// the answer until the batch is sent.
+  void handlePacket(std::span<std::byte> Datagram, PacketCodec::Reset &Reset,
+                    Freshness Fresh, TimePoint Now);
+  void flush();
   /// Adds a packet to the send batch. DatagramTag is the tag that Datagram
   /// holds now.
   void deliver(std::span<std::byte> Datagram, const affinity::Packet &Packet,
@@ -77,6 +85,7 @@
   boost::asio::posix::stream_descriptor Readable_;
   boost::asio::steady_timer RetryTimer_;
   bool RetryTimerArmed_ = false;
+  HeldPackets Held_;
   /// In ascending order of DueAt_.
   std::deque<PendingSyn> PendingSyns_;
   net::ReceiveBatch ReceiveBatch_;
--- a/test/edge/forwarder_test.cpp
+++ b/test/edge/forwarder_test.cpp
@@ -383,7 +383,7 @@
   CHECK(Edge.deliver(Data, at(610)) == "i-1");
 }
 
-TEST_CASE("packets are dropped until routes and upstreams have been loaded") {
+TEST_CASE("packets are held until routes and upstreams have been loaded") {
   discovery::Catalog Catalog{{}};
   routing::Router Router;
   Forwarder Unready(Catalog, Router,
@@ -391,7 +391,7 @@
                     {});
   Packet Syn = syn(1);
   const Decision Action = Unready.handle(Syn, Current, at(0));
-  CHECK(std::get<Drop>(Action).Reason_ == DropReason::NotReady);
+  CHECK(std::holds_alternative<Hold>(Action));
 }
 
 TEST_CASE(
