Count requests in progress as load, not open flows

Cause: a flow counted at its upstream from its SYN until its client ended it or its route's timeout passed. When a domain was cut off, all requests on the flows across the cut were lost. Slowness was measured by the length of flows, which says nothing about long ones.

Now a flow is a load from its SYN to the first acknowledged bytes of the answer of each request, slowness is the time between a request and those bytes, and idle flows only break ties.

--- a/src/medlarmoor/edge/forwarder.cpp
+++ b/src/medlarmoor/edge/forwarder.cpp
@@ -53,8 +53,8 @@
     Result.Overdue_.push_back(makeFailure(Key, Flow, Outcome::Overdue, Now));
   }
   for (const auto &[Key, Flow] : Flows.Silent_)
-    if (Flow.Open_)
-      recordFlowEnd(Key, Flow, Now);
+    if (Flow.RequestSent_ && Flow.receivedBytes() == 0)
+      recordServiceTime(Key, Flow, Now);
   Result.Silent_ = std::move(Flows.Silent_);
   Stats_.FailureRates_.expire(Now);
   Stats_.Ejector_.expire(Now);
@@ -182,7 +182,6 @@
     trackRequests(*Flow, Packet, Now, Delivery);
   if (Flow && EndsFlow) {
     if (Flow->Open_) {
-      recordFlowEnd(Packet.Flow_, *Flow, Now);
       Delivery.Reason_ = DeliverReason::Ended;
       Delivery.Elapsed_ = Now - Flow->OpenedAt_;
     }
@@ -205,6 +204,12 @@
   // The acknowledgement number of a reset is not meaningful.
   if (!Packet.Rst_)
     Flow.acknowledge(Packet.Acknowledged_);
+  // The first bytes of the answer show that the upstream has processed the
+  // request.
+  if (Flow.Busy_ && Flow.RequestSent_ && Flow.receivedBytes() > 0) {
+    Stats_.Flows_.setBusy(Flow, false);
+    recordServiceTime(Packet.Flow_, Flow, Now);
+  }
   if (Packet.Fin_ || Packet.Rst_)
     return completeRequest(Flow, Packet.Flow_, Now, Delivery);
   // Data that follows at least part of an answer begins the next request.
@@ -212,6 +217,7 @@
       (Flow.RequestSent_ && Flow.receivedBytes() == 0))
     return;
   completeRequest(Flow, Packet.Flow_, Now, Delivery);
+  Stats_.Flows_.setBusy(Flow, true);
   Flow.RequestSent_ = true;
   Flow.Overdue_ = false;
   Flow.RequestedAt_ = Now;
@@ -223,6 +229,8 @@
                                 TimePoint Now, Deliver &Delivery) {
   if (!Flow.RequestSent_)
     return;
+  if (Flow.receivedBytes() == 0)
+    recordServiceTime(Key, Flow, Now);
   const Outcome Result = Stats_.FailureRates_.recordRequest(
       Key.Virtual_, Flow.Upstream_, Flow.receivedBytes(), Now);
   if (Result != Outcome::Answered)
@@ -240,10 +248,10 @@
           Stats_.FailureRates_.excess(Flow.Upstream_, Now)};
 }
 
-void Forwarder::recordFlowEnd(const affinity::FlowKey &Key,
-                              const TrackedFlow &Flow, TimePoint Now) {
-  Stats_.ServiceTimes_.recordFlow(Key.Virtual_, Flow.Upstream_,
-                                  Now - Flow.OpenedAt_, Now);
+void Forwarder::recordServiceTime(const affinity::FlowKey &Key,
+                                  const TrackedFlow &Flow, TimePoint Now) {
+  Stats_.ServiceTimes_.recordRequest(Key.Virtual_, Flow.Upstream_,
+                                     Now - Flow.RequestedAt_, Now);
 }
 
 Millis Forwarder::requestTimeout(Endpoint Virtual) const noexcept {
--- a/src/medlarmoor/edge/forwarder.hpp
+++ b/src/medlarmoor/edge/forwarder.hpp
@@ -97,9 +97,9 @@
                                           const placement::TrackedFlow &Flow,
                                           placement::Outcome Result,
                                           TimePoint Now) const noexcept;
-  /// Records the duration of a flow that has ended.
-  void recordFlowEnd(const affinity::FlowKey &Key,
-                     const placement::TrackedFlow &Flow, TimePoint Now);
+  /// Records how long the upstream has taken to process the flow's request.
+  void recordServiceTime(const affinity::FlowKey &Key,
+                         const placement::TrackedFlow &Flow, TimePoint Now);
   [[nodiscard]] Millis requestTimeout(Endpoint Virtual) const noexcept;
   [[nodiscard]] Millis latencyObjective(Endpoint Virtual) const noexcept;
 
--- a/src/medlarmoor/placement/flow_tracker.cpp
+++ b/src/medlarmoor/placement/flow_tracker.cpp
@@ -20,7 +20,7 @@
                               TimePoint Now) {
   const auto [Slot, Inserted] = Flows_.try_emplace(Key);
   if (!Inserted)
-    release(Slot->second.Upstream_);
+    release(Slot->second);
   else
     Checks_.emplace_back(Now + CheckInterval, Key);
   TrackedFlow &Flow = Slot->second;
@@ -30,16 +30,24 @@
   Flow.PlacedAt_ = Now;
   Flow.ExpiresAt_ = Now + IdleTimeout;
   Flow.IdleTimeout_ = IdleTimeout;
-  ++Active_[Upstream];
+  count(Flow);
   return Flow;
 }
 
 void FlowTracker::move(TrackedFlow &Flow, affinity::Tag Upstream,
                        TimePoint Now) {
-  release(Flow.Upstream_);
+  release(Flow);
   Flow.Upstream_ = Upstream;
   Flow.PlacedAt_ = Now;
-  ++Active_[Upstream];
+  count(Flow);
+}
+
+void FlowTracker::setBusy(TrackedFlow &Flow, bool Busy) noexcept {
+  if (Flow.Busy_ == Busy)
+    return;
+  Flow.Busy_ = Busy;
+  std::uint32_t &Active = Counts_[Flow.Upstream_].Active_;
+  Active = Busy ? Active + 1 : Active - 1;
 }
 
 void FlowTracker::touch(TrackedFlow &Flow, TimePoint Now) noexcept {
@@ -50,7 +58,7 @@
   const auto Found = Flows_.find(Key);
   if (Found == Flows_.end())
     return;
-  release(Found->second.Upstream_);
+  release(Found->second);
   Flows_.erase(Found);
 }
 
@@ -78,14 +86,28 @@
 }
 
 std::uint32_t FlowTracker::active(affinity::Tag Upstream) const noexcept {
-  const auto Found = Active_.find(Upstream);
-  return Found == Active_.end() ? 0 : Found->second;
+  const auto Found = Counts_.find(Upstream);
+  return Found == Counts_.end() ? 0 : Found->second.Active_;
+}
+
+std::uint32_t FlowTracker::tracked(affinity::Tag Upstream) const noexcept {
+  const auto Found = Counts_.find(Upstream);
+  return Found == Counts_.end() ? 0 : Found->second.Tracked_;
+}
+
+void FlowTracker::count(const TrackedFlow &Flow) {
+  Counts &Upstream = Counts_[Flow.Upstream_];
+  ++Upstream.Tracked_;
+  Upstream.Active_ += Flow.Busy_ ? 1 : 0;
 }
 
-void FlowTracker::release(affinity::Tag Upstream) noexcept {
-  const auto Found = Active_.find(Upstream);
-  if (Found != Active_.end() && --Found->second == 0)
-    Active_.erase(Found);
+void FlowTracker::release(const TrackedFlow &Flow) noexcept {
+  const auto Found = Counts_.find(Flow.Upstream_);
+  if (Found == Counts_.end())
+    return;
+  Found->second.Active_ -= Flow.Busy_ ? 1 : 0;
+  if (--Found->second.Tracked_ == 0)
+    Counts_.erase(Found);
 }
 
 } // namespace medlarmoor::placement
--- a/src/medlarmoor/placement/flow_tracker.hpp
+++ b/src/medlarmoor/placement/flow_tracker.hpp
@@ -12,8 +12,9 @@
 
 namespace medlarmoor::placement {
 
-/// Tracks the active flows that this instance sees and counts them per
-/// upstream. The counts are needed to place new flows, not to forward packets.
+/// Tracks the flows that this instance sees and counts them per upstream. A
+/// flow is a load only while its handshake or a request is in progress. The
+/// counts are needed to place new flows, not to forward packets.
 class FlowTracker {
 public:
   /// Returns the flow, or null if it is not tracked. The pointer is valid until
@@ -24,6 +25,9 @@
   /// is replaced. The flow expires when no packet has arrived for IdleTimeout.
   TrackedFlow &add(const affinity::FlowKey &Key, affinity::Tag Upstream,
                    Millis IdleTimeout, TimePoint Now);
+  /// Records that a request of the flow has begun, or that the upstream has
+  /// processed it.
+  void setBusy(TrackedFlow &Flow, bool Busy) noexcept;
   /// Reassigns a tracked flow to another upstream.
   void move(TrackedFlow &Flow, affinity::Tag Upstream, TimePoint Now);
   /// Records a packet of the client, which restarts the idle timeout.
@@ -44,17 +48,26 @@
   /// reported once. To be called several times per second.
   Timeouts expire(TimePoint Now);
 
-  /// Returns the number of active flows at an upstream.
+  /// Returns the number of flows at an upstream whose handshake or request is
+  /// in progress.
   [[nodiscard]] std::uint32_t active(affinity::Tag Upstream) const noexcept;
-  /// Returns the number of active flows at all upstreams.
+  /// Returns the number of tracked flows at an upstream.
+  [[nodiscard]] std::uint32_t tracked(affinity::Tag Upstream) const noexcept;
+  /// Returns the number of tracked flows at all upstreams.
   [[nodiscard]] std::size_t size() const noexcept { return Flows_.size(); }
 
 private:
-  /// Decrements the number of active flows at an upstream.
-  void release(affinity::Tag Upstream) noexcept;
+  struct Counts {
+    std::uint32_t Tracked_ = 0;
+    std::uint32_t Active_ = 0;
+  };
+
+  /// Adds a flow to the counts of its upstream, or removes it.
+  void count(const TrackedFlow &Flow);
+  void release(const TrackedFlow &Flow) noexcept;
 
   std::unordered_map<affinity::FlowKey, TrackedFlow> Flows_;
-  std::unordered_map<affinity::Tag, std::uint32_t> Active_;
+  std::unordered_map<affinity::Tag, Counts> Counts_;
   /// Flows ordered by the time of their next check. A flow that is still
   /// tracked after its check is appended again.
   std::deque<std::pair<TimePoint, affinity::FlowKey>> Checks_;
--- a/src/medlarmoor/placement/selection_policy.hpp
+++ b/src/medlarmoor/placement/selection_policy.hpp
@@ -5,7 +5,8 @@
 
 namespace medlarmoor::placement {
 
-/// Selects the candidate with the lowest cost; ties are broken at random.
+/// Selects the candidate with the lowest cost. Ties are broken by the number of
+/// flows, then at random.
 struct LeastLoaded {};
 
 /// Selects the candidate with the lower cost of two drawn at random.
--- a/src/medlarmoor/placement/selector.cpp
+++ b/src/medlarmoor/placement/selector.cpp
@@ -90,11 +90,15 @@
 
 const CatalogEntry *Selector::lowestCost(const Inputs &In,
                                          const LeastLoaded &) {
+  // Idle flows only decide between upstreams of equal cost: their next requests
+  // come at any time.
+  using Rank = std::pair<double, std::uint32_t>;
   const CatalogEntry *Cheapest = nullptr;
-  double LowestCost = 0;
+  Rank LowestCost;
   std::uint64_t Ties = 0;
   for (const CatalogEntry *Candidate : Pool_) {
-    const double Cost = cost(*Candidate, In);
+    const Rank Cost{cost(*Candidate, In),
+                    In.Stats_.Flows_.tracked(Candidate->Tag_)};
     if (!Cheapest || Cost < LowestCost) {
       Cheapest = Candidate;
       LowestCost = Cost;
--- a/src/medlarmoor/placement/service_times.cpp
+++ b/src/medlarmoor/placement/service_times.cpp
@@ -7,22 +7,22 @@
 
 namespace {
 
-/// Weight of a new flow in a route's mean duration and in an upstream's ratio.
-/// The mean reflects the whole service, the ratio the last few flows.
+/// Weight of a new request in a route's mean duration and in an upstream's
+/// ratio. The mean reflects the whole service, the ratio the last few requests.
 constexpr double MeanWeight = 0.02;
 constexpr double RatioWeight = 0.2;
-/// Maximum ratio of a single flow, so that one long flow does not mark its
-/// upstream as slow.
+/// Maximum ratio of a single request, so that one long request does not mark
+/// its upstream as slow.
 constexpr double MaxRatio = 8.0;
 /// A ratio below this value may be due to chance and is ignored: durations vary
 /// by half of their mean.
 constexpr double SignificantRatio = 1.8;
-/// Time in which the excess of a ratio over 1 halves without new flows.
+/// Time in which the excess of a ratio over 1 halves without new requests.
 constexpr double HalfLifeSeconds = 3.0;
-/// Time after which the record of an upstream without flows is evicted; nothing
-/// remains of its excess by then.
+/// Time after which the record of an upstream without requests is evicted;
+/// nothing remains of its excess by then.
 constexpr Seconds UpstreamRetention{60};
-/// Time after which the record of a route without flows is evicted.
+/// Time after which the record of a route without requests is evicted.
 constexpr Seconds RouteRetention{600};
 
 double seconds(Nanos Duration) {
@@ -31,8 +31,8 @@
 
 } // namespace
 
-void ServiceTimes::recordFlow(Endpoint Virtual, affinity::Tag Upstream,
-                              Nanos Duration, TimePoint Now) {
+void ServiceTimes::recordRequest(Endpoint Virtual, affinity::Tag Upstream,
+                                 Nanos Duration, TimePoint Now) {
   const double DurationSeconds = std::max(seconds(Duration), 1e-6);
   MeanDuration &RouteMean =
       Means_.try_emplace(Virtual, MeanDuration{DurationSeconds, Now})
--- a/src/medlarmoor/placement/tracked_flow.hpp
+++ b/src/medlarmoor/placement/tracked_flow.hpp
@@ -8,7 +8,7 @@
 
 namespace medlarmoor::placement {
 
-/// A flow that counts as load on its upstream.
+/// A flow that this instance sees.
 struct TrackedFlow {
   affinity::Tag Upstream_;
   TimePoint FirstSeen_{};
@@ -25,6 +25,9 @@
   bool Open_ = false;
   /// True if the client has sent a request since the flow was opened.
   bool RequestSent_ = false;
+  /// True if the flow occupies its upstream: its handshake or a request is in
+  /// progress.
+  bool Busy_ = true;
   /// True if the answer to the current request has been reported as overdue.
   bool Overdue_ = false;
   /// Start of the current request, and the time at which its answer becomes
--- a/test/edge/forwarder_test.cpp
+++ b/test/edge/forwarder_test.cpp
@@ -5,6 +5,8 @@
 #include <catch2/catch.hpp>
 #include <rapidcheck.h>
 
+#include <map>
+
 using namespace medlarmoor;
 using namespace medlarmoor::edge;
 using namespace medlarmoor::harness;
@@ -282,6 +284,46 @@
   CHECK(Edge.Forwarder_.takeSuspects().empty());
 }
 
+TEST_CASE("long flows: idle flows do not drive new ones to another failure "
+          "domain") {
+  discovery::Upstream Remote = upstream("i-3");
+  Remote.Domain_ = DomainName("amerat");
+  Instance Edge({upstream("i-1"), upstream("i-2"), Remote});
+  std::map<std::string, int> Flows;
+  for (std::uint16_t Port = 1; Port <= 40; ++Port) {
+    const TimePoint Start = at(Port * 40);
+    Packet Syn = syn(Port);
+    ++Flows[Edge.deliver(Syn, Start)];
+    // Sixteen requests with pauses. The flow stays open and idle afterwards.
+    Packet Data = data(Port, Syn.Tag_);
+    for (int Request = 0; Request < 16; ++Request) {
+      Edge.deliver(Data, Start + Millis(2 * Request));
+      Data.Acknowledged_ += 4000;
+      Packet Acknowledgement = packet(Port);
+      Acknowledgement.Tag_ = Syn.Tag_;
+      Acknowledgement.Acknowledged_ = Data.Acknowledged_;
+      Edge.deliver(Acknowledgement, Start + Millis(2 * Request + 1));
+    }
+  }
+  CHECK(Flows["i-3"] == 0);
+  CHECK(Flows["i-1"] == 20);
+  CHECK(Edge.Forwarder_.flows().active(tag("i-1")) == 0);
+  CHECK(Edge.Forwarder_.flows().tracked(tag("i-1")) == 20);
+}
+
+TEST_CASE("long flows: requests in progress are a load") {
+  discovery::Upstream Remote = upstream("i-2");
+  Remote.Domain_ = DomainName("amerat");
+  Instance Edge({upstream("i-1"), Remote});
+  for (std::uint16_t Port = 1; Port <= 3; ++Port) {
+    Packet Syn = syn(Port);
+    Edge.deliver(Syn, at(Port));
+    Packet Data = data(Port, Syn.Tag_);
+    Edge.deliver(Data, at(10 + Port));
+  }
+  CHECK(Edge.Forwarder_.flows().active(tag("i-2")) > 0);
+}
+
 TEST_CASE("consecutive requests on one flow are classified one by one") {
   Instance Edge({upstream("i-1")});
   Packet Syn = syn(1);
--- a/test/placement/flow_tracker_test.cpp
+++ b/test/placement/flow_tracker_test.cpp
@@ -30,6 +30,27 @@
   CHECK(Flows.size() == 1);
 }
 
+TEST_CASE("long flows: a flow is a load only while a request is in progress") {
+  FlowTracker Flows;
+  TrackedFlow &Flow = Flows.add(key(1), A, Millis(1000), at(0));
+  CHECK(Flows.active(A) == 1);
+  for (int Request = 0; Request < 16; ++Request) {
+    Flows.setBusy(Flow, false);
+    Flows.setBusy(Flow, false);
+    CHECK(Flows.active(A) == 0);
+    CHECK(Flows.tracked(A) == 1);
+    Flows.setBusy(Flow, true);
+    CHECK(Flows.active(A) == 1);
+  }
+  Flows.setBusy(Flow, false);
+  Flows.move(Flow, B, at(100));
+  CHECK(Flows.tracked(A) == 0);
+  CHECK(Flows.tracked(B) == 1);
+  CHECK(Flows.active(B) == 0);
+  Flows.erase(key(1));
+  CHECK(Flows.tracked(B) == 0);
+}
+
 TEST_CASE("a moved flow counts at its new upstream only") {
   FlowTracker Flows;
   Flows.move(Flows.add(key(1), A, Millis(1000), at(0)), B, at(200));
--- a/test/placement/selector_test.cpp
+++ b/test/placement/selector_test.cpp
@@ -119,12 +119,12 @@
 TEST_CASE("slow upstream: it receives as many flows as it can finish in time") {
   SelectorFixture Setup({upstream("i-1"), upstream("i-2")});
   for (int I = 0; I < 20; ++I) {
-    Setup.Stats_.ServiceTimes_.recordFlow({Ipv4(2), 443},
-                                          affinity::tagOf(UpstreamName("i-1")),
-                                          Millis(30), at(I));
-    Setup.Stats_.ServiceTimes_.recordFlow({Ipv4(2), 443},
-                                          affinity::tagOf(UpstreamName("i-2")),
-                                          Millis(150), at(I));
+    Setup.Stats_.ServiceTimes_.recordRequest(
+        {Ipv4(2), 443}, affinity::tagOf(UpstreamName("i-1")), Millis(30),
+        at(I));
+    Setup.Stats_.ServiceTimes_.recordRequest(
+        {Ipv4(2), 443}, affinity::tagOf(UpstreamName("i-2")), Millis(150),
+        at(I));
   }
   std::map<std::string, int> Placed;
   for (int I = 0; I < 10; ++I)
--- a/test/placement/service_times_test.cpp
+++ b/test/placement/service_times_test.cpp
@@ -22,10 +22,10 @@
 TEST_CASE("slow upstream: a fifth of the speed is detected after a few flows") {
   ServiceTimes Times;
   for (int I = 0; I < 40; ++I)
-    Times.recordFlow(FirstRoute, Healthy, Millis(30), at(I));
+    Times.recordRequest(FirstRoute, Healthy, Millis(30), at(I));
   CHECK(Times.slowness(Slow, at(40)) == 1.0);
   for (int I = 0; I < 4; ++I)
-    Times.recordFlow(FirstRoute, Slow, Millis(150), at(40 + I));
+    Times.recordRequest(FirstRoute, Slow, Millis(150), at(40 + I));
   CHECK(Times.slowness(Slow, at(45)) > 2.0);
   CHECK(Times.slowness(Healthy, at(45)) == 1.0);
 }
@@ -33,9 +33,9 @@
 TEST_CASE("slow upstream: a recovered one is tried again") {
   ServiceTimes Times;
   for (int I = 0; I < 40; ++I)
-    Times.recordFlow(FirstRoute, Healthy, Millis(30), at(I));
+    Times.recordRequest(FirstRoute, Healthy, Millis(30), at(I));
   for (int I = 0; I < 10; ++I)
-    Times.recordFlow(FirstRoute, Slow, Millis(150), at(50));
+    Times.recordRequest(FirstRoute, Slow, Millis(150), at(50));
   CHECK(Times.slowness(Slow, at(60)) > 3.0);
   CHECK(Times.slowness(Slow, at(15'000)) == 1.0);
 }
@@ -43,8 +43,8 @@
 TEST_CASE("routes with long flows do not make their upstreams look slow") {
   ServiceTimes Times;
   for (int I = 0; I < 100; ++I) {
-    Times.recordFlow(FirstRoute, Healthy, Millis(30), at(I));
-    Times.recordFlow(SecondRoute, Slow, Millis(400), at(I));
+    Times.recordRequest(FirstRoute, Healthy, Millis(30), at(I));
+    Times.recordRequest(SecondRoute, Slow, Millis(400), at(I));
   }
   CHECK(Times.slowness(Slow, at(100)) == 1.0);
 }
@@ -59,9 +59,9 @@
   constexpr int Flows = 5000;
   for (int I = 0; I < Flows; ++I) {
     const affinity::Tag Upstream(1 + static_cast<std::uint32_t>(I % 14));
-    Times.recordFlow(FirstRoute, Upstream,
-                     Micros(static_cast<int>(DurationMs(Source) * 1000)),
-                     at(I * 3));
+    Times.recordRequest(FirstRoute, Upstream,
+                        Micros(static_cast<int>(DurationMs(Source) * 1000)),
+                        at(I * 3));
     LookedSlow += Times.slowness(Upstream, at(I * 3)) > 1.0 ? 1 : 0;
   }
   CHECK(LookedSlow < Flows / 100);
@@ -70,8 +70,8 @@
 TEST_CASE("records of upstreams that left are evicted, those in use are kept") {
   ServiceTimes Times;
   for (std::uint32_t Upstream = 10; Upstream < 1010; ++Upstream)
-    Times.recordFlow(FirstRoute, affinity::Tag(Upstream), Millis(30), at(0));
-  Times.recordFlow(FirstRoute, Healthy, Millis(30), at(100'000));
+    Times.recordRequest(FirstRoute, affinity::Tag(Upstream), Millis(30), at(0));
+  Times.recordRequest(FirstRoute, Healthy, Millis(30), at(100'000));
   Times.expire(at(100'001));
   CHECK(Times.size() == 1);
 }
