--- a/src/medlarmoor/edge/snapshot_codec.cpp
+++ b/src/medlarmoor/edge/snapshot_codec.cpp
@@ -15,6 +15,16 @@
 using routing::RouteChanges;
 using routing::WeightedService;
 
+/// Longer durations would overflow the clock.
+constexpr Millis MaxDuration = std::chrono::hours(24);
+
+/// Thrown when a value cannot be used.
+struct Malformed {};
+
+Millis readDuration(const Json &Source) {
+  return std::clamp(Millis(Source.get<std::int64_t>()), Millis(0), MaxDuration);
+}
+
 Json pack(Endpoint Address) {
   return Json::array({Address.address().value(), Address.port()});
 }
@@ -40,8 +50,10 @@
   Parsed.Address_ = readEndpoint(Source.at(3));
   Parsed.Identity_ = Source.at(4).get<std::uint64_t>();
   Parsed.Slots_ = Source.at(5).get<std::uint32_t>();
+  if (Parsed.Slots_ == 0)
+    throw Malformed();
   Parsed.Draining_ = Source.at(6).get<bool>();
-  Parsed.WarmUp_ = Millis(Source.at(7).get<std::int64_t>());
+  Parsed.WarmUp_ = readDuration(Source.at(7));
   Parsed.StartedAt_ = WallTime(Millis(Source.at(8).get<std::int64_t>()));
   Parsed.CreatedRevision_ = Source.at(9).get<std::uint64_t>();
   return Parsed;
@@ -64,10 +76,12 @@
   for (const Json &Share : Source.at(2))
     Parsed.Services_.push_back({ServiceName(Share.at(0).get<std::string>()),
                                 Share.at(1).get<std::uint32_t>()});
+  if (Parsed.Services_.empty())
+    throw Malformed();
   Parsed.Kind_ =
       static_cast<routing::RequestKind>(Source.at(3).get<unsigned>());
-  Parsed.Timeout_ = Millis(Source.at(4).get<std::int64_t>());
-  Parsed.LatencyObjective_ = Millis(Source.at(5).get<std::int64_t>());
+  Parsed.Timeout_ = readDuration(Source.at(4));
+  Parsed.LatencyObjective_ = readDuration(Source.at(5));
   Parsed.Priority_ = Source.at(6).get<unsigned>();
   return Parsed;
 }
@@ -82,8 +96,7 @@
 peers::CollectionState readState(const Json &Source) {
   return {Source.at("upto").get<std::uint64_t>(),
           Source.at("changed").get<std::uint64_t>(),
-          std::max(Millis(0), Millis(Source.at("age_ms").get<std::int64_t>())),
-          readEndpoint(Source.at("reader"))};
+          readDuration(Source.at("age_ms")), readEndpoint(Source.at("reader"))};
 }
 
 UpstreamChanges readUpstreams(const Json &Source) {
@@ -100,7 +113,7 @@
   RouteChanges Parsed;
   Parsed.IsFullSnapshot_ = Source.at("whole").get<bool>();
   Parsed.Version_ = ConfigVersion(Source.at("version").get<std::uint64_t>());
-  Parsed.IdleTimeout_ = Millis(Source.at("idle_ms").get<std::int64_t>());
+  Parsed.IdleTimeout_ = readDuration(Source.at("idle_ms"));
   for (const Json &Entry : Source.at("routes"))
     Parsed.Routes_.push_back(readRoute(Entry));
   for (const Json &Address : Source.at("removed"))
@@ -118,6 +131,8 @@
   } catch (const Json::exception &) {
     // Not a snapshot; the caller logs which peer sent it.
     return std::nullopt;
+  } catch (const Malformed &) {
+    return std::nullopt;
   }
 }
 
