Hold SYNs after a pause until the upstreams have been read again

A process that was paused for seconds placed the SYNs that it found in its socket by a list from before the pause; an upstream that had left meanwhile got them. At the exit after a planned stop, packets that wait in the socket are delivered first.

--- a/src/medlarmoor/edge/decision.hpp
+++ b/src/medlarmoor/edge/decision.hpp
@@ -81,7 +81,7 @@
 };
 
 /// The packet is to be handled again once the routes and the upstreams have
-/// been loaded.
+/// been loaded, or read again after a pause.
 struct Hold {};
 
 using Decision = std::variant<Deliver, Reject, Drop, Hold>;
--- a/src/medlarmoor/edge/edge_server.cpp
+++ b/src/medlarmoor/edge/edge_server.cpp
@@ -5,6 +5,7 @@
 #include <medlarmoor/edge/decision_log.hpp>
 #include <medlarmoor/edge/forwarder.hpp>
 #include <medlarmoor/edge/packet_loop.hpp>
+#include <medlarmoor/edge/pause_detector.hpp>
 #include <medlarmoor/edge/peer_sync.hpp>
 #include <medlarmoor/edge/readiness.hpp>
 #include <medlarmoor/edge/store_timing.hpp>
@@ -79,6 +80,7 @@
   routing::Router Router_;
   Forwarder Forwarder_;
   Readiness Readiness_;
+  PauseDetector Pauses_;
   UpstreamReader UpstreamReader_;
   RouteReader RouteReader_;
   PeerSync PeerSync_;
@@ -110,7 +112,10 @@
           seededRandom(), Time_,
           {[this](auto Items) { handleUpstreamItems(std::move(Items), true); },
            [this](auto Items) { handleUpstreamItems(std::move(Items), false); },
-           [this] { PeerSync_.spread(); },
+           [this] {
+             PeerSync_.spread();
+             PacketLoop_.handleHeld();
+           },
            [this] { PeerSync_.storeRecovered(Time_.now()); }},
           Metrics_, Log_),
       RouteReader_("routes", Io_, Settings_.Store_, Settings_.Address_,
@@ -119,7 +124,10 @@
                    Time_,
                    {[this](auto Items) { handleRouteItems(std::move(Items)); },
                     [this](auto Items) { handleRouteItems(std::move(Items)); },
-                    [this] { PeerSync_.spread(); },
+                    [this] {
+                      PeerSync_.spread();
+                      PacketLoop_.handleHeld();
+                    },
                     [this] { PeerSync_.storeRecovered(Time_.now()); }},
                    Metrics_, Log_),
       PeerSync_(Io_, Settings_, freshnessTiming(Settings_.maxStaleness()),
@@ -154,6 +162,7 @@
           Io_, Settings_.Packets_, Packets, Forwarder_, Readiness_,
           DecisionLog_,
           [this] {
+            Pauses_.recordActivity(Time_.now());
             PeerSync_.poll();
             return freshness();
           },
@@ -280,11 +289,13 @@
            Now - *Follower.currentAsOf() < Settings_.maxStaleness();
   };
   return {IsRecent(RouteReader_.follower()),
-          IsRecent(UpstreamReader_.follower())};
+          IsRecent(UpstreamReader_.follower()), Pauses_.resuming(Now)};
 }
 
 void EdgeServer::Impl::tick() {
   const TimePoint Now = Time_.now();
+  Pauses_.recordActivity(Now);
+  PacketLoop_.handleHeld();
   const Forwarder::Expired Expired = Forwarder_.expire(Now);
   for (const auto &[Key, Flow] : Expired.Silent_)
     DecisionLog_.recordSilentFlow(Key, Flow, Now);
@@ -295,6 +306,7 @@
   checkSettingsFile(Now);
   telemetry::EventLog::flush();
   if (Readiness_.mayExit(Now)) {
+    PacketLoop_.drain();
     Log_.info("stopped", {{"flows", Forwarder_.flows().size()}});
     telemetry::EventLog::flush();
     return Io_.stop();
--- a/src/medlarmoor/edge/forwarder.cpp
+++ b/src/medlarmoor/edge/forwarder.cpp
@@ -75,6 +75,9 @@
     Delivery.Reason_ = DeliverReason::Repeated;
     return Delivery;
   }
+  // An upstream may have left during the pause.
+  if (Fresh.Resuming_ && !Fresh.UpstreamsCurrent_)
+    return Hold{};
   const routing::Route *Route = Routes_.find(Packet.Flow_.Virtual_);
   if (Route) {
     place(Packet, *Route, Flow, Previous, Now, Delivery);
--- a/src/medlarmoor/edge/freshness.hpp
+++ b/src/medlarmoor/edge/freshness.hpp
@@ -8,6 +8,9 @@
 struct Freshness {
   bool RoutesCurrent_ = false;
   bool UpstreamsCurrent_ = false;
+  /// The process has just been paused, so that recent upstreams are about to be
+  /// read.
+  bool Resuming_ = false;
 };
 
 } // namespace medlarmoor::edge
--- a/src/medlarmoor/edge/fwd.hpp
+++ b/src/medlarmoor/edge/fwd.hpp
@@ -6,6 +6,7 @@
 class EdgeServer;
 class Forwarder;
 class HeldPackets;
+class PauseDetector;
 class Readiness;
 struct Freshness;
 struct PacketCodec;
--- a/src/medlarmoor/edge/packet_loop.cpp
+++ b/src/medlarmoor/edge/packet_loop.cpp
@@ -79,6 +79,11 @@
   armRetryTimer(Now);
 }
 
+void PacketLoop::drain() {
+  while (receiveBatch())
+    ;
+}
+
 void PacketLoop::flush() {
   if (const std::size_t Unsent = SendBatch_.flush(Socket_.descriptor()))
     Log_.countUnsent(Unsent);
@@ -149,8 +154,7 @@
 
 void PacketLoop::retryDueSyns() {
   // Packets that wait in the socket may complete handshakes that are due.
-  while (receiveBatch())
-    ;
+  drain();
   const TimePoint Now = Time_.now();
   // Owns the bytes until the batch is flushed.
   std::vector<PendingSyn> Due;
--- a/src/medlarmoor/edge/packet_loop.hpp
+++ b/src/medlarmoor/edge/packet_loop.hpp
@@ -42,8 +42,10 @@
     return Socket_.lastReason();
   }
   /// Handles the packets that were held until the lists were loaded. To be
-  /// called when routes or upstreams have been loaded.
+  /// called when routes or upstreams have been loaded or found unchanged.
   void handleHeld();
+  /// Handles all packets that have arrived. To be called before the exit.
+  void drain();
 
 private:
   /// A SYN that is sent to another upstream unless its handshake completes by
--- a/src/medlarmoor/objects/follower.cpp
+++ b/src/medlarmoor/objects/follower.cpp
@@ -65,7 +65,9 @@
   if (HasChanges)
     LastChange_ = Revision;
   CurrentAsOf_ = std::max(CurrentAsOf_.value_or(Sent), Sent);
-  LearnedAt_ = Now;
+  // After a pause of this process, the next watch must not wait.
+  const bool Delayed = Now - Sent > Timing_.WatchWait_ + Timing_.CallTimeout_;
+  LearnedAt_ = Delayed ? Sent : Now;
   return true;
 }
 
