Survive CBOR arrays that claim more elements than memory holds

The exception left the handler of the gossip socket and ended the process: nine bytes in one datagram stopped medlarmoor-edge. Update::decode of medlarmoord had the same call; wire::decode checks the nesting first and refuses it there.

--- a/src/medlarmoor/flow/update.cpp
+++ b/src/medlarmoor/flow/update.cpp
@@ -189,11 +189,14 @@
 
 std::optional<Update> Update::decode(std::span<const std::byte> Cbor) {
   const auto *First = reinterpret_cast<const std::uint8_t *>(Cbor.data());
-  const Json Fields = Json::from_cbor(First, First + Cbor.size(), true, false);
-  if (!Fields.is_object())
-    return std::nullopt;
   Update Decoded;
   try {
+    // Throws for an array size that exceeds the memory even if exceptions are
+    // disabled.
+    const Json Fields =
+        Json::from_cbor(First, First + Cbor.size(), true, false);
+    if (!Fields.is_object())
+      return std::nullopt;
     decodeControl(Fields, Decoded);
     if (!decodeFlows(Fields, Decoded))
       return std::nullopt;
--- a/src/medlarmoor/peers/announcement_codec.cpp
+++ b/src/medlarmoor/peers/announcement_codec.cpp
@@ -99,11 +99,14 @@
 
 std::optional<Announcement> decode(std::span<const std::byte> Bytes) {
   const auto *First = reinterpret_cast<const std::uint8_t *>(Bytes.data());
-  const Json Source = Json::from_cbor(First, First + Bytes.size(), true, false);
-  if (!Source.is_array() || Source.size() < FieldCount ||
-      Source[0] != LayoutVersion)
-    return std::nullopt;
   try {
+    // Throws for an array size that exceeds the memory even if exceptions are
+    // disabled.
+    const Json Source =
+        Json::from_cbor(First, First + Bytes.size(), true, false);
+    if (!Source.is_array() || Source.size() < FieldCount ||
+        Source[0] != LayoutVersion)
+      return std::nullopt;
     return read(Source);
   } catch (const Json::exception &) {
     // The datagram is not an announcement; the caller counts it.
--- a/test/edge/hostile_peer_test.cpp
+++ b/test/edge/hostile_peer_test.cpp
@@ -124,6 +124,15 @@
   }));
 }
 
+TEST_CASE("hostile peer: an array size that exceeds the memory is refused") {
+  // A CBOR array that claims 2^62 elements.
+  const std::vector<std::byte> Bytes{
+      std::byte{0x9b}, std::byte{0x40}, std::byte{0},
+      std::byte{0},    std::byte{0},    std::byte{0},
+      std::byte{0},    std::byte{0},    std::byte{0}};
+  CHECK_FALSE(peers::decode(Bytes));
+}
+
 TEST_CASE("hostile peer: a deeply nested datagram is refused") {
   const std::vector<std::byte> Nested(4096, std::byte{0x81});
   CHECK_FALSE(peers::decode(Nested));
