Reset repeatable requests on flows to upstreams that are silent

Cause: when upstreams crash without notice or are cut off, each request on a long flow to them waits until its deadline: clients repeat its data 200, 600 and 1,400 ms later on the same flow.

An upstream answers a handshake in under a millisecond also under load. It now counts as silent once three handshakes at it were unanswered within 1.5 s, seen by this instance or reported by peers (at most two each), or two within 5 s and a client of this instance has repeated a request; never if it has answered this instance within 250 ms, or if no upstream has answered it within 300 ms. Then data of safe and download requests on its flows is answered with a reset, so that the client asks another upstream at once; new flows avoid it. Flows that may carry unsafe requests are never reset.

--- a/src/medlarmoor/edge/decision.hpp
+++ b/src/medlarmoor/edge/decision.hpp
@@ -28,12 +28,15 @@
   Moved,
 };
 
-/// Why a SYN is answered with a reset.
+/// Why a packet is answered with a reset.
 enum class RejectReason : unsigned char {
-  /// No route matches its destination address.
+  /// SYN: no route matches its destination address.
   NoRoute,
-  /// Its service has no upstream.
+  /// SYN: its service has no upstream.
   NoUpstream,
+  /// The upstream of its flow is silent. The request can be repeated, so that
+  /// its client asks again at once instead of waiting until its deadline.
+  UpstreamSilent,
 };
 
 /// Why a packet is dropped without an answer.
--- a/src/medlarmoor/edge/edge_server.cpp
+++ b/src/medlarmoor/edge/edge_server.cpp
@@ -56,6 +56,7 @@
 
   void handleUpstreamItems(UpstreamReader::Items Items, bool Complete);
   void handleRouteItems(RouteReader::Items Items);
+  void handleReports(const placement::UpstreamReports &Reports, Endpoint Peer);
   void applyUpstreams(discovery::UpstreamChanges Changes);
   void logListed(const discovery::Upstream &Upstream);
   void mergeRoutes(const routing::RouteChanges &Changes);
@@ -143,11 +144,9 @@
                  [this](TimePoint RecoveredAt) {
                    Catalog_.storeRecovered(RecoveredAt);
                  },
-                 [this] { return Forwarder_.takeSuspects(); },
-                 [this](const placement::Suspect &Suspect, Endpoint Peer) {
-                   const TimePoint Now = Time_.now();
-                   if (Forwarder_.recordPeerSuspect(Suspect, Now))
-                     DecisionLog_.recordSuspect(Suspect.Upstream_, Peer, Now);
+                 [this] { return Forwarder_.takeReports(); },
+                 [this](const auto &Reports, Endpoint Peer) {
+                   handleReports(Reports, Peer);
                  }},
                 seededRandom(), Time_, Metrics_, Log_),
       DecisionLog_(
@@ -251,6 +250,16 @@
              {"revision", UpstreamReader_.follower().revision()}});
 }
 
+void EdgeServer::Impl::handleReports(const placement::UpstreamReports &Reports,
+                                     Endpoint Peer) {
+  const TimePoint Now = Time_.now();
+  for (const placement::Suspect &Suspect : Reports.Suspects_)
+    if (Forwarder_.recordPeerSuspect(Suspect, Now))
+      DecisionLog_.recordSuspect(Suspect.Upstream_, Peer, Now);
+  for (const affinity::Tag Upstream : Reports.Unanswered_)
+    Forwarder_.recordPeerTimeout(Upstream, Peer, Now);
+}
+
 void EdgeServer::Impl::handleRouteItems(RouteReader::Items Items) {
   for (auto &Item : Items) {
     if (!Item.Value_) {
--- a/src/medlarmoor/edge/forwarder.cpp
+++ b/src/medlarmoor/edge/forwarder.cpp
@@ -26,6 +26,8 @@
 constexpr double SynRetryDelayFactor = 8.0;
 constexpr Millis MinSynRetryDelay{30};
 constexpr Millis MaxSynRetryDelay{120};
+/// Clients repeat data that is not acknowledged after 200 ms.
+constexpr Millis MinRepeatDelay{150};
 /// Request timeout of a flow whose route is unknown or has no timeout.
 constexpr Millis DefaultRequestTimeout{3000};
 
@@ -58,6 +60,7 @@
   Result.Silent_ = std::move(Flows.Silent_);
   Stats_.FailureRates_.expire(Now);
   Stats_.Ejector_.expire(Now);
+  Stats_.Silence_.expire(Now);
   Stats_.ServiceTimes_.expire(Now);
   Catalog_.expire(Now);
   return Result;
@@ -110,6 +113,12 @@
          Stats_.FailureRates_.recordReport(Reported, Now);
 }
 
+void Forwarder::recordPeerTimeout(affinity::Tag Upstream, Endpoint Peer,
+                                  TimePoint Now) {
+  if (Catalog_.find(Upstream))
+    Stats_.Silence_.recordReport(Upstream, Peer, Now);
+}
+
 Millis Forwarder::synRetryDelay() const noexcept {
   const Millis Delay(
       static_cast<std::int64_t>(MeanHandshakeMs_ * SynRetryDelayFactor));
@@ -120,6 +129,7 @@
                       TrackedFlow *Flow, const CatalogEntry *Previous,
                       TimePoint Now, Deliver &Delivery) {
   if (Flow) {
+    Stats_.Silence_.recordTimeout(Flow->Upstream_, Now);
     Delivery.Previous_ = Flow->Upstream_;
     Delivery.EjectedFor_ =
         Stats_.Ejector_.handshakeTimedOut(Flow->Upstream_, Now);
@@ -152,6 +162,10 @@
       Catalog_.find(Flow && Flow->Open_ ? Flow->Upstream_ : Packet.Tag_);
   if (!Delivery.Upstream_)
     return Drop{DropReason::UnknownTag};
+  if (isLostRequest(Packet, *Delivery.Upstream_, Now)) {
+    Stats_.Flows_.erase(Packet.Flow_);
+    return Reject{RejectReason::UpstreamSilent};
+  }
   updateFlow(Flow, Packet, Now, Delivery);
   // Both ends echo the tag they last received, so both converge on this one.
   Packet.Tag_ = Delivery.Upstream_->Tag_;
@@ -176,6 +190,7 @@
   Delivery.Reason_ = DeliverReason::Opened;
   Delivery.Elapsed_ = Now - Flow.FirstSeen_;
   Delivery.Restored_ = Stats_.Ejector_.handshakeCompleted(Packet.Tag_);
+  Stats_.Silence_.recordResponse(Packet.Tag_, Now);
 }
 
 void Forwarder::updateFlow(TrackedFlow *Flow, const affinity::Packet &Packet,
@@ -205,8 +220,8 @@
 void Forwarder::trackRequests(TrackedFlow &Flow, const affinity::Packet &Packet,
                               TimePoint Now, Deliver &Delivery) {
   // The acknowledgement number of a reset is not meaningful.
-  if (!Packet.Rst_)
-    Flow.acknowledge(Packet.Acknowledged_);
+  if (!Packet.Rst_ && Flow.acknowledge(Packet.Acknowledged_))
+    Stats_.Silence_.recordResponse(Flow.Upstream_, Now);
   // The first bytes of the answer show that the upstream has processed the
   // request.
   if (Flow.Busy_ && Flow.RequestSent_ && Flow.receivedBytes() > 0) {
@@ -215,10 +230,15 @@
   }
   if (Packet.Fin_ || Packet.Rst_)
     return completeRequest(Flow, Packet.Flow_, Now, Delivery);
+  if (Packet.PayloadBytes_ == 0)
+    return;
   // Data that follows at least part of an answer begins the next request.
-  if (Packet.PayloadBytes_ == 0 ||
-      (Flow.RequestSent_ && Flow.receivedBytes() == 0))
+  if (Flow.RequestSent_ && Flow.receivedBytes() == 0) {
+    // A client sends a request at once; later data repeats it.
+    if (Now - Flow.RequestedAt_ >= MinRepeatDelay)
+      Stats_.Silence_.recordRepeatedRequest(Flow.Upstream_, Now);
     return;
+  }
   completeRequest(Flow, Packet.Flow_, Now, Delivery);
   Stats_.Flows_.setBusy(Flow, true);
   Flow.RequestSent_ = true;
@@ -257,6 +277,18 @@
                                      Now - Flow.RequestedAt_, Now);
 }
 
+bool Forwarder::isLostRequest(const affinity::Packet &Packet,
+                              const CatalogEntry &Upstream,
+                              TimePoint Now) const noexcept {
+  const bool HasLeft = Upstream.State_ == CatalogEntry::State::Retired;
+  if (Packet.PayloadBytes_ == 0 ||
+      !(HasLeft ? Stats_.Silence_.lost(Upstream.Tag_, Now)
+                : Stats_.Silence_.silent(Upstream.Tag_, Now)))
+    return false;
+  const routing::Route *Route = Routes_.find(Packet.Flow_.Virtual_);
+  return Route && Route->Kind_ != routing::RequestKind::Unsafe;
+}
+
 Millis Forwarder::requestTimeout(Endpoint Virtual) const noexcept {
   const routing::Route *Route = Routes_.find(Virtual);
   return Route && Route->Timeout_ > Millis(0) ? Route->Timeout_
--- a/src/medlarmoor/edge/forwarder.hpp
+++ b/src/medlarmoor/edge/forwarder.hpp
@@ -6,6 +6,7 @@
 #include <medlarmoor/edge/decision.hpp>
 #include <medlarmoor/edge/freshness.hpp>
 #include <medlarmoor/placement/selector.hpp>
+#include <medlarmoor/placement/upstream_reports.hpp>
 #include <medlarmoor/placement/upstream_stats.hpp>
 #include <medlarmoor/routing/router.hpp>
 
@@ -39,14 +40,15 @@
   /// Returns how long an upstream may take to answer a SYN before the SYN is
   /// sent to another one.
   [[nodiscard]] Millis synRetryDelay() const noexcept;
-  /// Returns the failing upstreams to report to peers and clears the list; see
-  /// FailureRates::takeSuspects().
-  std::vector<placement::Suspect> takeSuspects() {
-    return Stats_.FailureRates_.takeSuspects();
+  /// Returns what to report to peers and clears it.
+  placement::UpstreamReports takeReports() {
+    return {Stats_.FailureRates_.takeSuspects(), Stats_.Silence_.takeReports()};
   }
   /// Records that a peer saw a request fail. Returns true if this instance
   /// avoids the upstream from now on.
   bool recordPeerSuspect(const placement::Suspect &Reported, TimePoint Now);
+  /// Records that a peer has seen an upstream leave a handshake unanswered.
+  void recordPeerTimeout(affinity::Tag Upstream, Endpoint Peer, TimePoint Now);
 
   struct Expired {
     /// Flows whose clients sent nothing within the flow's timeout.
@@ -100,6 +102,11 @@
   /// Records how long the upstream has taken to process the flow's request.
   void recordServiceTime(const affinity::FlowKey &Key,
                          const placement::TrackedFlow &Flow, TimePoint Now);
+  /// Returns true if Packet carries data of a request that its client may
+  /// repeat, and its upstream is silent.
+  [[nodiscard]] bool isLostRequest(const affinity::Packet &Packet,
+                                   const discovery::CatalogEntry &Upstream,
+                                   TimePoint Now) const noexcept;
   [[nodiscard]] Millis requestTimeout(Endpoint Virtual) const noexcept;
   [[nodiscard]] Millis latencyObjective(Endpoint Virtual) const noexcept;
 
--- a/src/medlarmoor/edge/peer_sync.cpp
+++ b/src/medlarmoor/edge/peer_sync.cpp
@@ -75,13 +75,13 @@
                                      Apply);
               }}},
       OnStoreRecovered_(std::move(Owner.OnStoreRecovered_)),
-      TakeSuspects_(std::move(Owner.TakeSuspects_)),
-      ReportSuspect_(std::move(Owner.ReportSuspect_)), Readable_(Io),
-      TickTimer_(Io), Listener_(Io, Settings.Peers_,
-                                [this](const net::HttpRequest &Request,
-                                       const net::HttpReply &Reply) {
-                                  Reply(serveSnapshot(Request));
-                                }),
+      TakeReports_(std::move(Owner.TakeReports_)),
+      OnReports_(std::move(Owner.OnReports_)), Readable_(Io), TickTimer_(Io),
+      Listener_(
+          Io, Settings.Peers_,
+          [this](const net::HttpRequest &Request, const net::HttpReply &Reply) {
+            Reply(serveSnapshot(Request));
+          }),
       HttpClient_(Io, Settings.Address_),
       Sent_(Metrics.counter("medlarmoor_peer_datagrams_total",
                             "direction=\"sent\"")),
@@ -157,7 +157,7 @@
 void PeerSync::tick() {
   receiveDatagrams();
   const TimePoint Now = Time_.now();
-  perform(SharedReading_.tick(TakeSuspects_(), Now));
+  perform(SharedReading_.tick(TakeReports_(), Now));
   MembersGauge_.set(static_cast<std::int64_t>(SharedReading_.members()));
   updateReaderRole(Now);
   TickTimer_.expires_after(TickInterval);
@@ -204,8 +204,8 @@
   while (const auto Datagram = Socket_.receive(Buffer)) {
     Received_.add();
     if (const auto Message = peers::decode(Datagram->Bytes_)) {
-      for (const placement::Suspect &Suspect : Message->Suspects_)
-        ReportSuspect_(Suspect, Message->From_);
+      if (!Message->Reports_.empty())
+        OnReports_(Message->Reports_, Message->From_);
       perform(SharedReading_.receive(*Message, ArrivedAfter, Now));
     } else {
       Malformed_.add();
--- a/src/medlarmoor/edge/peer_sync.hpp
+++ b/src/medlarmoor/edge/peer_sync.hpp
@@ -45,12 +45,11 @@
     /// Called when the store has recovered from an outage, with the time of the
     /// recovery.
     std::function<void(TimePoint)> OnStoreRecovered_;
-    /// Returns the upstreams at which this instance's requests have begun to
-    /// fail since the last call.
-    std::function<std::vector<placement::Suspect>()> TakeSuspects_;
-    /// Called when a peer, given by its gossip endpoint, reports an upstream at
-    /// which its requests have begun to fail.
-    std::function<void(const placement::Suspect &, Endpoint)> ReportSuspect_;
+    /// Returns what to report to peers about upstreams since the last call.
+    std::function<placement::UpstreamReports()> TakeReports_;
+    /// Receives the reports of a peer, given by its gossip endpoint.
+    std::function<void(const placement::UpstreamReports &, Endpoint)>
+        OnReports_;
   };
 
   PeerSync(boost::asio::io_context &Io, const config::EdgeSettings &Settings,
@@ -120,8 +119,8 @@
   peers::SharedReading SharedReading_;
   std::array<SyncedCollection, 2> Collections_;
   std::function<void(TimePoint)> OnStoreRecovered_;
-  std::function<std::vector<placement::Suspect>()> TakeSuspects_;
-  std::function<void(const placement::Suspect &, Endpoint)> ReportSuspect_;
+  std::function<placement::UpstreamReports()> TakeReports_;
+  std::function<void(const placement::UpstreamReports &, Endpoint)> OnReports_;
   /// The socket held no datagram at this time.
   TimePoint DrainedAt_{};
   net::UdpSocket Socket_;
--- a/src/medlarmoor/peers/announcement.hpp
+++ b/src/medlarmoor/peers/announcement.hpp
@@ -3,7 +3,7 @@
 
 #include <medlarmoor/peers/collection_state.hpp>
 #include <medlarmoor/peers/member.hpp>
-#include <medlarmoor/placement/suspect.hpp>
+#include <medlarmoor/placement/upstream_reports.hpp>
 
 #include <cstddef>
 #include <optional>
@@ -24,8 +24,7 @@
   /// Time since the store recovered from its last outage; no value if that was
   /// not recent.
   std::optional<Millis> StoreRecovered_;
-  /// Upstreams at which the sender's requests have begun to fail.
-  std::vector<placement::Suspect> Suspects_;
+  placement::UpstreamReports Reports_;
   /// Number of members that the sender knows.
   std::size_t KnownMembers_ = 0;
   /// Some of the members that the sender knows.
--- a/src/medlarmoor/peers/announcement_codec.cpp
+++ b/src/medlarmoor/peers/announcement_codec.cpp
@@ -13,7 +13,7 @@
 /// First element of each announcement; a different layout has a different
 /// number. Additional fields after the known ones are ignored.
 constexpr unsigned LayoutVersion = 3;
-constexpr std::size_t FieldCount = 9;
+constexpr std::size_t FieldCount = 10;
 /// Upper bound of ages: one day, in milliseconds.
 constexpr std::uint64_t MaxAgeMs = 86'400'000;
 
@@ -67,9 +67,11 @@
     Parsed.StoreRecovered_ = readAge(Source.at(5));
   for (const Json &Element : Source.at(6))
     Parsed.Members_.push_back(readMember(Element));
+  for (const Json &Element : Source.at(9))
+    Parsed.Reports_.Unanswered_.emplace_back(Element.get<std::uint32_t>());
   Parsed.KnownMembers_ = Source.at(8).get<std::size_t>();
   for (const Json &Element : Source.at(7))
-    Parsed.Suspects_.push_back(
+    Parsed.Reports_.Suspects_.push_back(
         {affinity::Tag(Element.at(0).get<std::uint32_t>()),
          Element.at(1).get<unsigned>()});
   return Parsed;
@@ -82,15 +84,18 @@
   for (const Member &Sampled : Message.Members_)
     Members.push_back(packMember(Sampled));
   Json Suspects = Json::array();
-  for (const placement::Suspect &Suspect : Message.Suspects_)
+  for (const placement::Suspect &Suspect : Message.Reports_.Suspects_)
     Suspects.push_back(
         Json::array({Suspect.Upstream_.value(), Suspect.ExcessPercent_}));
+  Json Unanswered = Json::array();
+  for (const affinity::Tag Upstream : Message.Reports_.Unanswered_)
+    Unanswered.push_back(Upstream.value());
   const Json Fields = Json::array(
       {LayoutVersion, packEndpoint(Message.From_), Message.Domain_.value(),
        packState(Message.Upstreams_), packState(Message.Routes_),
        Message.StoreRecovered_ ? Json(Message.StoreRecovered_->count())
                                : Json(),
-       Members, Suspects, Message.KnownMembers_});
+       Members, Suspects, Message.KnownMembers_, Unanswered});
   std::vector<std::byte> Bytes;
   for (const std::uint8_t Byte : Json::to_cbor(Fields))
     Bytes.push_back(static_cast<std::byte>(Byte));
--- a/src/medlarmoor/peers/shared_reading.cpp
+++ b/src/medlarmoor/peers/shared_reading.cpp
@@ -33,13 +33,13 @@
                    CollectionSync(*Collections[1], Self, Timing)},
       SpreadFanout_(SpreadFanout) {}
 
-SyncActions SharedReading::tick(std::vector<placement::Suspect> Suspects,
+SyncActions SharedReading::tick(placement::UpstreamReports Reports,
                                 TimePoint Now) {
   SyncActions Actions;
   Members_.expire(Now);
-  if (!Suspects.empty()) {
+  if (!Reports.empty()) {
     Announcement Message = makeAnnouncement(Now);
-    Message.Suspects_ = std::move(Suspects);
+    Message.Reports_ = std::move(Reports);
     Actions.Sends_.push_back({Members_.all(), std::move(Message)});
   }
   if (std::any_of(Collections_.begin(), Collections_.end(),
--- a/src/medlarmoor/peers/shared_reading.hpp
+++ b/src/medlarmoor/peers/shared_reading.hpp
@@ -36,9 +36,9 @@
     Members_.setSeeds(std::move(Seeds));
   }
 
-  /// Announces Suspects to all members, and gossips if it is due. To be called
+  /// Announces Reports to all members, and gossips if it is due. To be called
   /// a few times per second.
-  [[nodiscard]] SyncActions tick(std::vector<placement::Suspect> Suspects,
+  [[nodiscard]] SyncActions tick(placement::UpstreamReports Reports,
                                  TimePoint Now);
   /// Handles an announcement that had not arrived before ArrivedAfter.
   [[nodiscard]] SyncActions receive(const Announcement &Message,
--- a/src/medlarmoor/placement/fwd.hpp
+++ b/src/medlarmoor/placement/fwd.hpp
@@ -15,6 +15,8 @@
 class FailureRates;
 struct UpstreamStats;
 struct Suspect;
+struct UpstreamReports;
+class SilenceDetector;
 enum class Outcome : unsigned char;
 
 } // namespace medlarmoor::placement
--- a/src/medlarmoor/placement/selector.cpp
+++ b/src/medlarmoor/placement/selector.cpp
@@ -40,7 +40,8 @@
   Pool_.clear();
   std::size_t Ejected = 0;
   for (const CatalogEntry *Candidate : Candidates)
-    if (Stats.Ejector_.ejected(Candidate->Tag_, Now))
+    if (Stats.Ejector_.ejected(Candidate->Tag_, Now) ||
+        Stats.Silence_.silent(Candidate->Tag_, Now))
       ++Ejected;
     else if (Candidate != Avoided)
       Pool_.push_back(Candidate);
--- a/src/medlarmoor/placement/tracked_flow.hpp
+++ b/src/medlarmoor/placement/tracked_flow.hpp
@@ -39,11 +39,14 @@
   std::uint32_t RequestAck_ = 0;
   std::uint32_t LastAck_ = 0;
 
-  /// Records that the client has acknowledged all bytes up to Ack.
-  void acknowledge(std::uint32_t Ack) noexcept {
+  /// Records that the client has acknowledged all bytes up to Ack. Returns true
+  /// if these are more than before.
+  bool acknowledge(std::uint32_t Ack) noexcept {
     // Sequence numbers wrap around.
-    if (static_cast<std::int32_t>(Ack - LastAck_) > 0)
-      LastAck_ = Ack;
+    if (static_cast<std::int32_t>(Ack - LastAck_) <= 0)
+      return false;
+    LastAck_ = Ack;
+    return true;
   }
   /// Returns the number of answer bytes that the client has acknowledged.
   [[nodiscard]] std::uint32_t receivedBytes() const noexcept {
--- a/src/medlarmoor/placement/upstream_stats.hpp
+++ b/src/medlarmoor/placement/upstream_stats.hpp
@@ -5,6 +5,7 @@
 #include <medlarmoor/placement/failure_rates.hpp>
 #include <medlarmoor/placement/flow_tracker.hpp>
 #include <medlarmoor/placement/service_times.hpp>
+#include <medlarmoor/placement/silence_detector.hpp>
 
 namespace medlarmoor::placement {
 
@@ -16,6 +17,7 @@
   ServiceTimes ServiceTimes_;
   FailureRates FailureRates_;
   Ejector Ejector_;
+  SilenceDetector Silence_;
 };
 
 } // namespace medlarmoor::placement
--- a/test/edge/forwarder_test.cpp
+++ b/test/edge/forwarder_test.cpp
@@ -280,8 +280,8 @@
   CHECK(Overdue[0].Outcome_ == placement::Outcome::Overdue);
   CHECK(Overdue[1].ExcessFailureRate_ > 0);
   CHECK(Edge.Forwarder_.expire(at(900)).Overdue_.empty());
-  CHECK(Edge.Forwarder_.takeSuspects().size() == 2);
-  CHECK(Edge.Forwarder_.takeSuspects().empty());
+  CHECK(Edge.Forwarder_.takeReports().Suspects_.size() == 2);
+  CHECK(Edge.Forwarder_.takeReports().Suspects_.empty());
 }
 
 TEST_CASE("long flows: idle flows do not drive new ones to another failure "
@@ -487,3 +487,91 @@
     }
   }));
 }
+
+namespace {
+
+/// An instance with a dark and a healthy upstream and long flows on both. The
+/// dark one has fallen silent, and peers have reported so.
+struct DarkUpstream {
+  explicit DarkUpstream(routing::RequestKind Kind)
+      : Edge_({upstream("i-1"), upstream("i-2")}) {
+    routing::RouteTable Table = Edge_.Router_.table();
+    Table.Version_ = ConfigVersion(2);
+    Table.Routes_.at(Virtual).Kind_ = Kind;
+    Edge_.Router_.adopt(Table, 2);
+    for (std::uint16_t Port = 1; Port <= 2; ++Port) {
+      Packet Syn = syn(Port);
+      Edge_.deliver(Syn, at(0));
+      Tags_.push_back(Syn.Tag_);
+      request(Port, at(5));
+      acknowledge(Port, at(30));
+    }
+    REQUIRE(Tags_[0] != Tags_[1]);
+    for (std::uint32_t Host = 1; Host <= 3; ++Host)
+      Edge_.Forwarder_.recordPeerTimeout(
+          Tags_[0], {Ipv4(0x0a000000 + Host), 7720}, at(900));
+    request(2, at(960));
+    acknowledge(2, at(990));
+  }
+
+  Decision request(std::uint16_t Port, TimePoint Now) {
+    Packet Data = data(Port, Tags_[Port - 1U]);
+    Data.Acknowledged_ = Received_;
+    return Edge_.Forwarder_.handle(Data, Current, Now);
+  }
+  void acknowledge(std::uint16_t Port, TimePoint Now) {
+    Packet Acknowledgement = packet(Port);
+    Acknowledgement.Tag_ = Tags_[Port - 1U];
+    Acknowledgement.Acknowledged_ = Received_ += 4000;
+    (void)Edge_.Forwarder_.handle(Acknowledgement, Current, Now);
+  }
+
+  Instance Edge_;
+  std::vector<affinity::Tag> Tags_;
+  std::uint32_t Received_ = 0;
+};
+
+} // namespace
+
+TEST_CASE("dark upstream: a repeatable request on a flow to it is reset at "
+          "once, so that its client asks another one") {
+  DarkUpstream Setup(routing::RequestKind::Safe);
+  const Decision Action = Setup.request(1, at(1000));
+  REQUIRE(std::holds_alternative<Reject>(Action));
+  CHECK(std::get<Reject>(Action).Reason_ == RejectReason::UpstreamSilent);
+  CHECK(std::holds_alternative<Deliver>(Setup.request(2, at(1000))));
+  // New flows avoid the dark upstream.
+  for (std::uint16_t Port = 10; Port < 15; ++Port) {
+    Packet Syn = syn(Port);
+    Setup.Edge_.deliver(Syn, at(1000));
+    CHECK(Syn.Tag_ == Setup.Tags_[1]);
+  }
+}
+
+TEST_CASE("dark upstream: a flow that may carry an unsafe request is never "
+          "reset") {
+  DarkUpstream Setup(routing::RequestKind::Unsafe);
+  CHECK(std::holds_alternative<Deliver>(Setup.request(1, at(1000))));
+}
+
+TEST_CASE("dark upstream: acknowledgements on its flows are still delivered") {
+  DarkUpstream Setup(routing::RequestKind::Download);
+  Packet Acknowledgement = packet(1);
+  Acknowledgement.Tag_ = Setup.Tags_[0];
+  CHECK(std::holds_alternative<Deliver>(
+      Setup.Edge_.Forwarder_.handle(Acknowledgement, Current, at(1000))));
+}
+
+TEST_CASE("slow upstream: requests that clients repeat reset no flow") {
+  Instance Edge({upstream("i-1")});
+  std::vector<Packet> Requests;
+  for (std::uint16_t Port = 1; Port <= 20; ++Port) {
+    Packet Syn = syn(Port);
+    Edge.deliver(Syn, at(0));
+    Requests.push_back(data(Port, Syn.Tag_));
+    Edge.deliver(Requests.back(), at(5));
+  }
+  for (const int Ms : {205, 605, 1405})
+    for (Packet Repeated : Requests)
+      CHECK(Edge.deliver(Repeated, at(Ms)) == "i-1");
+}
--- a/test/edge/hostile_peer_test.cpp
+++ b/test/edge/hostile_peer_test.cpp
@@ -99,7 +99,7 @@
   Message.Domain_ = DomainName("seeb");
   Message.Upstreams_ = Message.Routes_ = State;
   Message.StoreRecovered_ = Millis(1200);
-  Message.Suspects_ = {{affinity::Tag(17), 15}};
+  Message.Reports_.Suspects_ = {{affinity::Tag(17), 15}};
   Message.Members_ = {
       {{Ipv4(0x0a010011), 7720}, DomainName("amerat"), Millis(3)}};
   const std::vector<std::byte> Bytes = encode(Message);
--- a/test/edge/peer_sync_test.cpp
+++ b/test/edge/peer_sync_test.cpp
@@ -26,30 +26,31 @@
            std::vector<std::uint8_t> Seeds)
       : Settings_(settings(Host, Seeds)), Upstreams_({}, Random(Host)),
         Routes_({}, Random(Host)),
-        Sync_(Io, Settings_, {},
-              {Upstreams_, Routes_,
-               [this](std::uint64_t Since) {
-                 return Catalog_.changesSince(Since);
-               },
-               [this](std::uint64_t Since) {
-                 return Router_.changesSince(Since);
-               },
-               [this](discovery::UpstreamChanges Changes) {
-                 Catalog_.apply(std::move(Changes), Upstreams_.revision(),
-                                Time_.now());
-               },
-               [this](const routing::RouteChanges &Changes) {
-                 Router_.merge(Changes, Routes_.revision());
-               },
-               [this](TimePoint RecoveredAt) {
-                 StoreRecoveredAt_ = RecoveredAt;
-                 Catalog_.storeRecovered(RecoveredAt);
-               },
-               [this] { return std::exchange(PendingSuspects_, {}); },
-               [this](const placement::Suspect &Suspect, Endpoint Peer) {
-                 ReportedSuspects_.emplace_back(Suspect, Peer);
-               }},
-              Random(Host), Time_, Metrics_, Log_) {
+        Sync_(
+            Io, Settings_, {},
+            {Upstreams_, Routes_,
+             [this](std::uint64_t Since) {
+               return Catalog_.changesSince(Since);
+             },
+             [this](std::uint64_t Since) {
+               return Router_.changesSince(Since);
+             },
+             [this](discovery::UpstreamChanges Changes) {
+               Catalog_.apply(std::move(Changes), Upstreams_.revision(),
+                              Time_.now());
+             },
+             [this](const routing::RouteChanges &Changes) {
+               Router_.merge(Changes, Routes_.revision());
+             },
+             [this](TimePoint RecoveredAt) {
+               StoreRecoveredAt_ = RecoveredAt;
+               Catalog_.storeRecovered(RecoveredAt);
+             },
+             [this] { return std::exchange(PendingReports_, {}); },
+             [this](const placement::UpstreamReports &Reports, Endpoint Peer) {
+               ReceivedReports_.emplace_back(Reports, Peer);
+             }},
+            Random(Host), Time_, Metrics_, Log_) {
     REQUIRE(Sync_.start());
   }
 
@@ -91,8 +92,8 @@
   discovery::Catalog Catalog_{{}};
   routing::Router Router_;
   std::optional<TimePoint> StoreRecoveredAt_;
-  std::vector<placement::Suspect> PendingSuspects_;
-  std::vector<std::pair<placement::Suspect, Endpoint>> ReportedSuspects_;
+  placement::UpstreamReports PendingReports_;
+  std::vector<std::pair<placement::UpstreamReports, Endpoint>> ReceivedReports_;
   PeerSync Sync_;
 };
 
@@ -116,15 +117,16 @@
   for (Instance *Running : {&Observer, &Second, &Third})
     Running->loadFromStore({upstream("i-1")}, 10);
   Io.run_for(Millis(1500));
-  const placement::Suspect Grey{affinity::tagOf(UpstreamName("i-1")), 30};
-  Observer.PendingSuspects_ = {Grey};
+  const affinity::Tag Tag = affinity::tagOf(UpstreamName("i-1"));
+  const placement::UpstreamReports Grey{{{Tag, 30}}, {Tag}};
+  Observer.PendingReports_ = Grey;
   Io.restart();
   Io.run_for(Millis(400));
-  const std::vector<std::pair<placement::Suspect, Endpoint>> Expected{
+  const std::vector<std::pair<placement::UpstreamReports, Endpoint>> Expected{
       {Grey, Observer.Settings_.Gossip_}};
-  CHECK(Second.ReportedSuspects_ == Expected);
-  CHECK(Third.ReportedSuspects_ == Expected);
-  CHECK(Observer.ReportedSuspects_.empty());
+  CHECK(Second.ReceivedReports_ == Expected);
+  CHECK(Third.ReceivedReports_ == Expected);
+  CHECK(Observer.ReceivedReports_.empty());
 }
 
 TEST_CASE("an instance that starts while the store is unreachable loads the "
--- a/test/peers/announcement_codec_test.cpp
+++ b/test/peers/announcement_codec_test.cpp
@@ -17,8 +17,9 @@
   Message.Upstreams_ =
       CollectionState{530, 524, Millis(250), {Ipv4(0x0a010012), 7720}};
   Message.StoreRecovered_ = Millis(1200);
-  Message.Suspects_ = {{affinity::Tag(17), 15},
-                       {affinity::Tag(0xfffffffe), 30}};
+  Message.Reports_.Suspects_ = {{affinity::Tag(17), 15},
+                                {affinity::Tag(0xfffffffe), 30}};
+  Message.Reports_.Unanswered_ = {affinity::Tag(3), affinity::Tag(0xfffffffd)};
   Message.KnownMembers_ = 117;
   Message.Members_ = {
       {{Ipv4(0x0a010011), 7720}, DomainName("amerat"), Millis(3)}};
