Log the epoch of the store and the changes pulled from peers

The logs could not tell whether an instance's revision rose by an answer of the store or by a peer's changes, nor which history of a restored store a revision belongs to. The adapter reads the header Store-Era of each answer; a reader logs store_restored when it rises, and two gauges show epoch and revision. A pull logs what it changed, at most five lines a second. routes_offered names its source.

--- a/src/medlarmoor/edge/edge_server.cpp
+++ b/src/medlarmoor/edge/edge_server.cpp
@@ -60,7 +60,8 @@
   void applyUpstreams(discovery::UpstreamChanges Changes);
   void logListed(const discovery::Upstream &Upstream);
   void mergeRoutes(const routing::RouteChanges &Changes);
-  void logRoutes(bool Adopted, ConfigVersion Offered);
+  /// Source states where the routes came from: "store" or "peer".
+  void logRoutes(bool Adopted, ConfigVersion Offered, const char *Source);
   [[nodiscard]] Freshness freshness() const;
   void tick();
   void updateGauges();
@@ -270,19 +271,21 @@
     const ConfigVersion Offered = Item.Value_->Version_;
     logRoutes(Router_.adopt(std::move(*Item.Value_),
                             RouteReader_.follower().revision()),
-              Offered);
+              Offered, "store");
   }
   PeerSync_.spread();
 }
 
 void EdgeServer::Impl::mergeRoutes(const routing::RouteChanges &Changes) {
   logRoutes(Router_.merge(Changes, RouteReader_.follower().revision()),
-            Changes.Version_);
+            Changes.Version_, "peer");
 }
 
-void EdgeServer::Impl::logRoutes(bool Adopted, ConfigVersion Offered) {
+void EdgeServer::Impl::logRoutes(bool Adopted, ConfigVersion Offered,
+                                 const char *Source) {
   Log_.info("routes_offered",
-            {{"adopted", Adopted ? "yes" : "no"},
+            {{"source", Source},
+             {"adopted", Adopted ? "yes" : "no"},
              {"offered", Offered.value()},
              {"in_force", Router_.table().Version_.value()},
              {"routes", Router_.table().Routes_.size()},
--- a/src/medlarmoor/edge/peer_sync.cpp
+++ b/src/medlarmoor/edge/peer_sync.cpp
@@ -25,6 +25,8 @@
 /// Time limit of a pull from a peer.
 constexpr Millis PullTimeout{400};
 constexpr std::size_t DatagramBytes = 4096;
+/// Maximum number of lines a second about changes that were pulled.
+constexpr std::uint32_t PulledPerSecond = 5;
 
 std::optional<std::uint64_t>
 readRevision(const std::optional<std::string> &Text) {
@@ -91,7 +93,8 @@
       Pulls_(Metrics.counter("medlarmoor_peer_pulls_total")),
       FailedPulls_(Metrics.counter("medlarmoor_peer_failed_pulls_total")),
       MembersGauge_(Metrics.gauge("medlarmoor_peer_members")),
-      ReaderGauge_(Metrics.gauge("medlarmoor_store_reader")) {}
+      ReaderGauge_(Metrics.gauge("medlarmoor_store_reader")),
+      PulledLines_(PulledPerSecond) {}
 
 PeerSync::~PeerSync() {
   // Socket_ owns the descriptor and closes it.
@@ -123,8 +126,20 @@
   if (!Received)
     return false;
   const TimePoint Now = Time_.now();
-  const bool InOutage = Collections_[Collection].Follower_.inOutage(Now);
-  if (!SharedReading_.adopt(Collection, Received->State_, RequestedAt, Now))
+  const objects::Follower &Own = Collections_[Collection].Follower_;
+  const bool InOutage = Own.inOutage(Now);
+  const std::uint64_t Previous = Own.revision();
+  const bool Adopted =
+      SharedReading_.adopt(Collection, Received->State_, RequestedAt, Now);
+  if (PulledLines_.take(Now))
+    Log_.info("changes_pulled", {{"collection", Collections_[Collection].Path_},
+                                 {"adopted", Adopted ? "yes" : "no"},
+                                 {"previous", Previous},
+                                 {"revision", Received->State_.Revision_},
+                                 {"last_change", Received->State_.LastChange_},
+                                 {"age_ms", Received->State_.Age_.count()},
+                                 {"reader", Received->State_.Reader_.text()}});
+  if (!Adopted)
     return true;
   // A peer has reached the store, although this instance's calls still fail.
   if (InOutage)
@@ -159,6 +174,9 @@
   const TimePoint Now = Time_.now();
   perform(SharedReading_.tick(TakeReports_(), Now));
   MembersGauge_.set(static_cast<std::int64_t>(SharedReading_.members()));
+  if (const auto Count = PulledLines_.leftOut(Now))
+    Log_.info("lines_left_out",
+              {{"kind", "changes_pulled"}, {"count", *Count}});
   updateReaderRole(Now);
   TickTimer_.expires_after(TickInterval);
   TickTimer_.async_wait([this](boost::system::error_code Error) {
--- a/src/medlarmoor/edge/peer_sync.hpp
+++ b/src/medlarmoor/edge/peer_sync.hpp
@@ -13,6 +13,7 @@
 #include <medlarmoor/peers/shared_reading.hpp>
 #include <medlarmoor/routing/route_changes.hpp>
 #include <medlarmoor/telemetry/event_log.hpp>
+#include <medlarmoor/telemetry/log_budget.hpp>
 #include <medlarmoor/telemetry/registry.hpp>
 
 #include <boost/asio/io_context.hpp>
@@ -136,6 +137,7 @@
   telemetry::Counter &FailedPulls_;
   telemetry::Gauge &MembersGauge_;
   telemetry::Gauge &ReaderGauge_;
+  telemetry::LogBudget PulledLines_;
 };
 
 } // namespace medlarmoor::edge
--- a/src/medlarmoor/objects/collection_codec.hpp
+++ b/src/medlarmoor/objects/collection_codec.hpp
@@ -1,7 +1,9 @@
 #ifndef MEDLARMOOR_OBJECTS_COLLECTION_CODEC_HPP
 #define MEDLARMOOR_OBJECTS_COLLECTION_CODEC_HPP
 
+#include <medlarmoor/core/store_epoch.hpp>
 #include <medlarmoor/core/time.hpp>
+#include <medlarmoor/net/http_headers.hpp>
 #include <medlarmoor/objects/page.hpp>
 
 #include <cstdint>
@@ -25,6 +27,9 @@
   std::function<std::optional<Page<Item>>(const std::string &Body,
                                           std::string &Reason)>
       Read_;
+  /// Returns the epoch of the store that answered with these headers; the first
+  /// one if they do not state it.
+  std::function<StoreEpoch(const net::HttpHeaders &Headers)> ReadEpoch_;
 };
 
 } // namespace medlarmoor::objects
--- a/src/medlarmoor/objects/collection_reader.hpp
+++ b/src/medlarmoor/objects/collection_reader.hpp
@@ -14,8 +14,10 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <algorithm>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -57,6 +59,10 @@
                                   "collection=\"" + Name_ + "\"")),
         Times_(Metrics.histogram("medlarmoor_store_call_seconds",
                                  "collection=\"" + Name_ + "\"")),
+        EpochGauge_(Metrics.gauge("medlarmoor_store_epoch",
+                                  "collection=\"" + Name_ + "\"")),
+        RevisionGauge_(Metrics.gauge("medlarmoor_store_revision",
+                                     "collection=\"" + Name_ + "\"")),
         Log_(Log) {}
 
   /// Begins to follow the collection.
@@ -106,6 +112,8 @@
     constexpr unsigned Gone = 410;
     const TimePoint Now = Time_.now();
     Times_.record(Now - Sent);
+    if (Answer)
+      recordEpoch(Codec_.ReadEpoch_(Answer->Headers_));
     if (Answer && Answer->Status_ == Gone) {
       Log_.info("store_history_lost",
                 {{"collection", Name_}, {"revision", Follower_.revision()}});
@@ -155,6 +163,17 @@
     Listed_.clear();
   }
 
+  void recordEpoch(StoreEpoch Answering) {
+    if (Epoch_ && Answering > *Epoch_)
+      Log_.warn("store_restored", {{"collection", Name_},
+                                   {"epoch", Answering.value()},
+                                   {"previous_epoch", Epoch_->value()},
+                                   {"revision", Follower_.revision()}});
+    Epoch_ = std::max(Epoch_.value_or(Answering), Answering);
+    EpochGauge_.set(static_cast<std::int64_t>(Epoch_->value()));
+    RevisionGauge_.set(static_cast<std::int64_t>(Follower_.revision()));
+  }
+
   void recordRecovery(TimePoint Now) {
     if (!Follower_.failingSince())
       return;
@@ -178,8 +197,12 @@
   telemetry::Counter &Calls_;
   telemetry::Counter &Failures_;
   telemetry::Histogram &Times_;
+  telemetry::Gauge &EpochGauge_;
+  telemetry::Gauge &RevisionGauge_;
   telemetry::EventLog &Log_;
   Items Listed_;
+  /// The highest epoch of the store's answers; no value before the first one.
+  std::optional<StoreEpoch> Epoch_;
 };
 
 } // namespace medlarmoor::objects
