--- a/src/medlarmoor/objects/fwd.hpp
+++ b/src/medlarmoor/objects/fwd.hpp
@@ -8,6 +8,7 @@
 template <typename Item> struct CollectionCodec;
 template <typename Item> struct Page;
 template <typename Item> struct StoredItem;
+template <typename Item> class AnswerProcessor;
 template <typename Item> class CollectionReader;
 
 } // namespace medlarmoor::objects
