Exchange route changes by the versions of the tables

A dropped route can stay in force at one instance, and an added one can be missing, until a later full table.

Cause: an instance asked a peer for the changes since its revision of the store, and the peer answered from its own history. If the peer had missed a version that the instance has in force (it was paused or cut off, or the store had dropped its history), the difference between the two tables was not among these changes. A restored store makes this common: a revision then names different tables.

Evidence: test_routing "changes of a sender that missed versions reproduce its table" failed before (two routes instead of one).

Change: the request states the version in force, which identifies a table whatever revisions an instance has seen; a peer that never held this version sends all routes; the receiver applies changes only to the version that they were taken from, and otherwise takes neither changes nor revision. The history of routes is bounded to 64 versions; before, removed routes were kept for ever.

--- a/src/medlarmoor/edge/edge_server.cpp
+++ b/src/medlarmoor/edge/edge_server.cpp
@@ -137,9 +137,7 @@
                  [this](std::uint64_t Revision) {
                    return Catalog_.changesSince(Revision);
                  },
-                 [this](std::uint64_t Revision) {
-                   return Router_.changesSince(Revision);
-                 },
+                 Router_,
                  [this](auto Changes) { applyUpstreams(std::move(Changes)); },
                  [this](const auto &Changes) { mergeRoutes(Changes); },
                  [this](TimePoint RecoveredAt) {
@@ -269,16 +267,13 @@
       continue;
     }
     const ConfigVersion Offered = Item.Value_->Version_;
-    logRoutes(Router_.adopt(std::move(*Item.Value_),
-                            RouteReader_.follower().revision()),
-              Offered, "store");
+    logRoutes(Router_.adopt(std::move(*Item.Value_)), Offered, "store");
   }
   PeerSync_.spread();
 }
 
 void EdgeServer::Impl::mergeRoutes(const routing::RouteChanges &Changes) {
-  logRoutes(Router_.merge(Changes, RouteReader_.follower().revision()),
-            Changes.Version_, "peer");
+  logRoutes(Router_.merge(Changes), Changes.Version_, "peer");
 }
 
 void EdgeServer::Impl::logRoutes(bool Adopted, ConfigVersion Offered,
--- a/src/medlarmoor/edge/peer_sync.cpp
+++ b/src/medlarmoor/edge/peer_sync.cpp
@@ -28,16 +28,13 @@
 /// Maximum number of lines a second about changes that were pulled.
 constexpr std::uint32_t PulledPerSecond = 5;
 
-std::optional<std::uint64_t>
-readRevision(const std::optional<std::string> &Text) {
-  std::uint64_t Revision = 0;
-  if (!Text)
-    return std::nullopt;
-  const char *Last = Text->data() + Text->size();
-  const auto [End, Error] = std::from_chars(Text->data(), Last, Revision);
+std::optional<std::uint64_t> readNumber(const std::string &Text) {
+  std::uint64_t Number = 0;
+  const char *Last = Text.data() + Text.size();
+  const auto [End, Error] = std::from_chars(Text.data(), Last, Number);
   if (Error != std::errc() || End != Last)
     return std::nullopt;
-  return Revision;
+  return Number;
 }
 
 } // namespace
@@ -51,39 +48,12 @@
       SharedReading_(Settings.Gossip_, Settings.Domain_, Settings.gossipSeeds(),
                      {&Owner.Upstreams_, &Owner.Routes_}, Timing, SpreadFanout,
                      RandomSource),
-      Collections_{
-          SyncedCollection{
-              "/snapshot/upstreams", Owner.Upstreams_,
-              [Since = Owner.UpstreamsSince_](const CollectionState &State,
-                                              std::uint64_t Revision) {
-                return encode(Snapshot<discovery::UpstreamChanges>{
-                    State, Since(Revision)});
-              },
-              [this, Apply = Owner.ApplyUpstreams_](const std::string &Text,
-                                                    TimePoint RequestedAt) {
-                return applySnapshot(0, readUpstreamChanges(Text), RequestedAt,
-                                     Apply);
-              }},
-          SyncedCollection{
-              "/snapshot/routes", Owner.Routes_,
-              [Since = Owner.RoutesSince_](const CollectionState &State,
-                                           std::uint64_t Revision) {
-                return encode(
-                    Snapshot<routing::RouteChanges>{State, Since(Revision)});
-              },
-              [this, Apply = Owner.ApplyRoutes_](const std::string &Text,
-                                                 TimePoint RequestedAt) {
-                return applySnapshot(1, readRouteChanges(Text), RequestedAt,
-                                     Apply);
-              }}},
-      OnStoreRecovered_(std::move(Owner.OnStoreRecovered_)),
-      TakeReports_(std::move(Owner.TakeReports_)),
-      OnReports_(std::move(Owner.OnReports_)), Readable_(Io), TickTimer_(Io),
-      Listener_(
-          Io, Settings.Peers_,
-          [this](const net::HttpRequest &Request, const net::HttpReply &Reply) {
-            Reply(serveSnapshot(Request));
-          }),
+      Owner_(std::move(Owner)), Collections_(makeCollections()), Readable_(Io),
+      TickTimer_(Io), Listener_(Io, Settings.Peers_,
+                                [this](const net::HttpRequest &Request,
+                                       const net::HttpReply &Reply) {
+                                  Reply(serveSnapshot(Request));
+                                }),
       HttpClient_(Io, Settings.Address_),
       Sent_(Metrics.counter("medlarmoor_peer_datagrams_total",
                             "direction=\"sent\"")),
@@ -119,46 +89,89 @@
   return true;
 }
 
-template <typename Changes, typename Function>
-bool PeerSync::applySnapshot(std::size_t Collection,
-                             std::optional<Snapshot<Changes>> Received,
-                             TimePoint RequestedAt, const Function &Apply) {
-  if (!Received)
-    return false;
+std::array<PeerSync::SyncedCollection, 2> PeerSync::makeCollections() {
+  return {SyncedCollection{
+              "/snapshot/upstreams",
+              [this] {
+                return Owner_.Upstreams_.currentAsOf()
+                           ? std::to_string(Owner_.Upstreams_.revision())
+                           : std::string();
+              },
+              [this](const CollectionState &State,
+                     const std::string &Since) -> std::optional<std::string> {
+                const auto Revision = Since.empty() ? 0 : readNumber(Since);
+                if (!Revision)
+                  return std::nullopt;
+                return encode(Snapshot<discovery::UpstreamChanges>{
+                    State, Owner_.UpstreamsSince_(*Revision)});
+              },
+              [this](const std::string &Text, TimePoint RequestedAt) {
+                auto Received = readUpstreamChanges(Text);
+                if (Received && adopt(0, Received->State_, RequestedAt))
+                  Owner_.ApplyUpstreams_(std::move(Received->Changes_));
+                return bool(Received);
+              }},
+          SyncedCollection{
+              "/snapshot/routes",
+              [this] {
+                return Owner_.Router_.ready()
+                           ? std::to_string(
+                                 Owner_.Router_.table().Version_.value())
+                           : std::string();
+              },
+              [this](const CollectionState &State,
+                     const std::string &Since) -> std::optional<std::string> {
+                const auto Version = readNumber(Since);
+                if (!Version && !Since.empty())
+                  return std::nullopt;
+                return encode(Snapshot<routing::RouteChanges>{
+                    State, Owner_.Router_.changesSince(
+                               Version ? std::optional(ConfigVersion(*Version))
+                                       : std::nullopt)});
+              },
+              [this](const std::string &Text, TimePoint RequestedAt) {
+                const auto Received = readRouteChanges(Text);
+                if (!Received || !Owner_.Router_.canMerge(Received->Changes_))
+                  return false;
+                if (adopt(1, Received->State_, RequestedAt))
+                  Owner_.ApplyRoutes_(Received->Changes_);
+                return true;
+              }}};
+}
+
+bool PeerSync::adopt(std::size_t Collection, const CollectionState &Received,
+                     TimePoint RequestedAt) {
   const TimePoint Now = Time_.now();
-  const objects::Follower &Own = Collections_[Collection].Follower_;
+  const objects::Follower &Own =
+      Collection == 0 ? Owner_.Upstreams_ : Owner_.Routes_;
   const bool InOutage = Own.inOutage(Now);
   const std::uint64_t Previous = Own.revision();
   const bool Adopted =
-      SharedReading_.adopt(Collection, Received->State_, RequestedAt, Now);
+      SharedReading_.adopt(Collection, Received, RequestedAt, Now);
   if (PulledLines_.take(Now))
     Log_.info("changes_pulled", {{"collection", Collections_[Collection].Path_},
                                  {"adopted", Adopted ? "yes" : "no"},
                                  {"previous", Previous},
-                                 {"revision", Received->State_.Revision_},
-                                 {"last_change", Received->State_.LastChange_},
-                                 {"age_ms", Received->State_.Age_.count()},
-                                 {"reader", Received->State_.Reader_.text()}});
-  if (!Adopted)
-    return true;
+                                 {"revision", Received.Revision_},
+                                 {"last_change", Received.LastChange_},
+                                 {"age_ms", Received.Age_.count()},
+                                 {"reader", Received.Reader_.text()}});
   // A peer has reached the store, although this instance's calls still fail.
-  if (InOutage)
+  if (Adopted && InOutage)
     recordStoreRecovery(Now);
-  Apply(std::move(Received->Changes_));
-  spread();
-  return true;
+  return Adopted;
 }
 
 void PeerSync::spread() { perform(SharedReading_.spread(Time_.now())); }
 
 void PeerSync::recordStoreRecovery(TimePoint RecoveredAt) {
   SharedReading_.recordStoreRecovery(RecoveredAt);
-  OnStoreRecovered_(RecoveredAt);
+  Owner_.OnStoreRecovered_(RecoveredAt);
 }
 
 void PeerSync::perform(const peers::SyncActions &Actions) {
   if (Actions.StoreRecoveredAt_)
-    OnStoreRecovered_(*Actions.StoreRecoveredAt_);
+    Owner_.OnStoreRecovered_(*Actions.StoreRecoveredAt_);
   for (const peers::SendAnnouncement &Send : Actions.Sends_) {
     const std::vector<std::byte> Bytes = encode(Send.Message_);
     for (const Endpoint Target : Send.Targets_)
@@ -172,7 +185,7 @@
 void PeerSync::tick() {
   receiveDatagrams();
   const TimePoint Now = Time_.now();
-  perform(SharedReading_.tick(TakeReports_(), Now));
+  perform(SharedReading_.tick(Owner_.TakeReports_(), Now));
   MembersGauge_.set(static_cast<std::int64_t>(SharedReading_.members()));
   if (const auto Count = PulledLines_.leftOut(Now))
     Log_.info("lines_left_out",
@@ -223,7 +236,7 @@
     Received_.add();
     if (const auto Message = peers::decode(Datagram->Bytes_)) {
       if (!Message->Reports_.empty())
-        OnReports_(Message->Reports_, Message->From_);
+        Owner_.OnReports_(Message->Reports_, Message->From_);
       perform(SharedReading_.receive(*Message, ArrivedAfter, Now));
     } else {
       Malformed_.add();
@@ -241,8 +254,8 @@
   Pulls_.add();
   const Endpoint Peer{Request.Peer_.address(), Settings_.Peers_.port()};
   net::HttpRequest Message;
-  Message.Target_ = std::string(Collection.Path_) +
-                    "?since=" + std::to_string(Request.Since_);
+  Message.Target_ =
+      std::string(Collection.Path_) + "?since=" + Collection.Since_();
   HttpClient_.send(
       Peer, std::move(Message), PullTimeout,
       [this, &Collection, Peer, RequestedAt = Time_.now()](
@@ -251,7 +264,7 @@
         Collection.Pulling_ = false;
         if (Answer && Answer->Status_ == Ok &&
             Collection.Apply_(Answer->Body_, RequestedAt))
-          return;
+          return spread();
         // The next peer that passes the changes on causes another pull. Without
         // one, the data becomes too old and the store is read.
         FailedPulls_.add();
@@ -272,13 +285,14 @@
     if (Request.path() != Collection.Path_)
       continue;
     const auto State = SharedReading_.state(I, Time_.now());
-    const auto Since = readRevision(Request.query("since"));
-    if (!State)
+    if (!State) {
       Response.Status_ = Unavailable;
-    else if (!Since)
-      Response.Status_ = BadRequest;
-    else
-      Response.Body_ = Collection.Encode_(*State, *Since);
+      return Response;
+    }
+    const auto Body =
+        Collection.Encode_(*State, Request.query("since").value_or(""));
+    Response.Status_ = Body ? Response.Status_ : BadRequest;
+    Response.Body_ = Body.value_or("");
     return Response;
   }
   Response.Status_ = NotFound;
--- a/src/medlarmoor/edge/peer_sync.hpp
+++ b/src/medlarmoor/edge/peer_sync.hpp
@@ -11,7 +11,7 @@
 #include <medlarmoor/net/udp_socket.hpp>
 #include <medlarmoor/objects/follower.hpp>
 #include <medlarmoor/peers/shared_reading.hpp>
-#include <medlarmoor/routing/route_changes.hpp>
+#include <medlarmoor/routing/router.hpp>
 #include <medlarmoor/telemetry/event_log.hpp>
 #include <medlarmoor/telemetry/log_budget.hpp>
 #include <medlarmoor/telemetry/registry.hpp>
@@ -36,9 +36,10 @@
   struct Bindings {
     objects::Follower &Upstreams_;
     objects::Follower &Routes_;
-    /// Return the changes after a revision.
+    /// Returns the changes of the upstreams after a revision.
     std::function<discovery::UpstreamChanges(std::uint64_t)> UpstreamsSince_;
-    std::function<routing::RouteChanges(std::uint64_t)> RoutesSince_;
+    /// The routes, whose changes are exchanged by their versions.
+    const routing::Router &Router_;
     /// Apply a peer's changes. They are called after the follower has adopted
     /// the revision.
     std::function<void(discovery::UpstreamChanges)> ApplyUpstreams_;
@@ -84,23 +85,26 @@
   /// A collection that is exchanged with peers.
   struct SyncedCollection {
     const char *Path_;
-    objects::Follower &Follower_;
-    /// Returns the encoded changes after a revision.
-    std::function<std::string(const peers::CollectionState &, std::uint64_t)>
+    /// Returns the position since which changes are requested, as text; empty
+    /// for a full snapshot.
+    std::function<std::string()> Since_;
+    /// Returns the encoded changes since a peer's position, or no value if its
+    /// text is not valid.
+    std::function<std::optional<std::string>(const peers::CollectionState &,
+                                             const std::string &)>
         Encode_;
     /// Applies the encoded answer to a request that was sent at a time. Returns
-    /// false if the text is not valid.
+    /// false if the text is not valid or does not apply to the own data.
     std::function<bool(const std::string &, TimePoint)> Apply_;
     /// A pull from a peer is in flight.
     bool Pulling_ = false;
   };
 
-  /// Applies a peer's snapshot unless a newer revision is known. Returns false
-  /// if there is no snapshot.
-  template <typename Changes, typename Function>
-  bool applySnapshot(std::size_t Collection,
-                     std::optional<Snapshot<Changes>> Received,
-                     TimePoint RequestedAt, const Function &Apply);
+  [[nodiscard]] std::array<SyncedCollection, 2> makeCollections();
+  /// Records that a peer sent all changes up to Received. Returns false if the
+  /// changes must be ignored.
+  bool adopt(std::size_t Collection, const peers::CollectionState &Received,
+             TimePoint RequestedAt);
   /// Records that this instance or a peer saw the store recover at
   /// RecoveredAt.
   void recordStoreRecovery(TimePoint RecoveredAt);
@@ -118,10 +122,8 @@
   Clock Time_;
   telemetry::EventLog &Log_;
   peers::SharedReading SharedReading_;
+  Bindings Owner_;
   std::array<SyncedCollection, 2> Collections_;
-  std::function<void(TimePoint)> OnStoreRecovered_;
-  std::function<placement::UpstreamReports()> TakeReports_;
-  std::function<void(const placement::UpstreamReports &, Endpoint)> OnReports_;
   /// The socket held no datagram at this time.
   TimePoint DrainedAt_{};
   net::UdpSocket Socket_;
--- a/src/medlarmoor/edge/snapshot_codec.cpp
+++ b/src/medlarmoor/edge/snapshot_codec.cpp
@@ -112,6 +112,7 @@
 RouteChanges readRoutes(const Json &Source) {
   RouteChanges Parsed;
   Parsed.IsFullSnapshot_ = Source.at("whole").get<bool>();
+  Parsed.Base_ = ConfigVersion(Source.at("base").get<std::uint64_t>());
   Parsed.Version_ = ConfigVersion(Source.at("version").get<std::uint64_t>());
   Parsed.IdleTimeout_ = readDuration(Source.at("idle_ms"));
   for (const Json &Entry : Source.at("routes"))
@@ -153,6 +154,7 @@
 std::string encode(const Snapshot<RouteChanges> &Value) {
   Json Document = packState(Value.State_);
   Document["whole"] = Value.Changes_.IsFullSnapshot_;
+  Document["base"] = Value.Changes_.Base_.value();
   Document["version"] = Value.Changes_.Version_.value();
   Document["idle_ms"] = Value.Changes_.IdleTimeout_.count();
   Json &Routes = Document["routes"] = Json::array();
--- a/src/medlarmoor/peers/shared_reading.cpp
+++ b/src/medlarmoor/peers/shared_reading.cpp
@@ -150,8 +150,7 @@
     return;
   if (Collections_[Collection].receive(*Announced, ArrivedAfter, instances(),
                                        Now) == SyncStep::Pull)
-    Actions.Pulls_.push_back(
-        {Collection, Peer, Own.currentAsOf() ? Own.revision() : 0});
+    Actions.Pulls_.push_back({Collection, Peer});
 }
 
 bool SharedReading::shouldAnswer(const Announcement &Message,
--- a/src/medlarmoor/peers/sync_actions.hpp
+++ b/src/medlarmoor/peers/sync_actions.hpp
@@ -4,7 +4,6 @@
 #include <medlarmoor/peers/announcement.hpp>
 
 #include <cstddef>
-#include <cstdint>
 #include <optional>
 #include <vector>
 
@@ -22,8 +21,6 @@
   std::size_t Collection_ = 0;
   /// Gossip endpoint of the peer.
   Endpoint Peer_;
-  /// Changes after this revision; 0 for the complete collection.
-  std::uint64_t Since_ = 0;
 };
 
 /// What SharedReading requests of its owner.
--- a/src/medlarmoor/routing/route_changes.hpp
+++ b/src/medlarmoor/routing/route_changes.hpp
@@ -14,6 +14,9 @@
 struct RouteChanges {
   /// True if Routes_ holds all routes and replaces any earlier table.
   bool IsFullSnapshot_ = false;
+  /// The version of the table that the changes apply to; without meaning if
+  /// IsFullSnapshot_.
+  ConfigVersion Base_;
   /// The version of the resulting table.
   ConfigVersion Version_;
   /// The idle timeout of the resulting table.
--- a/src/medlarmoor/routing/router.cpp
+++ b/src/medlarmoor/routing/router.cpp
@@ -2,19 +2,21 @@
 
 namespace medlarmoor::routing {
 
-bool Router::adopt(RouteTable Table, std::uint64_t Revision) {
+bool Router::adopt(RouteTable Table) {
   if (Ready_ && Table.Version_ <= Table_.Version_)
     return false;
   if (Ready_)
-    recordChanges(Table, Revision);
-  else
-    HistoryStart_ = Revision;
+    recordChanges(Table);
+  Versions_.insert(Table.Version_);
+  trimHistory();
   Table_ = std::move(Table);
   Ready_ = true;
   return true;
 }
 
-bool Router::merge(const RouteChanges &Changes, std::uint64_t Revision) {
+bool Router::merge(const RouteChanges &Changes) {
+  if (!canMerge(Changes))
+    return false;
   RouteTable Next;
   if (!Changes.IsFullSnapshot_)
     Next.Routes_ = Table_.Routes_;
@@ -24,12 +26,12 @@
     Next.Routes_.insert_or_assign(Changed.Address_, Changed);
   for (const Endpoint Removed : Changes.Removed_)
     Next.Routes_.erase(Removed);
-  return adopt(std::move(Next), Revision);
+  return adopt(std::move(Next));
 }
 
-RouteChanges Router::changesSince(std::uint64_t Revision) const {
+RouteChanges Router::changesSince(std::optional<ConfigVersion> Base) const {
   RouteChanges Changes;
-  Changes.IsFullSnapshot_ = Revision < HistoryStart_;
+  Changes.IsFullSnapshot_ = !Base || !Versions_.contains(*Base);
   Changes.Version_ = Table_.Version_;
   Changes.IdleTimeout_ = Table_.IdleTimeout_;
   if (Changes.IsFullSnapshot_) {
@@ -37,8 +39,9 @@
       Changes.Routes_.push_back(Current);
     return Changes;
   }
-  for (const auto &[Address, ChangeRevision] : ChangeRevisions_) {
-    if (ChangeRevision <= Revision)
+  Changes.Base_ = *Base;
+  for (const auto &[Address, ChangeVersion] : ChangeVersions_) {
+    if (ChangeVersion <= *Base)
       continue;
     if (const Route *Current = find(Address))
       Changes.Routes_.push_back(*Current);
@@ -48,15 +51,25 @@
   return Changes;
 }
 
-void Router::recordChanges(const RouteTable &Next, std::uint64_t Revision) {
+void Router::recordChanges(const RouteTable &Next) {
   for (const auto &[Address, NextRoute] : Next.Routes_) {
     const Route *Previous = find(Address);
     if (!Previous || *Previous != NextRoute)
-      ChangeRevisions_[Address] = Revision;
+      ChangeVersions_[Address] = Next.Version_;
   }
   for (const auto &[Address, Current] : Table_.Routes_)
     if (!Next.Routes_.contains(Address))
-      ChangeRevisions_[Address] = Revision;
+      ChangeVersions_[Address] = Next.Version_;
+}
+
+void Router::trimHistory() {
+  if (Versions_.size() <= MaxVersions)
+    return;
+  Versions_.erase(Versions_.begin());
+  std::erase_if(ChangeVersions_,
+                [Oldest = *Versions_.begin()](const auto &Change) {
+                  return Change.second <= Oldest;
+                });
 }
 
 const Route *Router::find(Endpoint Virtual) const noexcept {
--- a/src/medlarmoor/routing/router.hpp
+++ b/src/medlarmoor/routing/router.hpp
@@ -4,7 +4,9 @@
 #include <medlarmoor/routing/route_changes.hpp>
 #include <medlarmoor/routing/route_table.hpp>
 
-#include <cstdint>
+#include <cstddef>
+#include <optional>
+#include <set>
 #include <unordered_map>
 
 namespace medlarmoor::routing {
@@ -13,16 +15,29 @@
 /// one.
 class Router {
 public:
-  /// Puts a table, which the store holds as of Revision, in force if its
-  /// version is higher than that of the current one. Returns true if it did.
-  bool adopt(RouteTable Table, std::uint64_t Revision);
+  /// Maximum number of versions since which changes are known one by one.
+  static constexpr std::size_t MaxVersions = 64;
+
+  /// Puts a table in force if its version is higher than that of the current
+  /// one. Returns true if it did.
+  bool adopt(RouteTable Table);
   /// Applies Changes to the current table and puts the result in force if its
-  /// version is higher. Returns true if it did.
-  bool merge(const RouteChanges &Changes, std::uint64_t Revision);
+  /// version is higher. Returns true if it did, false also unless
+  /// canMerge(Changes).
+  bool merge(const RouteChanges &Changes);
+  /// Returns true if Changes apply to the current table, or if they lead to no
+  /// higher version than its own.
+  [[nodiscard]] bool canMerge(const RouteChanges &Changes) const noexcept {
+    return Changes.IsFullSnapshot_ ||
+           (Ready_ && (Changes.Version_ <= Table_.Version_ ||
+                       Changes.Base_ == Table_.Version_));
+  }
 
-  /// Returns the changes after Revision, or a full snapshot if they are no
-  /// longer known one by one.
-  [[nodiscard]] RouteChanges changesSince(std::uint64_t Revision) const;
+  /// Returns the changes after version Base, or a full snapshot unless that
+  /// version was in force here. The version identifies a table on all
+  /// instances, whatever revisions of the store they have seen.
+  [[nodiscard]] RouteChanges
+  changesSince(std::optional<ConfigVersion> Base) const;
 
   /// Returns the route of a virtual address, or null if there is none.
   [[nodiscard]] const Route *find(Endpoint Virtual) const noexcept;
@@ -33,15 +48,17 @@
 
 private:
   /// Records which addresses differ between the current table and Next.
-  void recordChanges(const RouteTable &Next, std::uint64_t Revision);
+  void recordChanges(const RouteTable &Next);
+  /// Forgets the oldest versions and what changed before the remaining ones.
+  void trimHistory();
 
   RouteTable Table_;
   bool Ready_ = false;
-  /// Changes up to this revision are not known one by one.
-  std::uint64_t HistoryStart_ = 0;
-  /// The revision at which the route of each address last changed, including
+  /// The versions that were in force, the current one included.
+  std::set<ConfigVersion> Versions_;
+  /// The version with which the route of each address last changed, including
   /// removed routes.
-  std::unordered_map<Endpoint, std::uint64_t> ChangeRevisions_;
+  std::unordered_map<Endpoint, ConfigVersion> ChangeVersions_;
 };
 
 } // namespace medlarmoor::routing
--- a/test/adapter/hostile_store_test.cpp
+++ b/test/adapter/hostile_store_test.cpp
@@ -74,7 +74,7 @@
     routing::Router Router;
     for (const auto &Item : Received->Items_)
       if (Item.Value_)
-        Router.adopt(*Item.Value_, Received->Revision_);
+        Router.adopt(*Item.Value_);
     for (const auto &[Address, Route] : Router.table().Routes_)
       (void)Route.serviceFor(12345);
   }));
--- a/test/edge/forwarder_test.cpp
+++ b/test/edge/forwarder_test.cpp
@@ -37,7 +37,7 @@
     Route.Timeout_ = Millis(1000);
     Route.LatencyObjective_ = Millis(500);
     Table.Routes_.emplace(Virtual, Route);
-    Router_.adopt(Table, 1);
+    Router_.adopt(Table);
   }
 
   /// Returns the name of the upstream that the packet is delivered to, or an
@@ -398,7 +398,7 @@
 
   routing::RouteTable Empty;
   Empty.Version_ = ConfigVersion(2);
-  Edge.Router_.adopt(Empty, 2);
+  Edge.Router_.adopt(Empty);
   Packet SecondSyn = syn(1, 2);
   CHECK(Edge.deliver(SecondSyn, at(600)) == "i-1");
 }
@@ -416,7 +416,7 @@
 
   routing::RouteTable Empty;
   Empty.Version_ = ConfigVersion(2);
-  Edge.Router_.adopt(Empty, 2);
+  Edge.Router_.adopt(Empty);
   Packet SecondSyn = syn(1, 2);
   Action = Edge.Forwarder_.handle(SecondSyn, Current, at(600));
   CHECK(std::holds_alternative<Drop>(Action));
@@ -498,7 +498,7 @@
     routing::RouteTable Table = Edge_.Router_.table();
     Table.Version_ = ConfigVersion(2);
     Table.Routes_.at(Virtual).Kind_ = Kind;
-    Edge_.Router_.adopt(Table, 2);
+    Edge_.Router_.adopt(Table);
     for (std::uint16_t Port = 1; Port <= 2; ++Port) {
       Packet Syn = syn(Port);
       Edge_.deliver(Syn, at(0));
--- a/test/edge/hostile_peer_test.cpp
+++ b/test/edge/hostile_peer_test.cpp
@@ -36,7 +36,7 @@
   Route.Timeout_ = Millis(1000);
   Route.LatencyObjective_ = Millis(200);
   return encode(Snapshot<routing::RouteChanges>{
-      State, {true, ConfigVersion(7), Millis(15'000), {Route}, {}}});
+      State, {true, {}, ConfigVersion(7), Millis(15'000), {Route}, {}}});
 }
 
 affinity::Packet packet(std::uint16_t Port, bool Syn) {
@@ -56,7 +56,7 @@
   if (auto Received = readUpstreamChanges(Upstreams))
     Catalog.apply(std::move(Received->Changes_), 1, at(0));
   if (const auto Received = readRouteChanges(Routes))
-    Router.merge(Received->Changes_, 1);
+    Router.merge(Received->Changes_);
   for (std::uint16_t Port = 1; Port < 8; ++Port) {
     affinity::Packet Syn = packet(Port, true);
     (void)Edge.handle(Syn, {true, true}, at(10));
@@ -66,7 +66,7 @@
   }
   (void)Edge.expire(at(5000));
   (void)Catalog.changesSince(0);
-  (void)Router.changesSince(0);
+  (void)Router.changesSince(ConfigVersion(0));
 }
 
 } // namespace
--- a/test/edge/packet_loop_test.cpp
+++ b/test/edge/packet_loop_test.cpp
@@ -51,7 +51,7 @@
     Route.Address_ = Virtual;
     Route.Services_ = {{ServiceName("web"), 1}};
     Table.Routes_.emplace(Virtual, Route);
-    Router_.adopt(Table, 1);
+    Router_.adopt(Table);
   }
 
   std::size_t received() {
--- a/test/edge/peer_sync_test.cpp
+++ b/test/edge/peer_sync_test.cpp
@@ -32,15 +32,13 @@
              [this](std::uint64_t Since) {
                return Catalog_.changesSince(Since);
              },
-             [this](std::uint64_t Since) {
-               return Router_.changesSince(Since);
-             },
+             Router_,
              [this](discovery::UpstreamChanges Changes) {
                Catalog_.apply(std::move(Changes), Upstreams_.revision(),
                               Time_.now());
              },
              [this](const routing::RouteChanges &Changes) {
-               Router_.merge(Changes, Routes_.revision());
+               Router_.merge(Changes);
              },
              [this](TimePoint RecoveredAt) {
                StoreRecoveredAt_ = RecoveredAt;
@@ -63,7 +61,7 @@
     routing::RouteTable Table;
     Table.Version_ = ConfigVersion(Revision);
     Routes_.adopt(Revision, Revision, Now);
-    Router_.adopt(std::move(Table), Revision);
+    Router_.adopt(std::move(Table));
   }
 
   static Endpoint at(std::uint8_t Host, std::uint16_t Port) {
--- a/test/edge/snapshot_codec_test.cpp
+++ b/test/edge/snapshot_codec_test.cpp
@@ -42,14 +42,16 @@
                                      .Age_ = Millis(40),
                                      .Reader_ = {Ipv4(0x0a010010), 7720}};
   const Snapshot<routing::RouteChanges> Encoded{State,
-                                                {true,
+                                                {false,
+                                                 ConfigVersion(5),
                                                  ConfigVersion(7),
                                                  Millis(15'000),
                                                  {Route},
                                                  {{Ipv4(0xc6120001), 8443}}}};
   const auto Decoded = readRouteChanges(encode(Encoded));
   REQUIRE(Decoded);
-  CHECK(Decoded->Changes_.IsFullSnapshot_);
+  CHECK_FALSE(Decoded->Changes_.IsFullSnapshot_);
+  CHECK(Decoded->Changes_.Base_ == ConfigVersion(5));
   CHECK(Decoded->Changes_.Version_ == ConfigVersion(7));
   CHECK(Decoded->Changes_.IdleTimeout_ == Millis(15'000));
   CHECK(Decoded->Changes_.Routes_ == Encoded.Changes_.Routes_);
--- a/test/harness/sync_fleet.cpp
+++ b/test/harness/sync_fleet.cpp
@@ -189,7 +189,7 @@
       Metrics_, Log_);
   const auto HandleRoutes = [&Node](auto Items) {
     for (auto &Item : Items)
-      Node.Router_->adopt(std::move(*Item.Value_), Node.follower(1).revision());
+      Node.Router_->adopt(std::move(*Item.Value_));
   };
   Node.Routes_ = std::make_unique<AnswerProcessor<routing::RouteTable>>(
       "routes", std::move(Codec.Routes_),
@@ -374,12 +374,13 @@
     dispatch(Index, Now_, [=, this](Instance &N) {
       N.Pulling_[Collection] = false;
       if (!Received ||
+          (Collection == 1 && !N.Router_->canMerge(Received->Routes_)) ||
           !N.Reading_->adopt(Collection, Received->State_, RequestedAt, Now_))
         return;
       if (Collection == 0)
         N.Catalog_->apply(Received->Upstreams_, N.follower(0).revision(), Now_);
       else
-        N.Router_->merge(Received->Routes_, N.follower(1).revision());
+        N.Router_->merge(Received->Routes_);
       inspect(N, Collection);
       perform(N, N.Reading_->spread(Now_));
     });
@@ -388,15 +389,19 @@
   const std::size_t Peer = indexOf(Request.Peer_);
   if (!connected(Node, *Instances_[Peer]) || !Instances_[Peer]->Running_)
     return;
+  const std::uint64_t Revision = Node.follower(0).revision();
+  std::optional<ConfigVersion> Version;
+  if (Node.Router_->ready())
+    Version = Node.Router_->table().Version_;
   dispatch(Peer, Now_ + 2 * latency(), [=, this](Instance &Serving) {
     const auto State = Serving.Reading_->state(Collection, Now_);
     if (!State)
       return;
     Reply Sent{*State, {}, {}};
     if (Collection == 0)
-      Sent.Upstreams_ = Serving.Catalog_->changesSince(Request.Since_);
+      Sent.Upstreams_ = Serving.Catalog_->changesSince(Revision);
     else
-      Sent.Routes_ = Serving.Router_->changesSince(Request.Since_);
+      Sent.Routes_ = Serving.Router_->changesSince(Version);
     after(latency(), [Finish, Sent] { Finish(Sent); });
   });
 }
--- a/test/routing/router_test.cpp
+++ b/test/routing/router_test.cpp
@@ -31,19 +31,19 @@
 TEST_CASE("an older table never replaces a newer one") {
   Router Routes;
   CHECK_FALSE(Routes.ready());
-  CHECK(Routes.adopt(table(7, {route(443, "a")}), 10));
+  CHECK(Routes.adopt(table(7, {route(443, "a")})));
   CHECK(Routes.ready());
-  CHECK_FALSE(Routes.adopt(table(7, {route(443, "b")}), 11));
-  CHECK_FALSE(Routes.adopt(table(4, {route(443, "b")}), 12));
-  CHECK_FALSE(Routes.merge({true, ConfigVersion(6), {}, {}, {}}, 13));
+  CHECK_FALSE(Routes.adopt(table(7, {route(443, "b")})));
+  CHECK_FALSE(Routes.adopt(table(4, {route(443, "b")})));
+  CHECK_FALSE(Routes.merge({true, {}, ConfigVersion(6), {}, {}, {}}));
   CHECK(Routes.find(address(443))->Services_[0].Service_ == ServiceName("a"));
   CHECK(Routes.table().Version_ == ConfigVersion(7));
 }
 
 TEST_CASE("a route that is missing from a newer table is removed") {
   Router Routes;
-  CHECK(Routes.adopt(table(1, {route(443, "a"), route(8443, "a")}), 1));
-  CHECK(Routes.adopt(table(2, {route(443, "a")}), 2));
+  CHECK(Routes.adopt(table(1, {route(443, "a"), route(8443, "a")})));
+  CHECK(Routes.adopt(table(2, {route(443, "a")})));
   CHECK(Routes.find(address(8443)) == nullptr);
 }
 
@@ -63,25 +63,66 @@
   CHECK(rc::check([] {
     Router Reader;
     Router Peer;
-    std::uint64_t Revision = 1;
-    std::uint64_t PeerRevision = 0;
+    std::uint64_t Version = 1;
+    std::optional<ConfigVersion> PeerVersion;
     const auto AdoptNext = [&] {
       std::vector<Route> Routes;
       for (std::uint16_t Port = 1; Port < 8; ++Port)
         if (*rc::gen::arbitrary<bool>())
           Routes.push_back(
               route(Port, *rc::gen::element<std::string>("a", "b")));
-      RC_ASSERT(Reader.adopt(table(Revision, Routes), Revision));
+      RC_ASSERT(Reader.adopt(table(Version, Routes)));
     };
     const int Steps = *rc::gen::inRange(1, 12);
-    for (int I = 0; I < Steps; ++I, ++Revision) {
+    for (int I = 0; I < Steps; ++I, ++Version) {
       AdoptNext();
       if (!*rc::gen::arbitrary<bool>())
         continue;
-      RC_ASSERT(Peer.merge(Reader.changesSince(PeerRevision), Revision));
-      PeerRevision = Revision;
+      RC_ASSERT(Peer.merge(Reader.changesSince(PeerVersion)));
+      PeerVersion = ConfigVersion(Version);
       RC_ASSERT(Peer.table().Routes_ == Reader.table().Routes_);
       RC_ASSERT(Peer.table().Version_ == Reader.table().Version_);
     }
   }));
 }
+
+// Guards against a dropped route that stays in force: the sender never held the
+// receiver's version, so that its changes since then are incomplete.
+TEST_CASE("changes of a sender that missed versions reproduce its table") {
+  Router Sender;
+  Router Receiver;
+  CHECK(Sender.adopt(table(1, {route(443, "a")})));
+  CHECK(Receiver.adopt(table(1, {route(443, "a")})));
+  CHECK(Receiver.adopt(table(2, {route(443, "a"), route(8443, "a")})));
+  CHECK(Sender.adopt(table(3, {route(443, "b")})));
+  CHECK(Receiver.merge(Sender.changesSince(ConfigVersion(2))));
+  CHECK(Receiver.table().Routes_ == Sender.table().Routes_);
+}
+
+TEST_CASE("changes are only applied to the table that they were taken from") {
+  Router Sender;
+  CHECK(Sender.adopt(table(1, {route(443, "a")})));
+  CHECK(Sender.adopt(table(3, {route(443, "a"), route(8443, "a")})));
+  const RouteChanges Changes = Sender.changesSince(ConfigVersion(1));
+  Router Receiver;
+  CHECK_FALSE(Receiver.canMerge(Changes));
+  CHECK(Receiver.adopt(table(2, {})));
+  CHECK_FALSE(Receiver.canMerge(Changes));
+  CHECK_FALSE(Receiver.merge(Changes));
+  CHECK(Receiver.table().Routes_.empty());
+  // There is nothing to apply once the version is in force.
+  CHECK(Receiver.adopt(table(3, {})));
+  CHECK(Receiver.canMerge(Changes));
+}
+
+TEST_CASE("the history of the routes is bounded") {
+  Router Routes;
+  for (std::uint16_t Version = 1; Version <= 2 * Router::MaxVersions; ++Version)
+    CHECK(Routes.adopt(
+        table(Version, {route(443, "a"), route(1000 + Version, "a")})));
+  CHECK(Routes.changesSince(ConfigVersion(1)).IsFullSnapshot_);
+  const ConfigVersion Recent(Router::MaxVersions + 10);
+  CHECK_FALSE(Routes.changesSince(Recent).IsFullSnapshot_);
+  CHECK(Routes.changesSince(Recent).Removed_.size() ==
+        Router::MaxVersions - 10);
+}
