Pass on the removal of an upstream that was never known here

An instance could go on placing flows at an upstream that had left.

Cause: the catalog ignored the removal of an upstream that it did not have (it was registered and removed while this instance was paused, cut off, or followed an older list). A peer that had the upstream, and pulled from this instance, got its revision without the removal.

Evidence: test_discovery "a removal reaches a peer through an instance that did not know the upstream" failed before (state listed instead of retired).

Change: the catalog's history then begins at this revision, so that peers with an older one get the complete list.

--- a/src/medlarmoor/discovery/catalog.cpp
+++ b/src/medlarmoor/discovery/catalog.cpp
@@ -21,7 +21,10 @@
     put(std::move(Listed), Revision, Now);
   for (const UpstreamName &Name : Changes.Removed_) {
     const auto Found = Entries_.find(Name);
-    if (Found != Entries_.end() && Found->second->State_ == State::Listed)
+    // A peer may know the upstream and learn of the removal from here only.
+    if (Found == Entries_.end())
+      HistoryStart_ = Revision;
+    else if (Found->second->State_ == State::Listed)
       unlist(*Found->second, Revision, Now);
   }
   rebuild();
--- a/test/discovery/catalog_test.cpp
+++ b/test/discovery/catalog_test.cpp
@@ -166,3 +166,17 @@
   Upstreams.expire(at(60'000));
   CHECK(Upstreams.changesSince(11).IsFullSnapshot_);
 }
+
+// Guards against an upstream that stays in use after it has left, because its
+// removal was passed on by an instance that never knew it.
+TEST_CASE("a removal reaches a peer through an instance that did not know the "
+          "upstream") {
+  Catalog Relay({});
+  Catalog Peer({});
+  Relay.apply(whole({upstream("i-1")}), 10, at(0));
+  Peer.apply(whole({upstream("i-1"), upstream("i-2")}), 11, at(0));
+  Relay.apply(unlisted("i-2"), 12, at(10));
+  Peer.apply(Relay.changesSince(11), 12, at(20));
+  CHECK(stateOf(Peer, "i-2") == State::Retired);
+  CHECK(Peer.candidates(Web).size() == 1);
+}
