Announce the version of the routes

An instance that starts while a restored store still holds older routes would serve them, and refuse clients of a route that its peers serve, until the operator has written again.

Cause: an instance takes from its peers only what is more recent by the store's revisions. The copy is the most recent state of the store and older than what the peers have in force.

Change: announcements carry the version of the routes in force. An instance that has an older one pulls the routes, whatever its revision; the table is taken, its revision is not. Versions only rise, so that this cannot revert anything.

--- a/src/medlarmoor/edge/peer_sync.cpp
+++ b/src/medlarmoor/edge/peer_sync.cpp
@@ -46,8 +46,8 @@
                    telemetry::Registry &Metrics, telemetry::EventLog &Log)
     : Settings_(Settings), Time_(std::move(Time)), Log_(Log),
       SharedReading_(Settings.Gossip_, Settings.Domain_, Settings.gossipSeeds(),
-                     {&Owner.Upstreams_, &Owner.Routes_}, Timing, SpreadFanout,
-                     RandomSource),
+                     {&Owner.Upstreams_, &Owner.Routes_}, Owner.Router_, Timing,
+                     SpreadFanout, RandomSource),
       Owner_(std::move(Owner)), Collections_(makeCollections()), Readable_(Io),
       TickTimer_(Io), Listener_(Io, Settings.Peers_,
                                 [this](const net::HttpRequest &Request,
@@ -90,53 +90,55 @@
 }
 
 std::array<PeerSync::SyncedCollection, 2> PeerSync::makeCollections() {
-  return {SyncedCollection{
-              "/snapshot/upstreams",
-              [this] {
-                return Owner_.Upstreams_.currentAsOf()
-                           ? std::to_string(Owner_.Upstreams_.revision())
-                           : std::string();
-              },
-              [this](const CollectionState &State,
-                     const std::string &Since) -> std::optional<std::string> {
-                const auto Revision = Since.empty() ? 0 : readNumber(Since);
-                if (!Revision)
-                  return std::nullopt;
-                return encode(Snapshot<discovery::UpstreamChanges>{
-                    State, Owner_.UpstreamsSince_(*Revision)});
-              },
-              [this](const std::string &Text, TimePoint RequestedAt) {
-                auto Received = readUpstreamChanges(Text);
-                if (Received && adopt(0, Received->State_, RequestedAt))
-                  Owner_.ApplyUpstreams_(std::move(Received->Changes_));
-                return bool(Received);
-              }},
-          SyncedCollection{
-              "/snapshot/routes",
-              [this] {
-                return Owner_.Router_.ready()
-                           ? std::to_string(
-                                 Owner_.Router_.table().Version_.value())
-                           : std::string();
-              },
-              [this](const CollectionState &State,
-                     const std::string &Since) -> std::optional<std::string> {
-                const auto Version = readNumber(Since);
-                if (!Version && !Since.empty())
-                  return std::nullopt;
-                return encode(Snapshot<routing::RouteChanges>{
-                    State, Owner_.Router_.changesSince(
-                               Version ? std::optional(ConfigVersion(*Version))
-                                       : std::nullopt)});
-              },
-              [this](const std::string &Text, TimePoint RequestedAt) {
-                const auto Received = readRouteChanges(Text);
-                if (!Received || !Owner_.Router_.canMerge(Received->Changes_))
-                  return false;
-                if (adopt(1, Received->State_, RequestedAt))
-                  Owner_.ApplyRoutes_(Received->Changes_);
-                return true;
-              }}};
+  return {
+      SyncedCollection{
+          "/snapshot/upstreams",
+          [this] {
+            return Owner_.Upstreams_.currentAsOf()
+                       ? std::to_string(Owner_.Upstreams_.revision())
+                       : std::string();
+          },
+          [this](const CollectionState &State,
+                 const std::string &Since) -> std::optional<std::string> {
+            const auto Revision = Since.empty() ? 0 : readNumber(Since);
+            if (!Revision)
+              return std::nullopt;
+            return encode(Snapshot<discovery::UpstreamChanges>{
+                State, Owner_.UpstreamsSince_(*Revision)});
+          },
+          [this](const std::string &Text, TimePoint RequestedAt) {
+            auto Received = readUpstreamChanges(Text);
+            if (Received && adopt(0, Received->State_, RequestedAt))
+              Owner_.ApplyUpstreams_(std::move(Received->Changes_));
+            return bool(Received);
+          }},
+      SyncedCollection{
+          "/snapshot/routes",
+          [this] {
+            return Owner_.Router_.ready()
+                       ? std::to_string(Owner_.Router_.table().Version_.value())
+                       : std::string();
+          },
+          [this](const CollectionState &State,
+                 const std::string &Since) -> std::optional<std::string> {
+            const auto Version = readNumber(Since);
+            if (!Version && !Since.empty())
+              return std::nullopt;
+            return encode(Snapshot<routing::RouteChanges>{
+                State, Owner_.Router_.changesSince(
+                           Version ? std::optional(ConfigVersion(*Version))
+                                   : std::nullopt)});
+          },
+          [this](const std::string &Text, TimePoint RequestedAt) {
+            const auto Received = readRouteChanges(Text);
+            if (!Received || !Owner_.Router_.canMerge(Received->Changes_))
+              return false;
+            const bool Adopted = adopt(1, Received->State_, RequestedAt);
+            if (Adopted ||
+                Received->Changes_.Version_ > Owner_.Router_.table().Version_)
+              Owner_.ApplyRoutes_(Received->Changes_);
+            return true;
+          }}};
 }
 
 bool PeerSync::adopt(std::size_t Collection, const CollectionState &Received,
--- a/src/medlarmoor/peers/announcement.hpp
+++ b/src/medlarmoor/peers/announcement.hpp
@@ -1,6 +1,7 @@
 #ifndef MEDLARMOOR_PEERS_ANNOUNCEMENT_HPP
 #define MEDLARMOOR_PEERS_ANNOUNCEMENT_HPP
 
+#include <medlarmoor/core/ids.hpp>
 #include <medlarmoor/peers/collection_state.hpp>
 #include <medlarmoor/peers/member.hpp>
 #include <medlarmoor/placement/upstream_reports.hpp>
@@ -21,6 +22,8 @@
   /// collection.
   std::optional<CollectionState> Upstreams_;
   std::optional<CollectionState> Routes_;
+  /// The version of the routes that the sender has in force, 0 if it has none.
+  ConfigVersion RouteVersion_;
   /// Time since the store recovered from its last outage; no value if that was
   /// not recent.
   std::optional<Millis> StoreRecovered_;
--- a/src/medlarmoor/peers/announcement_codec.cpp
+++ b/src/medlarmoor/peers/announcement_codec.cpp
@@ -12,8 +12,8 @@
 
 /// First element of each announcement; a different layout has a different
 /// number. Additional fields after the known ones are ignored.
-constexpr unsigned LayoutVersion = 3;
-constexpr std::size_t FieldCount = 10;
+constexpr unsigned LayoutVersion = 4;
+constexpr std::size_t FieldCount = 11;
 /// Upper bound of ages: one day, in milliseconds.
 constexpr std::uint64_t MaxAgeMs = 86'400'000;
 
@@ -69,6 +69,7 @@
     Parsed.Members_.push_back(readMember(Element));
   for (const Json &Element : Source.at(9))
     Parsed.Reports_.Unanswered_.emplace_back(Element.get<std::uint32_t>());
+  Parsed.RouteVersion_ = ConfigVersion(Source.at(10).get<std::uint64_t>());
   Parsed.KnownMembers_ = Source.at(8).get<std::size_t>();
   for (const Json &Element : Source.at(7))
     Parsed.Reports_.Suspects_.push_back(
@@ -95,7 +96,8 @@
        packState(Message.Upstreams_), packState(Message.Routes_),
        Message.StoreRecovered_ ? Json(Message.StoreRecovered_->count())
                                : Json(),
-       Members, Suspects, Message.KnownMembers_, Unanswered});
+       Members, Suspects, Message.KnownMembers_, Unanswered,
+       Message.RouteVersion_.value()});
   std::vector<std::byte> Bytes;
   for (const std::uint8_t Byte : Json::to_cbor(Fields))
     Bytes.push_back(static_cast<std::byte>(Byte));
--- a/src/medlarmoor/peers/shared_reading.cpp
+++ b/src/medlarmoor/peers/shared_reading.cpp
@@ -24,11 +24,12 @@
 
 SharedReading::SharedReading(Endpoint Self, DomainName LocalDomain,
                              std::vector<Endpoint> Seeds, Followers Collections,
+                             const routing::Router &Routes,
                              FreshnessTiming Timing, Fanout SpreadFanout,
                              Random RandomSource)
     : Self_(Self), LocalDomain_(LocalDomain),
       Members_(Self, std::move(LocalDomain), std::move(Seeds), RandomSource),
-      Followers_(Collections),
+      Followers_(Collections), Routes_(Routes),
       Collections_{CollectionSync(*Collections[0], Self, Timing),
                    CollectionSync(*Collections[1], Self, Timing)},
       SpreadFanout_(SpreadFanout) {}
@@ -76,6 +77,7 @@
   receiveState(0, Message.Upstreams_, Message.From_, ArrivedAfter, Now,
                Actions);
   receiveState(1, Message.Routes_, Message.From_, ArrivedAfter, Now, Actions);
+  receiveRouteVersion(Message.RouteVersion_, Message.From_, Actions);
   addSpread(Actions, Now);
   return Actions;
 }
@@ -111,6 +113,7 @@
   Message.KnownMembers_ = Members_.size();
   Message.Upstreams_ = state(0, Now);
   Message.Routes_ = state(1, Now);
+  Message.RouteVersion_ = Routes_.table().Version_;
   if (StoreRecoveredAt_ && Now - *StoreRecoveredAt_ < StoreRecoveryAnnounceTime)
     Message.StoreRecovered_ =
         std::chrono::duration_cast<Millis>(Now - *StoreRecoveredAt_);
@@ -153,6 +156,15 @@
     Actions.Pulls_.push_back({Collection, Peer});
 }
 
+void SharedReading::receiveRouteVersion(ConfigVersion Announced, Endpoint Peer,
+                                        SyncActions &Actions) const {
+  const bool Requested = std::any_of(
+      Actions.Pulls_.begin(), Actions.Pulls_.end(),
+      [](const PullChanges &Pull) { return Pull.Collection_ == 1; });
+  if (Routes_.ready() && Announced > Routes_.table().Version_ && !Requested)
+    Actions.Pulls_.push_back({1, Peer});
+}
+
 bool SharedReading::shouldAnswer(const Announcement &Message,
                                  TimePoint Now) const noexcept {
   return Collections_[0].shouldAnswer(Message.Upstreams_, Message.From_, Now) ||
--- a/src/medlarmoor/peers/shared_reading.hpp
+++ b/src/medlarmoor/peers/shared_reading.hpp
@@ -5,6 +5,7 @@
 #include <medlarmoor/peers/fanout.hpp>
 #include <medlarmoor/peers/member_table.hpp>
 #include <medlarmoor/peers/sync_actions.hpp>
+#include <medlarmoor/routing/router.hpp>
 
 #include <array>
 #include <optional>
@@ -22,11 +23,11 @@
   using Followers = std::array<objects::Follower *, CollectionCount>;
 
   /// Self is the gossip endpoint of this instance. The followers are those of
-  /// the upstreams and of the routes, in this order.
+  /// the upstreams and of the routes, in this order; Routes holds the latter.
   SharedReading(Endpoint Self, DomainName LocalDomain,
                 std::vector<Endpoint> Seeds, Followers Collections,
-                FreshnessTiming Timing, Fanout SpreadFanout,
-                Random RandomSource);
+                const routing::Router &Routes, FreshnessTiming Timing,
+                Fanout SpreadFanout, Random RandomSource);
 
   /// Records the start of this instance. To be called once, before any other
   /// function that takes a time.
@@ -69,6 +70,10 @@
   [[nodiscard]] SendAnnouncement gossip(std::vector<Endpoint> Targets,
                                         TimePoint Now);
   void addSpread(SyncActions &Actions, TimePoint Now);
+  /// Requests the routes of a peer that has a higher version in force, even if
+  /// its data is no more recent than the own one.
+  void receiveRouteVersion(ConfigVersion Announced, Endpoint Peer,
+                           SyncActions &Actions) const;
   /// Returns true if the sender of Message should learn the own state.
   [[nodiscard]] bool shouldAnswer(const Announcement &Message,
                                   TimePoint Now) const noexcept;
@@ -87,6 +92,7 @@
   DomainName LocalDomain_;
   MemberTable Members_;
   Followers Followers_;
+  const routing::Router &Routes_;
   std::array<CollectionSync, CollectionCount> Collections_;
   Fanout SpreadFanout_;
   TimePoint StartedAt_{};
--- a/test/edge/hostile_peer_test.cpp
+++ b/test/edge/hostile_peer_test.cpp
@@ -108,10 +108,11 @@
   CHECK(rc::check([&] {
     objects::Follower Upstreams({}, Random(1));
     objects::Follower Routes({}, Random(2));
+    routing::Router Table;
     (void)Upstreams.recordPage(false, "", 10, at(0), at(0));
     peers::SharedReading Own({Ipv4(0x0a010001), 7720}, DomainName("seeb"), {},
-                             {&Upstreams, &Routes}, {}, peers::AllMembers{},
-                             Random(3));
+                             {&Upstreams, &Routes}, Table, {},
+                             peers::AllMembers{}, Random(3));
     Own.start(at(0));
     const std::string Hostile = mutate(Text);
     const auto *First = reinterpret_cast<const std::byte *>(Hostile.data());
--- a/test/harness/sync_fleet.cpp
+++ b/test/harness/sync_fleet.cpp
@@ -204,7 +204,7 @@
   Node.Reading_ = std::make_unique<peers::SharedReading>(
       endpoint(Index), DomainName(Domain), Seeds,
       peers::SharedReading::Followers{&Node.follower(0), &Node.follower(1)},
-      Setup_.Freshness_, Setup_.Fanout_, Random(Random_()));
+      *Node.Router_, Setup_.Freshness_, Setup_.Fanout_, Random(Random_()));
   Node.Reading_->start(Now_);
   Node.NextChange_ = {Changes_.size(), Changes_.size()};
   Node.KnownVersion_ = 0;
@@ -374,13 +374,14 @@
     dispatch(Index, Now_, [=, this](Instance &N) {
       N.Pulling_[Collection] = false;
       if (!Received ||
-          (Collection == 1 && !N.Router_->canMerge(Received->Routes_)) ||
-          !N.Reading_->adopt(Collection, Received->State_, RequestedAt, Now_))
+          (Collection == 1 && !N.Router_->canMerge(Received->Routes_)))
         return;
-      if (Collection == 0)
-        N.Catalog_->apply(Received->Upstreams_, N.follower(0).revision(), Now_);
-      else
+      const bool Adopted =
+          N.Reading_->adopt(Collection, Received->State_, RequestedAt, Now_);
+      if (Collection == 1)
         N.Router_->merge(Received->Routes_);
+      else if (Adopted)
+        N.Catalog_->apply(Received->Upstreams_, N.follower(0).revision(), Now_);
       inspect(N, Collection);
       perform(N, N.Reading_->spread(Now_));
     });
--- a/test/peers/announcement_codec_test.cpp
+++ b/test/peers/announcement_codec_test.cpp
@@ -16,6 +16,7 @@
   Message.Domain_ = DomainName("seeb");
   Message.Upstreams_ =
       CollectionState{530, 524, Millis(250), {Ipv4(0x0a010012), 7720}};
+  Message.RouteVersion_ = ConfigVersion(14);
   Message.StoreRecovered_ = Millis(1200);
   Message.Reports_.Suspects_ = {{affinity::Tag(17), 15},
                                 {affinity::Tag(0xfffffffe), 30}};
