Forget the pages of a list that a peer's data has replaced

After the store has dropped its history, an upstream that was removed could be listed again, or an older state of one be listed beside the newer.

Cause: when a peer's data replaced a list in progress, the pages received so far were only dropped with the last page of that list. If a page with more to follow arrived, its objects stayed, and the next list began with them.

Evidence: test_objects "a page of a list that a peer's data replaced is not part of the next list" failed before: listed 3 4 5 6 6 7 instead of 6 7.

Change: pages are kept only while the follower has a list in progress.

--- a/src/medlarmoor/objects/answer_processor.hpp
+++ b/src/medlarmoor/objects/answer_processor.hpp
@@ -98,7 +98,7 @@
     if (Follower_.recordPage(Received.More_, Received.LastName_,
                              Received.Revision_, Sent, Now))
       Handlers_.OnListed_(std::exchange(Listed_, {}));
-    else if (!Received.More_)
+    else if (!Follower_.listInProgress())
       Listed_.clear();
   }
 
--- a/src/medlarmoor/objects/follower.hpp
+++ b/src/medlarmoor/objects/follower.hpp
@@ -65,6 +65,10 @@
   [[nodiscard]] bool storeAnswers() const noexcept {
     return Answered_ && !FailingSince_;
   }
+  /// Returns true while a list is in progress of which a page was received.
+  [[nodiscard]] bool listInProgress() const noexcept {
+    return ListRevision_.has_value();
+  }
   /// Returns the revision up to which all changes are known.
   [[nodiscard]] std::uint64_t revision() const noexcept { return Revision_; }
   /// Returns the last revision that changed the collection, as far as known.
--- /dev/null
+++ b/test/objects/answer_processor_test.cpp
@@ -0,0 +1,74 @@
+#include <harness/catalog_builder.hpp>
+
+#include <medlarmoor/objects/answer_processor.hpp>
+
+#include <catch2/catch.hpp>
+
+#include <sstream>
+
+using namespace medlarmoor;
+using namespace medlarmoor::objects;
+using medlarmoor::harness::at;
+
+namespace {
+
+using Items = AnswerProcessor<int>::Items;
+
+/// The collection holds the numbers that its codec reads from bodies such as
+/// "12 more: 3 4", where 12 is the revision.
+std::optional<Page<int>> readPage(const std::string &Body, std::string &) {
+  Page<int> Parsed;
+  std::istringstream Words(Body);
+  std::string Word;
+  Words >> Parsed.Revision_ >> Word;
+  Parsed.More_ = Word == "more:";
+  while (Words >> Word) {
+    Parsed.Items_.push_back({Word, std::stoi(Word), {}});
+    Parsed.LastName_ = Word;
+  }
+  return Parsed;
+}
+
+struct Collection {
+  void answer(const std::string &Body, bool IsList, TimePoint Now) {
+    net::HttpResponse Response;
+    Response.Body_ = Body;
+    Answers_.process(std::move(Response), "", IsList, Now, Now);
+  }
+
+  telemetry::Registry Metrics_;
+  telemetry::EventLog Log_{"answer-test", "ERROR"};
+  std::vector<int> Listed_;
+  AnswerProcessor<int> Answers_{
+      "numbers",
+      {[](const std::string &After) { return "list " + After; },
+       [](std::uint64_t Revision, Millis) {
+         return "watch " + std::to_string(Revision);
+       },
+       readPage, [](const net::HttpHeaders &) { return StoreEpoch(1); }},
+      Follower({}, Random(1)),
+      {[this](const Items &Received) {
+         Listed_.clear();
+         for (const auto &Item : Received)
+           Listed_.push_back(*Item.Value_);
+       },
+       [](const Items &) {}, [] {}, [] {}},
+      Metrics_,
+      Log_};
+};
+
+} // namespace
+
+// Guards against an object that is listed although it was removed, because a
+// page of an abandoned list was kept.
+TEST_CASE(
+    "a page of a list that a peer's data replaced is not part of the next "
+    "list") {
+  Collection Numbers;
+  Numbers.answer("10 more: 3 4", true, at(0));
+  Numbers.Answers_.follower().adopt(20, 18, at(5));
+  Numbers.answer("10 more: 5 6", true, at(10));
+  Numbers.Answers_.follower().recordHistoryLoss(at(20));
+  Numbers.answer("30 all: 6 7", true, at(30));
+  CHECK(Numbers.Listed_ == std::vector{6, 7});
+}
