Ignore answers to watches that were sent before a peer told of a restore

What callers saw: a change missing at some instances until the next change of the same object, if a watch was on its way while a peer told of the restore.

Cause: the answer to a watch was taken as the changes since the follower's present revision. If a peer's data of the new epoch arrived in between, the watch had started from a number of the lost history, and all changes up to that number were skipped. The same holds for a refusal of that watch, which caused a needless list.

Change: each answer is processed with the call that it belongs to.

The simulated store returns to what it held at the copy's time, also in an earlier epoch; before, a second restore lost what the first had brought back. Watches of the simulation wait in the order of their calls, so that a seed repeats.

--- a/src/medlarmoor/objects/answer_processor.hpp
+++ b/src/medlarmoor/objects/answer_processor.hpp
@@ -1,6 +1,7 @@
 #ifndef MEDLARMOOR_OBJECTS_ANSWER_PROCESSOR_HPP
 #define MEDLARMOOR_OBJECTS_ANSWER_PROCESSOR_HPP
 
+#include <medlarmoor/core/overloaded.hpp>
 #include <medlarmoor/net/http_response.hpp>
 #include <medlarmoor/objects/collection_codec.hpp>
 #include <medlarmoor/objects/follower.hpp>
@@ -56,28 +57,33 @@
   /// send.
   [[nodiscard]] Follower &follower() noexcept { return Follower_; }
   /// Returns the target of the request for a call that the follower requests.
-  [[nodiscard]] std::string target(const ListCall &Call) const {
-    return Codec_.ListTarget_(Call.After_);
-  }
-  [[nodiscard]] std::string target(const WatchCall &Call) const {
-    return Codec_.WatchTarget_(Call.Revision_.Number_, Call.Wait_);
+  [[nodiscard]] std::string target(const StoreCall &Call) const {
+    return std::visit(Overloaded{[this](const ListCall &List) {
+                                   return Codec_.ListTarget_(List.After_);
+                                 },
+                                 [this](const WatchCall &Watch) {
+                                   return Codec_.WatchTarget_(
+                                       Watch.Revision_.Number_, Watch.Wait_);
+                                 }},
+                      Call);
   }
 
   /// Processes the answer to a call that was sent at Sent. Answer has no value
   /// if there was none; Reason then says why.
-  void process(std::optional<net::HttpResponse> Answer, std::string Reason,
-               bool IsList, TimePoint Sent, TimePoint Now) {
+  void process(const StoreCall &Call, std::optional<net::HttpResponse> Answer,
+               std::string Reason, TimePoint Sent, TimePoint Now) {
     constexpr unsigned Ok = 200;
     constexpr unsigned Gone = 410;
     if (Answer)
       recordEpoch(Codec_.ReadEpoch_(Answer->Headers_));
-    if (Answer && Answer->Status_ == Gone) {
+    const auto *Watch = std::get_if<WatchCall>(&Call);
+    if (Answer && Answer->Status_ == Gone && Watch) {
       Log_.info("store_history_lost",
                 {{"collection", Name_},
                  {"epoch", Follower_.revision().Epoch_.value()},
                  {"revision", Follower_.revision().Number_}});
       recordRecovery(Now);
-      return Follower_.recordHistoryLoss(Now);
+      return Follower_.recordHistoryLoss(Watch->Revision_, Now);
     }
     if (Answer && Answer->Status_ != Ok)
       Reason = "HTTP status " + std::to_string(Answer->Status_);
@@ -93,10 +99,11 @@
     recordRecovery(Now);
     const StoreRevision Revision{Codec_.ReadEpoch_(Answer->Headers_),
                                  Received->Revision_};
-    if (IsList)
-      handlePage(std::move(*Received), Revision, Sent, Now);
+    if (Watch)
+      handleChanges(Watch->Revision_, std::move(*Received), Revision, Sent,
+                    Now);
     else
-      handleChanges(std::move(*Received), Revision, Sent, Now);
+      handlePage(std::move(*Received), Revision, Sent, Now);
   }
 
 private:
@@ -111,10 +118,10 @@
       Listed_.clear();
   }
 
-  void handleChanges(Page<Item> Received, StoreRevision Revision,
-                     TimePoint Sent, TimePoint Now) {
-    const bool IsNew =
-        Follower_.recordChanges(!Received.Items_.empty(), Revision, Sent, Now);
+  void handleChanges(StoreRevision Since, Page<Item> Received,
+                     StoreRevision Revision, TimePoint Sent, TimePoint Now) {
+    const bool IsNew = Follower_.recordChanges(Since, !Received.Items_.empty(),
+                                               Revision, Sent, Now);
     if (IsNew && !Received.Items_.empty())
       Handlers_.OnChanged_(latest(std::move(Received.Items_)));
     else
--- a/src/medlarmoor/objects/collection_reader.hpp
+++ b/src/medlarmoor/objects/collection_reader.hpp
@@ -55,14 +55,11 @@
 
 private:
   void step() {
-    std::visit(Overloaded{[this](const ListCall &Call) {
-                            send(Answers_.target(Call), Millis(0), true);
-                          },
-                          [this](const WatchCall &Call) {
-                            send(Answers_.target(Call), Call.Wait_, false);
-                          },
-                          [this](const Pause &Step) { pause(Step.Until_); }},
-               Answers_.follower().next(Time_.now()));
+    std::visit(
+        Overloaded{[this](const ListCall &Call) { send(Call, Millis(0)); },
+                   [this](const WatchCall &Call) { send(Call, Call.Wait_); },
+                   [this](const Pause &Step) { pause(Step.Until_); }},
+        Answers_.follower().next(Time_.now()));
   }
 
   void pause(TimePoint Until) {
@@ -71,17 +68,17 @@
     Timer_.async_wait([this](boost::system::error_code) { step(); });
   }
 
-  void send(std::string Target, Millis Wait, bool IsList) {
+  void send(StoreCall Call, Millis Wait) {
     Calls_.add();
     net::HttpRequest Request;
-    Request.Target_ = std::move(Target);
+    Request.Target_ = Answers_.target(Call);
     Http_.send(Store_, std::move(Request), Wait + Timing_.CallTimeout_,
-               [this, IsList,
+               [this, Call = std::move(Call),
                 Sent = Time_.now()](std::optional<net::HttpResponse> Answer,
                                     std::string Reason) {
                  const TimePoint Now = Time_.now();
                  Times_.record(Now - Sent);
-                 Answers_.process(std::move(Answer), std::move(Reason), IsList,
+                 Answers_.process(Call, std::move(Answer), std::move(Reason),
                                   Sent, Now);
                  step();
                });
--- a/src/medlarmoor/objects/follower.cpp
+++ b/src/medlarmoor/objects/follower.cpp
@@ -60,17 +60,18 @@
   return true;
 }
 
-bool Follower::recordChanges(bool HasChanges, StoreRevision Revision,
-                             TimePoint Sent, TimePoint Now) {
+bool Follower::recordChanges(StoreRevision Since, bool HasChanges,
+                             StoreRevision Revision, TimePoint Sent,
+                             TimePoint Now) {
   recordSuccess();
-  NotBefore_ = HasChanges ? Now + Timing_.BatchDelay_ : Now;
-  if (Revision < Revision_)
-    return false;
-  if (Revision.Epoch_ != Revision_.Epoch_) {
-    restartList();
+  if (Revision.Epoch_ != Since.Epoch_) {
     NotBefore_ = Now;
+    recordEpoch(Revision.Epoch_);
     return false;
   }
+  NotBefore_ = HasChanges ? Now + Timing_.BatchDelay_ : Now;
+  if (Revision < Revision_)
+    return false;
   Revision_ = Revision;
   if (HasChanges)
     LastChange_ = Revision;
@@ -98,10 +99,12 @@
   DeferUntil_ = Until;
 }
 
-void Follower::recordHistoryLoss(TimePoint Now) {
+void Follower::recordHistoryLoss(StoreRevision Since, TimePoint Now) {
   recordSuccess();
-  restartList();
   NotBefore_ = Now;
+  // A peer may have told of the store's next epoch meanwhile.
+  if (Since.Epoch_ == Revision_.Epoch_)
+    restartList();
 }
 
 void Follower::recordEpoch(StoreEpoch Current) noexcept {
--- a/src/medlarmoor/objects/follower.hpp
+++ b/src/medlarmoor/objects/follower.hpp
@@ -27,14 +27,16 @@
   /// that of the known data, makes the list start again.
   bool recordPage(bool More, const std::string &LastName,
                   StoreRevision Revision, TimePoint Sent, TimePoint Now);
-  /// Records the answer to a watch that was sent at Sent, up to Revision;
-  /// HasChanges is true if it holds changes. The answer counts as old as the
-  /// call, since it may have waited while this process was paused. Returns
-  /// false if the answer must be ignored: it is outdated, because a peer has
-  /// sent a newer revision meanwhile, or the store has begun another epoch, in
-  /// which the revision that the watch started from means nothing.
-  [[nodiscard]] bool recordChanges(bool HasChanges, StoreRevision Revision,
-                                   TimePoint Sent, TimePoint Now);
+  /// Records the answer to a watch of the changes after Since that was sent at
+  /// Sent, up to Revision; HasChanges is true if it holds changes. The answer
+  /// counts as old as the call, since it may have waited while this process was
+  /// paused. Returns false if the answer must be ignored: it is outdated,
+  /// because a peer has sent a newer revision meanwhile, or the store has begun
+  /// another epoch since the watch was sent, in which the number of Since means
+  /// something else.
+  [[nodiscard]] bool recordChanges(StoreRevision Since, bool HasChanges,
+                                   StoreRevision Revision, TimePoint Sent,
+                                   TimePoint Now);
   /// Records that a peer sent the complete collection as of Revision, which was
   /// known to be current at AsOf. LastChange is the last revision that changed
   /// the collection.
@@ -43,9 +45,9 @@
   /// Revision, no change after the revision known here. No call is made before
   /// Until.
   void defer(StoreRevision Revision, TimePoint AsOf, TimePoint Until);
-  /// Records that the store has dropped the history after the last known
-  /// revision.
-  void recordHistoryLoss(TimePoint Now);
+  /// Records that the store does not have the history after Since, from which a
+  /// watch started.
+  void recordHistoryLoss(StoreRevision Since, TimePoint Now);
   /// Records that the store, which gave no usable answer, is in an epoch. If it
   /// is a new one, the collection is listed next.
   void recordEpoch(StoreEpoch Current) noexcept;
--- a/src/medlarmoor/objects/follower_step.hpp
+++ b/src/medlarmoor/objects/follower_step.hpp
@@ -21,6 +21,9 @@
   Millis Wait_{0};
 };
 
+/// A call to the store.
+using StoreCall = std::variant<ListCall, WatchCall>;
+
 /// Requests that no call be made before a time.
 struct Pause {
   TimePoint Until_{};
--- a/test/harness/store_model.cpp
+++ b/test/harness/store_model.cpp
@@ -1,6 +1,7 @@
 #include <harness/store_model.hpp>
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace medlarmoor::harness {
@@ -35,13 +36,19 @@
   HistoryStart_ = ++Revision_;
 }
 
-void StoreModel::restore(TimePoint AsOf) {
-  const std::deque<Event> Events = std::exchange(Events_, {});
+void StoreModel::restore(TimePoint AsOf, TimePoint Now) {
+  const auto Source = std::find_if(
+      Timelines_.rbegin(), Timelines_.rend(),
+      [AsOf](const Timeline &Past) { return Past.BeganAt_ <= AsOf; });
+  std::deque<Event> Copied;
+  std::copy_if(Source->Events_.begin(), Source->Events_.end(),
+               std::back_inserter(Copied),
+               [AsOf](const Event &Change) { return Change.At_ <= AsOf; });
   Kinds_.clear();
   Revision_ = 1;
-  for (const Event &Change : Events)
-    if (Change.At_ <= AsOf)
-      append(Change);
+  Timelines_.push_back({Now, {}});
+  for (Event &Change : Copied)
+    append(std::move(Change));
   HistoryStart_ = std::min(HistoryStart_, Revision_);
   ++Epoch_;
 }
@@ -66,7 +73,7 @@
   if (After < HistoryStart_ || After > Revision_)
     return std::nullopt;
   Json Events = Json::array();
-  for (const Event &Change : Events_)
+  for (const Event &Change : events())
     if (Change.State_.Revision_ > After && Change.Kind_ == Kind)
       Events.push_back({{"deleted", Change.Deleted_},
                         {"object", pack(Change.Name_, Change.State_)}});
@@ -74,7 +81,7 @@
 }
 
 std::uint64_t StoreModel::lastChange(const std::string &Kind) const {
-  for (auto Change = Events_.rbegin(); Change != Events_.rend(); ++Change)
+  for (auto Change = events().rbegin(); Change != events().rend(); ++Change)
     if (Change->Kind_ == Kind)
       return Change->State_.Revision_;
   return 0;
@@ -95,7 +102,7 @@
     Kinds_[Change.Kind_].erase(Change.Name_);
   else
     Kinds_[Change.Kind_][Change.Name_] = Change.State_;
-  Events_.push_back(std::move(Change));
+  Timelines_.back().Events_.push_back(std::move(Change));
 }
 
 StoreModel::Json StoreModel::pack(const std::string &Name,
--- a/test/harness/store_model.hpp
+++ b/test/harness/store_model.hpp
@@ -10,6 +10,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace medlarmoor::harness {
 
@@ -27,9 +28,10 @@
   bool remove(const std::string &Kind, const std::string &Name, TimePoint Now);
   /// Drops the history, so that a watch of earlier revisions is refused.
   void forgetHistory();
-  /// Returns to the state at AsOf and begins the next epoch. Later changes are
-  /// lost, and their revisions are given out again.
-  void restore(TimePoint AsOf);
+  /// Returns to the state at AsOf, also one of an earlier epoch, and begins the
+  /// next epoch. Later changes are lost, and their revisions are given out
+  /// again.
+  void restore(TimePoint AsOf, TimePoint Now);
 
   /// Returns the body of one page of a list: at most Limit objects after the
   /// name After.
@@ -65,7 +67,17 @@
     bool Deleted_ = false;
   };
 
+  /// A history that was in force from a time on.
+  struct Timeline {
+    TimePoint BeganAt_{};
+    /// State_.Revision_ ascends.
+    std::deque<Event> Events_;
+  };
+
   void append(Event Change);
+  [[nodiscard]] const std::deque<Event> &events() const noexcept {
+    return Timelines_.back().Events_;
+  }
   [[nodiscard]] static Json pack(const std::string &Name, const Object &State);
 
   std::uint64_t Epoch_ = 1;
@@ -73,8 +85,8 @@
   /// The history holds the changes after this revision.
   std::uint64_t HistoryStart_ = 0;
   std::map<std::string, std::map<std::string, Object>> Kinds_;
-  /// All changes; State_.Revision_ ascends.
-  std::deque<Event> Events_;
+  /// The histories of all epochs; the last one is in force.
+  std::vector<Timeline> Timelines_{1};
 };
 
 } // namespace medlarmoor::harness
--- a/test/harness/sync_fleet.cpp
+++ b/test/harness/sync_fleet.cpp
@@ -85,9 +85,7 @@
   std::size_t Index_ = 0;
   std::uint64_t Incarnation_ = 0;
   std::size_t Collection_ = 0;
-  std::string After_;
-  /// No value for a list.
-  std::optional<std::uint64_t> Since_;
+  objects::StoreCall Request_;
   TimePoint Sent_{};
   bool Done_ = false;
 };
@@ -241,17 +239,15 @@
     return dispatch(Node.Index_, Wait->Until_,
                     [this, Collection](Instance &N) { step(N, Collection); });
   if (const auto *Watch = std::get_if<objects::WatchCall>(&Next))
-    return send(Node, Collection, "", Watch->Revision_.Number_, Watch->Wait_);
-  send(Node, Collection, std::get<objects::ListCall>(Next).After_, std::nullopt,
-       Millis(0));
+    return send(Node, Collection, *Watch, Watch->Wait_);
+  send(Node, Collection, std::get<objects::ListCall>(Next), Millis(0));
 }
 
 void SyncFleet::send(Instance &Node, std::size_t Collection,
-                     const std::string &After,
-                     std::optional<std::uint64_t> Since, Millis Wait) {
+                     const objects::StoreCall &Request, Millis Wait) {
   ++StoreCalls_;
   auto Pending = std::make_shared<Call>(
-      Call{Node.Index_, Node.Incarnation_, Collection, After, Since, Now_});
+      Call{Node.Index_, Node.Incarnation_, Collection, Request, Now_});
   after(Wait + Setup_.Reading_.CallTimeout_,
         [this, Pending] { finish(Pending, NoAnswer, ""); });
   if (!reachesStore(Node))
@@ -260,15 +256,17 @@
     after(StoreAnswer, [this, Pending] { finish(Pending, Refused, ""); });
     return;
   }
+  const auto *Watch = std::get_if<objects::WatchCall>(&Request);
   const auto Events =
-      Since ? Store_.changes(Kinds[Collection], *Since) : std::nullopt;
+      Watch ? Store_.changes(Kinds[Collection], Watch->Revision_.Number_)
+            : std::nullopt;
   if (!Events || !(*Events)["events"].empty()) {
     after(StoreAnswer, [this, Pending] { answer(Pending); });
     return;
   }
-  Waiting_.insert(Pending);
+  Waiting_.push_back(Pending);
   after(Wait + StoreAnswer, [this, Pending] {
-    if (Waiting_.erase(Pending) == 1)
+    if (std::erase(Waiting_, Pending) == 1)
       answer(Pending);
   });
 }
@@ -277,10 +275,11 @@
   if (!reachesStore(*Instances_[Pending->Index_]))
     return;
   const char *Kind = Kinds[Pending->Collection_];
-  if (!Pending->Since_)
+  if (const auto *List = std::get_if<objects::ListCall>(&Pending->Request_))
     return finish(Pending, Ok,
-                  Store_.list(Kind, Pending->After_, Setup_.PageSize_).dump());
-  const auto Events = Store_.changes(Kind, *Pending->Since_);
+                  Store_.list(Kind, List->After_, Setup_.PageSize_).dump());
+  const auto Events = Store_.changes(
+      Kind, std::get<objects::WatchCall>(Pending->Request_).Revision_.Number_);
   finish(Pending, Events ? Ok : Gone, Events ? Events->dump() : "{}");
 }
 
@@ -288,7 +287,7 @@
                        const std::string &Body) {
   if (std::exchange(Pending->Done_, true))
     return;
-  Waiting_.erase(Pending);
+  std::erase(Waiting_, Pending);
   if (Instances_[Pending->Index_]->Incarnation_ != Pending->Incarnation_)
     return;
   std::optional<net::HttpResponse> Answer;
@@ -301,7 +300,7 @@
   dispatch(Pending->Index_, Now_,
            [this, Pending, Answer = std::move(Answer)](Instance &Node) {
              const auto Process = [&](auto &Collection) {
-               Collection.process(Answer, "no answer", !Pending->Since_,
+               Collection.process(Pending->Request_, Answer, "no answer",
                                   Pending->Sent_, Now_);
              };
              if (Pending->Collection_ == 0)
@@ -486,21 +485,21 @@
     if (Pending->Collection_ == Collection)
       Due.push_back(Pending);
   for (const auto &Pending : Due) {
-    Waiting_.erase(Pending);
+    std::erase(Waiting_, Pending);
     after(StoreAnswer, [this, Pending] { answer(Pending); });
   }
 }
 
 void SyncFleet::restore(Millis Age, Millis Downtime, Millis OperatorDelay) {
   OperatorDelay_ = OperatorDelay;
-  const TimePoint AsOf = Now_ - Age;
+  const TimePoint AsOf = std::max(Now_ - Age, at(0));
   StoreAwayUntil_ = std::max(StoreAwayUntil_, Now_ + Downtime);
   for (const auto &Pending : std::exchange(Waiting_, {}))
     after(StoreAnswer, [this, Pending] { finish(Pending, NoAnswer, ""); });
   for (const auto &Node : Instances_)
     disturb(*Node, StoreAwayUntil_ + StableWindow);
   after(Downtime, [this, AsOf] {
-    Store_.restore(AsOf);
+    Store_.restore(AsOf, Now_);
     after(OperatorDelay_, [this] { publishRoutes(); });
     for (const auto &[Name, State] : Upstreams_)
       after(Millis(Random_() % MaxUpstreamRewrite.count()),
@@ -542,9 +541,11 @@
     return;
   }
   for (const std::string &Name : Departed_) {
-    if (!accepts(Node.Index_, Name))
+    const discovery::CatalogEntry *Entry =
+        Node.Catalog_->find(affinity::tagOf(UpstreamName(Name)));
+    if (Entry && Entry->Upstream_.Draining_)
       Node.KnownDeparted_.insert(Name);
-    else
+    else if (Entry && Entry->acceptsNewFlows())
       Regressions_ += Node.KnownDeparted_.erase(Name);
   }
 }
--- a/test/harness/sync_fleet.hpp
+++ b/test/harness/sync_fleet.hpp
@@ -4,6 +4,7 @@
 #include <harness/store_model.hpp>
 
 #include <medlarmoor/core/random.hpp>
+#include <medlarmoor/objects/follower_step.hpp>
 #include <medlarmoor/objects/follower_timing.hpp>
 #include <medlarmoor/peers/fanout.hpp>
 #include <medlarmoor/peers/freshness_timing.hpp>
@@ -130,9 +131,8 @@
   void dispatch(std::size_t Index, TimePoint At,
                 std::function<void(Instance &)> Action);
   void step(Instance &Node, std::size_t Collection);
-  /// Makes a call. Since has no value for a list.
-  void send(Instance &Node, std::size_t Collection, const std::string &After,
-            std::optional<std::uint64_t> Since, Millis Wait);
+  void send(Instance &Node, std::size_t Collection,
+            const objects::StoreCall &Request, Millis Wait);
   /// Answers a call from the store.
   void answer(const std::shared_ptr<Call> &Pending);
   void finish(const std::shared_ptr<Call> &Pending, unsigned Status,
@@ -173,7 +173,8 @@
   std::priority_queue<Event> Events_;
   std::uint64_t Order_ = 0;
   std::vector<std::unique_ptr<Instance>> Instances_;
-  std::set<std::shared_ptr<Call>> Waiting_;
+  /// Watches that wait for a change, in the order of their calls.
+  std::vector<std::shared_ptr<Call>> Waiting_;
   Millis WorstDelay_{0};
   std::size_t Regressions_ = 0;
   std::size_t StoreCalls_ = 0;
--- a/test/objects/answer_processor_test.cpp
+++ b/test/objects/answer_processor_test.cpp
@@ -36,7 +36,10 @@
     net::HttpResponse Response;
     Response.Body_ = Body;
     Response.Status_ = Status;
-    Answers_.process(std::move(Response), "", IsList, Now, Now);
+    StoreCall Call = ListCall{};
+    if (!IsList)
+      Call = WatchCall{Answers_.follower().revision(), Millis(0)};
+    Answers_.process(Call, std::move(Response), "", Now, Now);
   }
 
   telemetry::Registry Metrics_;
@@ -73,7 +76,8 @@
   Numbers.answer("10 more: 3 4", true, at(0));
   Numbers.Answers_.follower().adopt(revision(20), revision(18), at(5));
   Numbers.answer("10 more: 5 6", true, at(10));
-  Numbers.Answers_.follower().recordHistoryLoss(at(20));
+  Numbers.Answers_.follower().recordHistoryLoss(
+      Numbers.Answers_.follower().revision(), at(20));
   Numbers.answer("30 all: 6 7", true, at(30));
   CHECK(Numbers.Listed_ == std::vector{6, 7});
 }
--- a/test/objects/follower_test.cpp
+++ b/test/objects/follower_test.cpp
@@ -44,7 +44,8 @@
 
 TEST_CASE("changes in quick succession cost one call") {
   Follower Collection = listedUpTo10();
-  CHECK(Collection.recordChanges(true, revision(12), at(0), at(100)));
+  CHECK(Collection.recordChanges(Collection.revision(), true, revision(12),
+                                 at(0), at(100)));
   CHECK(std::get<Pause>(Collection.next(at(100))).Until_ == at(600));
   CHECK(std::get<WatchCall>(Collection.next(at(600))).Revision_ ==
         revision(12));
@@ -52,7 +53,8 @@
 
 TEST_CASE("answers are never further apart than the wait of a watch") {
   Follower Collection = listedUpTo10();
-  CHECK(Collection.recordChanges(true, revision(12), at(0), at(100)));
+  CHECK(Collection.recordChanges(Collection.revision(), true, revision(12),
+                                 at(0), at(100)));
   CHECK(std::get<WatchCall>(Collection.next(at(600))).Wait_ == Millis(1000));
   Collection.defer(revision(12), at(700), at(2000));
   CHECK(std::get<Pause>(Collection.next(at(1000))).Until_ == at(2000));
@@ -63,7 +65,7 @@
 TEST_CASE(
     "a collection is listed again after the store has dropped its history") {
   Follower Collection = listedUpTo10();
-  Collection.recordHistoryLoss(at(50));
+  Collection.recordHistoryLoss(Collection.revision(), at(50));
   CHECK(std::holds_alternative<ListCall>(Collection.next(at(50))));
   CHECK(Collection.recordPage(false, "", revision(99), at(50), at(60)));
   CHECK(std::get<WatchCall>(Collection.next(at(560))).Revision_ ==
@@ -75,7 +77,8 @@
 TEST_CASE("restored store: the collection is listed again when an answer is of "
           "another epoch") {
   Follower Watching = listedUpTo10();
-  CHECK_FALSE(Watching.recordChanges(true, revision(12, 2), at(0), at(100)));
+  CHECK_FALSE(Watching.recordChanges(Watching.revision(), true, revision(12, 2),
+                                     at(0), at(100)));
   CHECK(std::holds_alternative<ListCall>(Watching.next(at(100))));
   CHECK(Watching.revision() == revision(10));
   CHECK(Watching.recordPage(false, "", revision(7, 2), at(100), at(105)));
@@ -102,13 +105,30 @@
 TEST_CASE("restored store: an answer of the lost history is ignored") {
   Follower Collection = listedUpTo10();
   Collection.adopt(revision(7, 2), revision(6, 2), at(50));
-  CHECK_FALSE(Collection.recordChanges(true, revision(12), at(40), at(60)));
+  CHECK_FALSE(Collection.recordChanges(Collection.revision(), true,
+                                       revision(12), at(40), at(60)));
   CHECK(Collection.revision() == revision(7, 2));
-  Collection.recordHistoryLoss(at(70));
+  Collection.recordHistoryLoss(Collection.revision(), at(70));
   CHECK_FALSE(Collection.recordPage(false, "", revision(12), at(40), at(80)));
   CHECK(Collection.revision() == revision(7, 2));
 }
 
+// Guards against changes that are skipped because the answer to a watch of the
+// lost history counts from a peer's revision of the new one.
+TEST_CASE(
+    "restored store: an answer to a watch that was sent before a peer told "
+    "of the restore is ignored") {
+  Follower Collection = listedUpTo10();
+  const StoreRevision Since = Collection.revision();
+  Collection.adopt(revision(7, 2), revision(7, 2), at(50));
+  CHECK_FALSE(
+      Collection.recordChanges(Since, false, revision(12, 2), at(40), at(60)));
+  CHECK(std::get<WatchCall>(Collection.next(at(60))).Revision_ ==
+        revision(7, 2));
+  Collection.recordHistoryLoss(Since, at(70));
+  CHECK(std::holds_alternative<WatchCall>(Collection.next(at(70))));
+}
+
 TEST_CASE("failed calls are retried with a growing backoff") {
   Follower Collection = listedUpTo10();
   TimePoint Now = at(0);
@@ -124,7 +144,8 @@
   }
   CHECK(LongestPause >= Timing.MaxBackoff_ / 2);
   CHECK(Collection.inOutage(Now));
-  CHECK(Collection.recordChanges(false, revision(10), Now, Now));
+  CHECK(Collection.recordChanges(Collection.revision(), false, revision(10),
+                                 Now, Now));
   CHECK_FALSE(Collection.failingSince());
   CHECK_FALSE(Collection.inOutage(Now));
 }
@@ -155,7 +176,8 @@
 TEST_CASE("an answer older than a peer's snapshot is ignored") {
   Follower Collection = listedUpTo10();
   Collection.adopt(revision(20), revision(18), at(90));
-  CHECK_FALSE(Collection.recordChanges(true, revision(15), at(80), at(100)));
+  CHECK_FALSE(Collection.recordChanges(Collection.revision(), true,
+                                       revision(15), at(80), at(100)));
   CHECK(Collection.revision() == revision(20));
   Follower Listing = unlistedFollower();
   Listing.adopt(revision(20), revision(18), at(0));
@@ -175,11 +197,13 @@
 
 TEST_CASE("paused process: an answer of the store counts as old as its call") {
   Follower Collection = listedUpTo10();
-  CHECK(Collection.recordChanges(false, revision(11), at(100), at(5000)));
+  CHECK(Collection.recordChanges(Collection.revision(), false, revision(11),
+                                 at(100), at(5000)));
   CHECK(Collection.currentAsOf() == at(100));
   CHECK(std::get<WatchCall>(Collection.next(at(5000))).Wait_ == Millis(0));
   // The next answer is recent, although it is as old as its call.
-  CHECK(Collection.recordChanges(false, revision(11), at(5000), at(5004)));
+  CHECK(Collection.recordChanges(Collection.revision(), false, revision(11),
+                                 at(5000), at(5004)));
   CHECK(std::get<WatchCall>(Collection.next(at(5004))).Wait_ ==
         Timing.WatchWait_);
 }
@@ -206,7 +230,8 @@
                    *rc::gen::inRange<std::uint64_t>(1, 4));
       switch (*rc::gen::inRange(0, 5)) {
       case 0:
-        (void)Collection.recordChanges(*rc::gen::arbitrary<bool>(), Drawn,
+        (void)Collection.recordChanges(Collection.revision(),
+                                       *rc::gen::arbitrary<bool>(), Drawn,
                                        Now - Millis(20), Now);
         break;
       case 1:
@@ -220,7 +245,7 @@
           Collection.adopt(Drawn, Drawn, Now - Millis(50));
         break;
       default:
-        Collection.recordHistoryLoss(Now);
+        Collection.recordHistoryLoss(Collection.revision(), Now);
         break;
       }
       RC_ASSERT(Collection.revision() >= LastRevision);
--- a/test/peers/store_restore_test.cpp
+++ b/test/peers/store_restore_test.cpp
@@ -174,3 +174,66 @@
       CHECK(Fewest == 8);
     }
 }
+
+// Guards against faults that need a restore together with another trouble, or
+// two restores in a row.
+TEST_CASE("restored store: restores of any age with kills, cuts, pauses, "
+          "refusals, leaving upstreams and storms of changes") {
+  for (std::uint64_t Seed = 1; Seed <= 40; ++Seed) {
+    SyncFleet::Options Setup = fleet(4 + (Seed * 17) % 40, Seed);
+    Setup.Loss_ = Seed % 4 == 0 ? 0.2 : 0.02;
+    Setup.PageSize_ = Seed % 3 == 0 ? 2 : 500;
+    SyncFleet Fleet(Setup);
+    Random Choice(Seed);
+    std::vector<std::string> Leaving;
+    Fleet.run(Millis(4000));
+    for (int Step = 0; Step < 60; ++Step) {
+      const std::size_t Victim = Choice() % Fleet.size();
+      const Millis Duration(Choice() % (2 * Bound.count()));
+      switch (Choice() % 10) {
+      case 0:
+      case 1:
+        Fleet.restore(Millis(Choice() % 12'000), Millis(Choice() % 2500),
+                      Millis(Choice() % 400));
+        break;
+      case 2:
+        Fleet.kill(Victim, Duration);
+        break;
+      case 3:
+        Fleet.pause(Victim, Duration);
+        break;
+      case 4:
+        Fleet.cut(Victim, true, Choice() % 2 == 0, Duration);
+        break;
+      case 5:
+        Fleet.refuse(Victim, Duration);
+        break;
+      case 6:
+        Leaving.push_back(Fleet.startUpstream());
+        break;
+      case 7:
+        if (!Leaving.empty())
+          Fleet.drain(Leaving.back());
+        break;
+      case 8:
+        if (!Leaving.empty()) {
+          Fleet.drain(Leaving.back());
+          Fleet.leave(Leaving.back());
+          Leaving.pop_back();
+        }
+        break;
+      default:
+        for (int I = 0; I < 12; ++I)
+          Fleet.after(Millis(I * 100), [&Fleet] { Fleet.change(Routes); });
+        break;
+      }
+      Fleet.change(Choice() % 2);
+      Fleet.run(Millis(Choice() % 1500));
+    }
+    Fleet.run(4 * Bound);
+    INFO("seed " << Seed << ", " << Fleet.size() << " instances");
+    CHECK(Fleet.worstDelay() <= Budget);
+    CHECK(Fleet.regressions() == 0);
+    CHECK(countOutdated(Fleet) == 0);
+  }
+}
