Pass on changes that a list already held when they were reported

A draining upstream could go on receiving flows at one instance.

Cause: a list counts as of its first page's revision. A later page may hold an upstream's later state; the watch then reports that change, which looked like none, and the entry kept the list's revision. A peer with a list of the same revision but the earlier state, and with this instance as its reader, never got the change.

Evidence: test_discovery "a change that a list already holds is passed on ..." failed before.

Change: an upstream that the store reports as changed counts as changed at that revision, also when its state is known.

--- a/src/medlarmoor/discovery/catalog.cpp
+++ b/src/medlarmoor/discovery/catalog.cpp
@@ -31,14 +31,17 @@
     Ready_ = true;
   }
   for (Upstream &Listed : Changes.Listed_)
-    put(std::move(Listed), Revision, Now);
+    put(std::move(Listed), !Changes.IsFullSnapshot_, Revision, Now);
   for (const UpstreamName &Name : Changes.Removed_) {
     const auto Found = Entries_.find(Name);
     // A peer may know the upstream and learn of the removal from here only.
-    if (Found == Entries_.end())
+    if (Found == Entries_.end()) {
       HistoryStart_ = Revision;
-    else if (Found->second->State_ == State::Listed)
+      continue;
+    }
+    if (Found->second->State_ == State::Listed)
       unlist(*Found->second, Revision, Now);
+    Found->second->Revision_ = Revision;
   }
   rebuild();
 }
@@ -62,7 +65,8 @@
   });
 }
 
-void Catalog::put(Upstream Listed, StoreRevision Revision, TimePoint Now) {
+void Catalog::put(Upstream Listed, bool IsChange, StoreRevision Revision,
+                  TimePoint Now) {
   std::unique_ptr<CatalogEntry> &Entry = Entries_[Listed.Name_];
   if (!Entry)
     Entry = std::make_unique<CatalogEntry>();
@@ -70,7 +74,9 @@
       Entry->Tag_ != affinity::NoTag && Entry->State_ == State::Listed;
   if (!WasListed)
     Entry->StateSince_ = Now;
-  if (!WasListed || Entry->Upstream_ != Listed)
+  // A list that was read while it changed already holds later changes. Peers
+  // with a list of the same revision may lack them.
+  if (IsChange || !WasListed || Entry->Upstream_ != Listed)
     Entry->Revision_ = Revision;
   Entry->State_ = State::Listed;
   Entry->Tag_ = affinity::tagOf(Listed.Name_);
--- a/src/medlarmoor/discovery/catalog.hpp
+++ b/src/medlarmoor/discovery/catalog.hpp
@@ -48,8 +48,10 @@
   /// instance knows better, and keeps upstreams draining that have been so.
   void discardOutdated(std::vector<Upstream> &Listed, bool IsFullSnapshot,
                        StoreRevision Revision) const;
-  /// Adds or updates a listed upstream.
-  void put(Upstream Listed, StoreRevision Revision, TimePoint Now);
+  /// Adds or updates a listed upstream. IsChange states that the store reported
+  /// a change of it.
+  void put(Upstream Listed, bool IsChange, StoreRevision Revision,
+           TimePoint Now);
   /// Changes the state of an upstream that the store has stopped listing: to
   /// Lapsed if the upstream may register again after an outage, otherwise to
   /// Retired.
--- a/test/discovery/catalog_test.cpp
+++ b/test/discovery/catalog_test.cpp
@@ -242,3 +242,26 @@
   Upstreams.apply(listed({Earlier}), revision(11, 2), at(1500));
   CHECK(Upstreams.candidates(Web)[0]->Upstream_ == Earlier);
 }
+
+// Guards against a peer that misses a change which was made while the list was
+// read page by page: the list is of an earlier revision than its last page.
+TEST_CASE(
+    "a change that a list already holds is passed on to a peer whose list "
+    "of the same revision lacks it") {
+  Upstream Before = upstream("i-1");
+  Upstream After = Before;
+  After.Draining_ = true;
+  Catalog Reader({});
+  Catalog Peer({});
+  Reader.apply(whole({After}), revision(40), at(0));
+  Peer.apply(whole({Before}), revision(40), at(0));
+  Reader.apply(listed({After}), revision(47), at(10));
+  Peer.apply(Reader.changesSince(revision(40)), revision(47), at(20));
+  CHECK(Peer.candidates(Web).empty());
+  // The same holds for a removal.
+  Reader.apply(whole({}), revision(50), at(30));
+  Peer.apply(whole({After}), revision(50), at(30));
+  Reader.apply(unlisted("i-1"), revision(52), at(40));
+  Peer.apply(Reader.changesSince(revision(50)), revision(52), at(50));
+  CHECK(stateOf(Peer, "i-1") == State::Retired);
+}
