Publish documents above the versions that a restored platform has lost

A document that medlarmoorctl reported as accepted was never in force.

Cause: the publisher numbers a document from the manifest that the platform holds. After a restore that is an older one, so that versions are given out again; entries hold higher ones and take no lower. A document that equals the copy was reported as unchanged, though entries have a later one in force. A restore during the write could leave a manifest whose parts are lost, or that replaces another one.

Change: the platform client reads the header Store-Era. A manifest states the epoch in which it was written; the first one after a restore skips a million versions for each restore. A write that a restore interrupts ends as not written, or as uncertain once the manifest was sent. Watches of another epoch lead to a list. The stand-in platform learns the header and restores (control restoreMs).

The process test found that waitInForce() of the harness passes at once while no entry serves traffic; both tests of the file now wait for all entries.

--- a/src/medlarmoor/config/follower.cpp
+++ b/src/medlarmoor/config/follower.cpp
@@ -104,12 +104,12 @@
   return addDueActions(std::move(Actions));
 }
 
-FollowerActions Follower::onListEnd(std::optional<std::uint64_t> Revision) {
+FollowerActions Follower::onListEnd(std::optional<StoreRevision> Revision) {
   Scheduler_.onListEnd(Revision);
   return addDueActions({});
 }
 
-FollowerActions Follower::onWatchEnd(std::optional<std::uint64_t> Revision) {
+FollowerActions Follower::onWatchEnd(std::optional<StoreRevision> Revision) {
   Scheduler_.onWatchEnd(Revision);
   return addDueActions({});
 }
--- a/src/medlarmoor/config/follower.hpp
+++ b/src/medlarmoor/config/follower.hpp
@@ -40,11 +40,11 @@
   /// Records the end of the list call with its revision, or nullopt if the call
   /// failed.
   [[nodiscard]] FollowerActions
-  onListEnd(std::optional<std::uint64_t> Revision);
+  onListEnd(std::optional<StoreRevision> Revision);
   /// Records the end of the watch call with the revision that it reached, or
   /// nullopt if the call failed.
   [[nodiscard]] FollowerActions
-  onWatchEnd(std::optional<std::uint64_t> Revision);
+  onWatchEnd(std::optional<StoreRevision> Revision);
   /// Records that the platform no longer keeps the revision of the watch.
   [[nodiscard]] FollowerActions onWatchExpired();
   /// Records the end of the read of the manifest. Answered is false if the read
--- a/src/medlarmoor/config/manifest.cpp
+++ b/src/medlarmoor/config/manifest.cpp
@@ -100,6 +100,8 @@
   if (Origin_)
     Object["from"] = {{"environment", Origin_->Environment_},
                       {"version", Origin_->Version_.value()}};
+  if (Epoch_)
+    Object["epoch"] = Epoch_->value();
   std::string Text = canonical(Object);
   if (Delta_) {
     Text.pop_back();
@@ -118,8 +120,15 @@
   Reason = "malformed manifest";
   if (!Version || *Version == 0 || !Token || !Index || !Previous)
     return std::nullopt;
-  Manifest Parsed{ConfigVersion(*Version), *Token, std::move(*Index),
-                  std::move(*Previous),    {},     {}};
+  Manifest Parsed{ConfigVersion(*Version),
+                  *Token,
+                  std::move(*Index),
+                  std::move(*Previous),
+                  {},
+                  {},
+                  {}};
+  if (const auto Epoch = unsignedAt(Object, "epoch"))
+    Parsed.Epoch_ = StoreEpoch(*Epoch);
   if (const Json *Source = member(Object, "from")) {
     Parsed.Origin_ = readOrigin(*Source);
     if (!Parsed.Origin_)
--- a/src/medlarmoor/config/manifest.hpp
+++ b/src/medlarmoor/config/manifest.hpp
@@ -3,6 +3,7 @@
 
 #include <medlarmoor/config/part.hpp>
 #include <medlarmoor/core/ids.hpp>
+#include <medlarmoor/core/store_revision.hpp>
 
 #include <optional>
 #include <string>
@@ -47,6 +48,9 @@
   /// The most recent accepted writes before this one, newest first.
   std::vector<AcceptedWrite> PreviousWrites_;
   std::optional<Origin> Origin_;
+  /// The epoch of the store in which the manifest was written; no value if the
+  /// writer did not know it.
+  std::optional<StoreEpoch> Epoch_;
   /// The change itself, if it is small. A reader that has the base version of
   /// the delta needs to fetch nothing else.
   std::optional<Delta> Delta_;
--- a/src/medlarmoor/config/publisher.cpp
+++ b/src/medlarmoor/config/publisher.cpp
@@ -9,6 +9,9 @@
 constexpr Millis RetryDelay{200};
 /// A larger change is left out of the manifest; readers then fetch its parts.
 constexpr std::size_t MaxDeltaBytes = 64U * 1024U;
+/// How many versions are skipped for each restore of the platform. More than it
+/// can have lost.
+constexpr std::uint64_t VersionsPerRestore = 1'000'000;
 
 PublisherSteps step(PublisherAction Action, Millis After = Millis(0)) {
   PublisherSteps Steps;
@@ -36,6 +39,19 @@
 
 PublisherSteps Publisher::start() { return step(ReadCurrentManifest()); }
 
+PublisherSteps Publisher::onEpoch(StoreEpoch Epoch) {
+  if (!Epoch_ || Epoch == *Epoch_) {
+    Epoch_ = Epoch;
+    return {};
+  }
+  const std::string Reason = "the platform was restored from an older copy";
+  return ManifestSent_ ? finish(Uncertain{Reason}) : finish(NotWritten{Reason});
+}
+
+bool Publisher::isBaseRestored() const {
+  return Epoch_ && Base_.Epoch_ && *Epoch_ > *Base_.Epoch_;
+}
+
 bool Publisher::isPastDeadline() const { return Clock_.now() >= Deadline_; }
 
 PublisherSteps Publisher::giveUp(const std::string &Reason) const {
@@ -111,7 +127,7 @@
 
 /// Reads the index parts of the base that the new document replaces.
 PublisherSteps Publisher::readReplacedIndex() {
-  if (idsOf(Index_) == Base_.Index_)
+  if (idsOf(Index_) == Base_.Index_ && !isBaseRestored())
     return finish(Unchanged{Base_.Version_});
   PublisherSteps Steps;
   for (const PartId &Id : Base_.Index_) {
@@ -173,6 +189,11 @@
 Manifest Publisher::nextManifest() const {
   Manifest Next;
   Next.Version_ = ConfigVersion(Base_.Version_.value() + 1);
+  if (isBaseRestored())
+    Next.Version_ = ConfigVersion(
+        Next.Version_.value() +
+        VersionsPerRestore * (Epoch_->value() - Base_.Epoch_->value()));
+  Next.Epoch_ = Epoch_;
   Next.Token_ = Document_.Token_;
   Next.Index_ = idsOf(Index_);
   Next.Origin_ = Document_.Origin_;
--- a/src/medlarmoor/config/publisher.hpp
+++ b/src/medlarmoor/config/publisher.hpp
@@ -36,6 +36,10 @@
 
   /// Returns the first step.
   [[nodiscard]] PublisherSteps start();
+  /// Records the epoch that the platform states with an answer. To be called
+  /// before the answer is processed. Returns steps if the platform has been
+  /// restored during the write; these end it, and the answer is not processed.
+  [[nodiscard]] PublisherSteps onEpoch(StoreEpoch Epoch);
   /// Processes the result of a read of the manifest: the object's version and
   /// text, with version 0 if there is no manifest.
   [[nodiscard]] PublisherSteps onManifest(std::uint64_t ObjectVersion,
@@ -69,6 +73,9 @@
   [[nodiscard]] PublisherSteps retryRead(const std::string &Reason);
   [[nodiscard]] PublisherSteps giveUp(const std::string &Reason) const;
   [[nodiscard]] Manifest nextManifest() const;
+  /// Returns true if the base was written before the platform was restored, so
+  /// that versions after it may be in force that the platform has lost.
+  [[nodiscard]] bool isBaseRestored() const;
   [[nodiscard]] bool isPastDeadline() const;
 
   Publication Document_;
@@ -78,6 +85,8 @@
   /// The manifest that this write replaces, and the version of its object.
   Manifest Base_;
   std::uint64_t BaseObjectVersion_ = 0;
+  /// The epoch of the platform; no value if it does not state it.
+  std::optional<StoreEpoch> Epoch_;
   /// The parts that the base lists in the index parts that this write replaces.
   std::set<PartId> BaseParts_;
   /// The parts that the base does not have.
--- a/src/medlarmoor/config/watch_scheduler.cpp
+++ b/src/medlarmoor/config/watch_scheduler.cpp
@@ -71,7 +71,7 @@
     FailingSince_ = Clock_.now();
 }
 
-void WatchScheduler::onListEnd(std::optional<std::uint64_t> Revision) {
+void WatchScheduler::onListEnd(std::optional<StoreRevision> Revision) {
   ListInFlight_ = false;
   UnansweredSince_.reset();
   if (!Revision)
@@ -80,12 +80,15 @@
   Revision_ = Revision;
 }
 
-void WatchScheduler::onWatchEnd(std::optional<std::uint64_t> Revision) {
+void WatchScheduler::onWatchEnd(std::optional<StoreRevision> Revision) {
   WatchInFlight_ = false;
   if (!Revision)
     return recordFailure();
   recordSuccess();
-  Revision_ = Revision;
+  // After a restore, the number from which the watch started means something
+  // else, and changes may be missing in its answer.
+  const bool IsSameEpoch = Revision_ && Revision_->Epoch_ == Revision->Epoch_;
+  Revision_ = IsSameEpoch ? Revision : std::nullopt;
 }
 
 void WatchScheduler::onWatchExpired() {
@@ -116,7 +119,7 @@
   }
   if (MayCall && Revision_ && !WatchInFlight_) {
     WatchInFlight_ = true;
-    Calls.emplace_back(WatchManifests{*Revision_});
+    Calls.emplace_back(WatchManifests{Revision_->Number_});
   }
   if (MayCall && Now >= NextReadAt_ && !ReadInFlight_ && !ListInFlight_) {
     ReadInFlight_ = true;
--- a/src/medlarmoor/config/watch_scheduler.hpp
+++ b/src/medlarmoor/config/watch_scheduler.hpp
@@ -4,6 +4,7 @@
 #include <medlarmoor/config/follower_action.hpp>
 #include <medlarmoor/core/clock.hpp>
 #include <medlarmoor/core/random.hpp>
+#include <medlarmoor/core/store_revision.hpp>
 
 #include <cstdint>
 #include <optional>
@@ -27,10 +28,11 @@
   void requestRead();
   /// Records the end of the list call with its revision, or nullopt if the call
   /// failed.
-  void onListEnd(std::optional<std::uint64_t> Revision);
+  void onListEnd(std::optional<StoreRevision> Revision);
   /// Records the end of the watch call with the revision that it reached, or
-  /// nullopt if the call failed.
-  void onWatchEnd(std::optional<std::uint64_t> Revision);
+  /// nullopt if the call failed. If the platform has begun another epoch, a new
+  /// list call becomes due.
+  void onWatchEnd(std::optional<StoreRevision> Revision);
   /// Records that the platform no longer keeps the revision of the watch. A new
   /// list call becomes due.
   void onWatchExpired();
@@ -55,7 +57,7 @@
   bool ListInFlight_ = false;
   bool WatchInFlight_ = false;
   bool ReadInFlight_ = false;
-  std::optional<std::uint64_t> Revision_;
+  std::optional<StoreRevision> Revision_;
   std::uint32_t Failures_ = 0;
   std::optional<TimePoint> FailingSince_;
   /// Start of the list or read call that is in flight.
--- a/src/medlarmoor/core/ids.hpp
+++ b/src/medlarmoor/core/ids.hpp
@@ -18,7 +18,8 @@
 using DomainName = Strong<std::string, struct DomainNameTag>;
 /// Name of a region; a region holds failure domains.
 using RegionName = Strong<std::string, struct RegionNameTag>;
-/// Version of an accepted environment document; grows by one a change.
+/// Version of an accepted environment document; grows with each change, by one
+/// unless the platform was restored from an older copy in between.
 using ConfigVersion = Strong<std::uint64_t, struct ConfigVersionTag>;
 /// Hash over the sorted members of a membership view.
 using ViewId = Strong<std::uint64_t, struct ViewIdTag>;
--- a/src/medlarmoor/platform/client.cpp
+++ b/src/medlarmoor/platform/client.cpp
@@ -3,6 +3,8 @@
 #include <medlarmoor/platform/internal_traffic.hpp>
 #include <medlarmoor/telemetry/registry.hpp>
 
+#include <algorithm>
+
 namespace medlarmoor::platform {
 
 using net::HttpResponse;
@@ -36,10 +38,12 @@
     Request.Headers_.add("Content-Type", "application/json");
   Bytes_.add(internal::ExchangeBytes + Request.Body_.size());
   Http_.send(Server_, std::move(Request), Timeout,
-             [&Bytes = Bytes_, Done = std::move(Done)](
-                 std::optional<HttpResponse> Answer, std::string Reason) {
-               if (Answer)
-                 Bytes.add(Answer->Body_.size());
+             [this, Done = std::move(Done)](std::optional<HttpResponse> Answer,
+                                            std::string Reason) {
+               if (Answer) {
+                 Bytes_.add(Answer->Body_.size());
+                 Epoch_ = std::max(Epoch_, internal::readEpoch(*Answer));
+               }
                Done(std::move(Answer), std::move(Reason));
              });
 }
--- a/src/medlarmoor/platform/client.hpp
+++ b/src/medlarmoor/platform/client.hpp
@@ -3,6 +3,7 @@
 
 #include <medlarmoor/core/endpoint.hpp>
 #include <medlarmoor/core/ids.hpp>
+#include <medlarmoor/core/store_revision.hpp>
 #include <medlarmoor/core/time.hpp>
 #include <medlarmoor/net/http_client.hpp>
 #include <medlarmoor/platform/result.hpp>
@@ -48,6 +49,12 @@
   void instances(const std::optional<DomainName> &Domain,
                  std::function<void(InstancesResult)> Done);
 
+  /// Returns the highest epoch that the platform has stated; no value if it has
+  /// stated none.
+  [[nodiscard]] std::optional<StoreEpoch> epoch() const noexcept {
+    return Epoch_;
+  }
+
 private:
   void send(std::string Method, std::string Target, std::string Body,
             Millis Timeout, net::HttpDone Done);
@@ -55,6 +62,7 @@
   net::HttpClient Http_;
   Endpoint Server_;
   Millis Timeout_;
+  std::optional<StoreEpoch> Epoch_;
   telemetry::Counter &Reads_;
   telemetry::Counter &Writes_;
   telemetry::Counter &Lists_;
--- a/src/medlarmoor/platform/internal_answers.cpp
+++ b/src/medlarmoor/platform/internal_answers.cpp
@@ -2,6 +2,9 @@
 
 #include <nlohmann/json.hpp>
 
+#include <charconv>
+#include <string_view>
+
 namespace medlarmoor::platform::internal {
 
 using Json = nlohmann::json;
@@ -14,6 +17,8 @@
 constexpr unsigned Gone = 410;
 constexpr unsigned FirstClientError = 400;
 constexpr unsigned FirstServerError = 500;
+/// Header of all answers: how often the store was restored from an older copy.
+constexpr std::string_view EpochHeader = "Store-Era";
 
 std::optional<std::uint64_t> unsignedAt(const Json &Source, const char *Key) {
   if (!Source.is_object())
@@ -68,11 +73,12 @@
   return Parsed;
 }
 
-std::optional<Listing> toListing(const Json &Source) {
+std::optional<Listing> toListing(const net::HttpResponse &Answer) {
+  const Json Source = Json::parse(Answer.Body_, nullptr, false);
   const auto Revision = unsignedAt(Source, "revision");
   if (!Revision || !Source.contains("items") || !Source["items"].is_array())
     return std::nullopt;
-  Listing Parsed{*Revision, {}};
+  Listing Parsed{{readEpoch(Answer).value_or(StoreEpoch()), *Revision}, {}};
   for (const Json &Element : Source["items"]) {
     std::optional<Object> Item = toObject(Element);
     if (!Item)
@@ -94,6 +100,18 @@
 
 } // namespace
 
+std::optional<StoreEpoch> readEpoch(const net::HttpResponse &Answer) {
+  const auto Value = Answer.Headers_.find(EpochHeader);
+  std::uint64_t Epoch = 0;
+  if (!Value)
+    return std::nullopt;
+  const char *Last = Value->data() + Value->size();
+  const auto [End, Error] = std::from_chars(Value->data(), Last, Epoch);
+  if (Error != std::errc() || End != Last)
+    return std::nullopt;
+  return StoreEpoch(Epoch);
+}
+
 GetResult toGetResult(const std::optional<net::HttpResponse> &Answer,
                       const std::string &Reason) {
   if (isStatus(Answer, NotFound))
@@ -134,7 +152,7 @@
                         const std::string &Reason) {
   if (!isStatus(Answer, Ok))
     return unavailable(Answer, Reason);
-  if (std::optional<Listing> Read = toListing(parseBody(Answer)))
+  if (std::optional<Listing> Read = toListing(*Answer))
     return std::move(*Read);
   return Unavailable{"malformed list in the platform's answer"};
 }
@@ -145,7 +163,7 @@
     return TooOld();
   if (!isStatus(Answer, Ok))
     return unavailable(Answer, Reason);
-  if (std::optional<Listing> Read = toListing(parseBody(Answer)))
+  if (std::optional<Listing> Read = toListing(*Answer))
     return std::move(*Read);
   return Unavailable{"malformed answer of the platform to a watch"};
 }
--- a/src/medlarmoor/platform/internal_answers.hpp
+++ b/src/medlarmoor/platform/internal_answers.hpp
@@ -1,6 +1,7 @@
 #ifndef MEDLARMOOR_PLATFORM_INTERNAL_ANSWERS_HPP
 #define MEDLARMOOR_PLATFORM_INTERNAL_ANSWERS_HPP
 
+#include <medlarmoor/core/store_revision.hpp>
 #include <medlarmoor/net/http_response.hpp>
 #include <medlarmoor/platform/result.hpp>
 
@@ -9,6 +10,11 @@
 
 namespace medlarmoor::platform::internal {
 
+/// Returns the epoch that the platform states with each answer; no value if it
+/// does not.
+[[nodiscard]] std::optional<StoreEpoch>
+readEpoch(const net::HttpResponse &Answer);
+
 /// Converts the response to a call, or the Reason for which there is none, to
 /// the typed result of the call. A response that does not have the documented
 /// form counts as no answer.
--- a/src/medlarmoor/platform/listing.hpp
+++ b/src/medlarmoor/platform/listing.hpp
@@ -1,6 +1,7 @@
 #ifndef MEDLARMOOR_PLATFORM_LISTING_HPP
 #define MEDLARMOOR_PLATFORM_LISTING_HPP
 
+#include <medlarmoor/core/store_revision.hpp>
 #include <medlarmoor/platform/object.hpp>
 
 #include <vector>
@@ -10,7 +11,7 @@
 /// Objects of one kind as of a revision of the store.
 struct Listing {
   /// A watch that starts after this revision misses no change.
-  std::uint64_t Revision_ = 0;
+  StoreRevision Revision_;
   std::vector<Object> Items_;
 };
 
--- a/src/medlarmoor/platform/publish.cpp
+++ b/src/medlarmoor/platform/publish.cpp
@@ -46,11 +46,14 @@
     startPendingCalls();
   }
 
-  /// Records that a call has ended, and schedules the steps that follow from
-  /// it.
-  void finish(const PublisherSteps &Steps) {
+  /// Records that a call has ended, and schedules the steps that Process
+  /// returns for its result.
+  template <typename Function> void finish(const Function &Process) {
     --CallsInFlight_;
-    scheduleAll(Steps);
+    PublisherSteps Ended;
+    if (const auto Epoch = Platform_.epoch())
+      Ended = Publisher_.onEpoch(*Epoch);
+    scheduleAll(Ended.empty() ? Process() : Ended);
   }
 
   void schedule(const PublisherStep &Step) {
@@ -80,16 +83,18 @@
 
   void execute(const ReadCurrentManifest &) {
     Platform_.get("manifest", Environment_, [this](GetResult Result) {
-      finish(std::visit(
-          Overloaded{
-              [this](const Object &Read) {
-                return Publisher_.onManifest(Read.Version_, Read.Value_);
-              },
-              [this](const Absent &) { return Publisher_.onManifest(0, {}); },
-              [this](const Unavailable &Error) {
-                return Publisher_.onManifestReadFailed(Error.Reason_);
-              }},
-          Result));
+      finish([&] {
+        return std::visit(
+            Overloaded{
+                [this](const Object &Read) {
+                  return Publisher_.onManifest(Read.Version_, Read.Value_);
+                },
+                [this](const Absent &) { return Publisher_.onManifest(0, {}); },
+                [this](const Unavailable &Error) {
+                  return Publisher_.onManifestReadFailed(Error.Reason_);
+                }},
+            Result);
+      });
     });
   }
 
@@ -97,8 +102,10 @@
     const PartId Id = Action.Id_;
     Platform_.get("part", objectName(Id), [this, Id](GetResult Result) {
       const Object *Read = std::get_if<Object>(&Result);
-      finish(Publisher_.onIndexPart(Id, Read ? std::optional(Read->Value_)
-                                             : std::nullopt));
+      finish([&] {
+        return Publisher_.onIndexPart(Id, Read ? std::optional(Read->Value_)
+                                               : std::nullopt);
+      });
     });
   }
 
@@ -106,37 +113,44 @@
     const PartId Id = Action.Id_;
     Platform_.put(
         "part", objectName(Id), Action.Text_, 0, [this, Id](PutResult Result) {
-          finish(std::visit(
-              Overloaded{
-                  [&](const Stored &) { return Publisher_.onPartStored(Id); },
-                  [&](const Conflict &) { return Publisher_.onPartStored(Id); },
-                  [&](const Refused &Error) {
-                    return Publisher_.onRefused(Error.Reason_);
-                  },
-                  [&](const Unavailable &Error) {
-                    return Publisher_.onPartUncertain(Id, Error.Reason_);
-                  }},
-              Result));
+          finish([&] {
+            return std::visit(
+                Overloaded{
+                    [&](const Stored &) { return Publisher_.onPartStored(Id); },
+                    [&](const Conflict &) {
+                      return Publisher_.onPartStored(Id);
+                    },
+                    [&](const Refused &Error) {
+                      return Publisher_.onRefused(Error.Reason_);
+                    },
+                    [&](const Unavailable &Error) {
+                      return Publisher_.onPartUncertain(Id, Error.Reason_);
+                    }},
+                Result);
+          });
         });
   }
 
   void execute(const StoreManifest &Action) {
     Platform_.put("manifest", Environment_, Action.Text_, Action.IfVersion_,
                   [this](PutResult Result) {
-                    finish(std::visit(
-                        Overloaded{[this](const Stored &) {
-                                     return Publisher_.onManifestStored();
-                                   },
-                                   [this](const Conflict &) {
-                                     return Publisher_.onManifestConflict();
-                                   },
-                                   [this](const Refused &Error) {
-                                     return Publisher_.onRefused(Error.Reason_);
-                                   },
-                                   [this](const Unavailable &) {
-                                     return Publisher_.onManifestUncertain();
-                                   }},
-                        Result));
+                    finish([&] {
+                      return std::visit(
+                          Overloaded{[this](const Stored &) {
+                                       return Publisher_.onManifestStored();
+                                     },
+                                     [this](const Conflict &) {
+                                       return Publisher_.onManifestConflict();
+                                     },
+                                     [this](const Refused &Error) {
+                                       return Publisher_.onRefused(
+                                           Error.Reason_);
+                                     },
+                                     [this](const Unavailable &) {
+                                       return Publisher_.onManifestUncertain();
+                                     }},
+                          Result);
+                    });
                   });
   }
 
--- a/test/config/fake_store.hpp
+++ b/test/config/fake_store.hpp
@@ -32,9 +32,22 @@
     if (get(Name).Version_ != IfVersion)
       return false;
     States_[Name].push_back({IfVersion + 1, Text});
+    Writes_.push_back(Name);
     return true;
   }
 
+  /// Returns to the state before the last Count writes and begins the next
+  /// epoch. The versions of these writes are given out again.
+  void restore(std::size_t Count) {
+    for (; Count > 0; --Count) {
+      States_[Writes_.back()].pop_back();
+      Writes_.pop_back();
+    }
+    ++Epoch_;
+  }
+
+  [[nodiscard]] std::size_t writes() const { return Writes_.size(); }
+  [[nodiscard]] std::uint64_t epoch() const { return Epoch_; }
   [[nodiscard]] const std::vector<State> &
   history(const std::string &Name) const {
     return States_.at(Name);
@@ -42,6 +55,9 @@
 
 private:
   std::map<std::string, std::vector<State>> States_;
+  /// The names of all written objects, oldest write first.
+  std::vector<std::string> Writes_;
+  std::uint64_t Epoch_ = 1;
 };
 
 } // namespace medlarmoor::test
--- a/test/config/follower_test.cpp
+++ b/test/config/follower_test.cpp
@@ -258,7 +258,9 @@
 TEST_CASE("the manifest is read periodically while a watch is silent") {
   FollowerFixture Fixture;
   (void)Fixture.Follower_.onMembers({Self});
-  CHECK(actionsOf<WatchManifests>(Fixture.Follower_.onListEnd(1)).size() == 1);
+  CHECK(actionsOf<WatchManifests>(
+            Fixture.Follower_.onListEnd(StoreRevision{StoreEpoch(1), 1}))
+            .size() == 1);
   (void)Fixture.Follower_.onReadEnd(true);
   std::size_t Reads = 0;
   for (int I = 0; I < 100; ++I) {
@@ -273,6 +275,19 @@
   CHECK(Reads >= 2);
 }
 
+// Guards against a watch that goes on from a revision of the lost history.
+TEST_CASE("restored platform: the manifests are listed again") {
+  FollowerFixture Fixture;
+  (void)Fixture.Follower_.onMembers({Self});
+  const StoreRevision Lost{StoreEpoch(1), 9};
+  REQUIRE(actionsOf<WatchManifests>(Fixture.Follower_.onListEnd(Lost)).size() ==
+          1);
+  const auto Actions =
+      Fixture.Follower_.onWatchEnd(StoreRevision{StoreEpoch(2), 12});
+  CHECK(actionsOf<WatchManifests>(Actions).empty());
+  CHECK(actionsOf<ListManifests>(Actions).size() == 1);
+}
+
 TEST_CASE("an entry whose lease has lapsed neither watches nor notifies") {
   FollowerFixture Fixture;
   (void)Fixture.Follower_.onMembers({Self, Other});
--- a/test/config/hostile_input_test.cpp
+++ b/test/config/hostile_input_test.cpp
@@ -103,6 +103,7 @@
                 {},
                 {{ConfigVersion(2), "s"}},
                 Origin{"trial", ConfigVersion(1)},
+                StoreEpoch(2),
                 Delta{ConfigVersion(2), Parts, {PartId("a.b.c")}}};
   const StatusReport Report{
       EntryName("a"),
--- a/test/config/publisher_test.cpp
+++ b/test/config/publisher_test.cpp
@@ -2,6 +2,7 @@
 #include "fake_store.hpp"
 
 #include <medlarmoor/config/publisher.hpp>
+#include <medlarmoor/config/replica.hpp>
 #include <medlarmoor/core/overloaded.hpp>
 #include <medlarmoor/core/random.hpp>
 
@@ -44,7 +45,11 @@
     const PublisherStep Next = Pending_.front();
     Pending_.pop_front();
     Time_->advance(Next.After_ + Millis(1));
-    std::visit([this](const auto &Action) { perform(Action); }, Next.Action_);
+    const PublisherSteps Ended = Publisher_.onEpoch(StoreEpoch(Store_.epoch()));
+    if (Ended.empty())
+      std::visit([this](const auto &Action) { perform(Action); }, Next.Action_);
+    else
+      perform(std::get<PublishResult>(Ended.front().Action_));
     return !Result_;
   }
 
@@ -226,3 +231,73 @@
   CHECK(Won == 1);
   CHECK(Fixture.Store_.history("manifest").size() == 2);
 }
+
+namespace {
+
+/// Offers the store's manifest to an entry and hands it the parts that it asks
+/// for.
+void follow(Replica &Entry, const FakeStore &Store) {
+  std::string Reason;
+  (void)Entry.setTarget(*readManifest(Store.get("manifest").Text_, Reason));
+  while (!Entry.missingParts().empty()) {
+    const PartId Id = *Entry.missingParts().begin();
+    (void)Entry.addPart(Id, Store.get(Id.value()).Text_);
+  }
+}
+
+} // namespace
+
+// Guards against a document that is accepted and never in force: its version
+// was given out before the platform lost it, and entries take no older one.
+TEST_CASE("restored platform: the next document is in force at entries that "
+          "have later versions") {
+  for (const std::uint32_t Next : {4U, 1U}) {
+    PublisherFixture Fixture;
+    Replica Entry("muscat");
+    Fixture.publish(1);
+    const std::size_t Copied = Fixture.Store_.writes();
+    Fixture.publish(2);
+    Fixture.publish(3);
+    follow(Entry, Fixture.Store_);
+    REQUIRE(Entry.version() == ConfigVersion(3));
+    Fixture.Store_.restore(Fixture.Store_.writes() - Copied);
+    // The copy itself replaces nothing.
+    follow(Entry, Fixture.Store_);
+    CHECK(Entry.version() == ConfigVersion(3));
+    // Also a document that the copy holds already must replace the lost one.
+    const auto Accepted = std::get<Published>(Fixture.publish(Next));
+    CHECK(Accepted.Version_ > ConfigVersion(3));
+    follow(Entry, Fixture.Store_);
+    CHECK(Entry.version() == Accepted.Version_);
+    CHECK(markerOf(Entry.inForce()->Environment_) == Next);
+    CHECK(std::get<Published>(Fixture.publish(5)).Version_.value() ==
+          Accepted.Version_.value() + 1);
+  }
+}
+
+// Guards against a document that refers to lost parts, or replaces one that it
+// was not derived from.
+TEST_CASE("restored platform: a write that it interrupts is not reported as "
+          "accepted") {
+  PublisherFixture Fixture;
+  Fixture.publish(1);
+  const std::size_t Copied = Fixture.Store_.writes();
+  std::size_t Interrupted = 0;
+  for (int Steps = 1; Steps < 12; ++Steps) {
+    PublisherRun Run(Fixture.Store_, Fixture.Time_, Fixture.Source_, {}, 2);
+    bool Busy = true;
+    for (int I = 0; I < Steps && Busy; ++I)
+      Busy = Run.step();
+    Fixture.Store_.restore(Fixture.Store_.writes() - Copied);
+    if (!Busy)
+      break;
+    while (Run.step())
+      ;
+    ++Interrupted;
+    // Once the manifest was sent, it may have been stored before the restore.
+    const bool IsUncertain = std::holds_alternative<Uncertain>(*Run.Result_);
+    CHECK((IsUncertain || std::holds_alternative<NotWritten>(*Run.Result_)));
+    CHECK(Fixture.Store_.history("manifest").size() == 1);
+  }
+  CHECK(Interrupted > 2);
+}
--- a/test/harness/object_store.cpp
+++ b/test/harness/object_store.cpp
@@ -1,5 +1,8 @@
 #include <harness/object_store.hpp>
 
+#include <algorithm>
+#include <iterator>
+
 namespace medlarmoor::harness {
 
 namespace {
@@ -55,6 +58,19 @@
   return append(Where, "null", true, Now);
 }
 
+void ObjectStore::restore(TimePoint AsOf) {
+  Revision_ = Forgotten_;
+  for (auto Item = Objects_.begin(); Item != Objects_.end();) {
+    History &States = Item->second;
+    std::erase_if(States, [AsOf](const StoredObject &State) {
+      return State.Since_ > AsOf;
+    });
+    if (!States.empty())
+      Revision_ = std::max(Revision_, States.back().Revision_);
+    Item = States.empty() ? Objects_.erase(Item) : std::next(Item);
+  }
+}
+
 const StoredObject *ObjectStore::at(const History &States, TimePoint AsOf) {
   for (auto State = States.rbegin(); State != States.rend(); ++State)
     if (State->Since_ <= AsOf)
--- a/test/harness/object_store.hpp
+++ b/test/harness/object_store.hpp
@@ -43,6 +43,10 @@
   changedAfter(const std::string &Kind, std::string_view Prefix,
                std::uint64_t Revision) const;
 
+  /// Returns to the state at AsOf. Later changes are lost, and their versions
+  /// and revisions are given out again.
+  void restore(TimePoint AsOf);
+
   /// Grows by one with each change.
   [[nodiscard]] std::uint64_t revision() const noexcept { return Revision_; }
   /// False when changes after Revision are no longer all known.
--- a/test/harness/platform_server.cpp
+++ b/test/harness/platform_server.cpp
@@ -243,6 +243,7 @@
   }
 
   void answer(net::HttpReply Reply, net::HttpResponse Response) {
+    Response.Headers_.add("Store-Era", std::to_string(Epoch_));
     if (Faults_.Delay_.count() == 0)
       return Reply(std::move(Response));
     const auto Timer =
@@ -285,6 +286,12 @@
     To.Stale_ = Millis(Asked.value("staleMs", To.Stale_.count()));
     To.SilenceWatches_ = Asked.value("silenceWatches", To.SilenceWatches_);
     To.ListLag_ = Millis(Asked.value("listLagMs", To.ListLag_.count()));
+    if (Asked.contains("restoreMs")) {
+      // Watches of the lost history are cut off.
+      failWatches();
+      Objects_.restore(Clock_.now() - Millis(Asked["restoreMs"].get<int>()));
+      ++Epoch_;
+    }
     if (To.Outage_)
       failWatches();
     if (!To.Hang_ && !To.SilenceWatches_) {
@@ -309,6 +316,8 @@
   PlatformFaults Faults_;
   Counters Counters_;
   ObjectStore Objects_;
+  /// Number of the store's epoch; rises with each restore.
+  std::uint64_t Epoch_ = 1;
   ObjectStore Instances_;
   std::list<Watch> Watches_;
   /// Calls that hang, their connections open.
--- a/test/platform/client_test.cpp
+++ b/test/platform/client_test.cpp
@@ -110,7 +110,13 @@
   Platform.answer(200, R"({"revision":8,"items":[{"kind":"manifest",)"
                        R"("name":"muscat","version":2,"deleted":true}]})");
   const WatchResult Changed = Platform.watch();
-  CHECK(std::get<Listing>(Changed).Revision_ == 8);
+  CHECK(std::get<Listing>(Changed).Revision_ ==
+        StoreRevision{StoreEpoch(0), 8});
+  CHECK_FALSE(Platform.Client_.epoch());
+  Platform.Answer_->Headers_.add("Store-Era", "3");
+  CHECK(std::get<Listing>(Platform.watch()).Revision_ ==
+        StoreRevision{StoreEpoch(3), 8});
+  CHECK(Platform.Client_.epoch() == StoreEpoch(3));
   CHECK(std::get<Listing>(Changed).Items_.at(0).Deleted_);
   CHECK(Platform.LastRequest_.Target_ ==
         "/v1/watch/manifest?after=7&timeoutMs=50&prefix=muscat");
@@ -119,7 +125,7 @@
   Platform.Answer_.reset();
   CHECK(std::holds_alternative<Unavailable>(Platform.watch()));
   CHECK(Platform.Metrics_.text().find("medlarmoor_platform_calls_total{call=\""
-                                      "watch\"} 3") != std::string::npos);
+                                      "watch\"} 4") != std::string::npos);
 }
 
 TEST_CASE("malformed answers count as no answer") {
--- a/test/process/config_test.cpp
+++ b/test/process/config_test.cpp
@@ -2,9 +2,13 @@
 #include <harness/json_http.hpp>
 #include <harness/wait.hpp>
 
+#include <medlarmoor/core/clock.hpp>
+
 #include <catch2/catch.hpp>
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
+
 using namespace medlarmoor;
 using namespace medlarmoor::harness;
 
@@ -40,6 +44,18 @@
                    Faults));
 }
 
+/// Waits until all entries have Version or a higher one in force.
+bool waitInForce(const Cluster &World, std::uint64_t Version, Millis Limit) {
+  return waitUntil(
+      [&] {
+        const std::vector<std::string> Names = World.entryNames();
+        return std::all_of(Names.begin(), Names.end(), [&](const auto &Name) {
+          return World.version(Name) >= Version;
+        });
+      },
+      Limit);
+}
+
 } // namespace
 
 TEST_CASE("a document goes from accepted to in force, proven and promoted, and "
@@ -51,10 +67,10 @@
   for (std::uint8_t Number = 1; Number <= Entries; ++Number)
     REQUIRE(World.startEntry(Number));
   REQUIRE(World.apply());
-  REQUIRE(World.waitInForce(1, Seconds(10)));
+  REQUIRE(waitInForce(World, 1, Seconds(10)));
   World.document().Services_.front().Upstreams_.front().Drain_ = true;
   REQUIRE(World.apply());
-  CHECK(World.waitInForce(2, InForceBound));
+  CHECK(waitInForce(World, 2, InForceBound));
 
   int Code = 0;
   const auto Reported = [&] {
@@ -80,6 +96,31 @@
 
   platform(World, {{"outage", true}});
   REQUIRE(World.startEntry(Entries + 1));
-  CHECK(World.waitInForce(2, InForceBound));
+  CHECK(waitInForce(World, 2, InForceBound));
   platform(World, {{"outage", false}});
 }
+
+// Guards against a document that is accepted after a restore and never in
+// force, because the entries hold a later version that the platform has lost.
+TEST_CASE("a document that the platform accepts after a restore is in force",
+          "[config_test]") {
+  std::optional<config::Neighbour> First;
+  Cluster World(thin(First));
+  const Clock Time;
+  REQUIRE(World.start());
+  for (std::uint8_t Number = 1; Number <= Entries; ++Number)
+    REQUIRE(World.startEntry(Number));
+  REQUIRE(World.apply());
+  REQUIRE(waitInForce(World, 1, Seconds(10)));
+  const TimePoint Copied = Time.now();
+  auto &Drained = World.document().Services_.front().Upstreams_;
+  Drained.front().Drain_ = true;
+  REQUIRE(World.apply());
+  REQUIRE(waitInForce(World, 2, InForceBound));
+  const auto Age =
+      std::chrono::duration_cast<Millis>(Time.now() - Copied).count();
+  platform(World, {{"restoreMs", Age}});
+  Drained.back().Drain_ = true;
+  REQUIRE(World.apply());
+  CHECK(waitInForce(World, 3, InForceBound));
+}
