Restore the store from older copies in the edge's soak

The stand-in store of the soak now uses StoreModel, the model of the simulated fleet: it states Store-Era, gives revisions out again and loses what was written since the copy. The case restores adds such restores to the other trouble; the operator and the upstreams then write again, and entries of upstreams that have ended lapse. Upstreams state when they were started, as the platform's do.

--- a/bench/edge_soak/edge_soak.cpp
+++ b/bench/edge_soak/edge_soak.cpp
@@ -23,8 +23,16 @@
 struct Mix {
   bool Planned_ = true;
   bool Trouble_ = true;
+  /// The store returns from older copies, among other trouble.
+  bool Restores_ = false;
 };
 
+const char *nameOf(const Mix &Kinds) {
+  if (Kinds.Restores_)
+    return "restores";
+  return Kinds.Trouble_ ? "faults" : "planned";
+}
+
 /// Makes things happen for Length; pauses between them are short or long, so
 /// that some overlap and some promises are seen in calm times.
 void disturb(soak::SoakWorld &World, Mix Kinds, Random &Source, Millis Length) {
@@ -32,7 +40,8 @@
   while (Passed < Length) {
     const bool Planned =
         Kinds.Planned_ && (!Kinds.Trouble_ || Source() % 2 == 0);
-    const std::string What = Planned ? World.planned() : World.trouble();
+    const std::string What =
+        Planned ? World.planned() : World.trouble(Kinds.Restores_);
     std::printf("# %5.1f s %s\n", static_cast<double>(Passed.count()) / 1000,
                 What.c_str());
     std::fflush(stdout);
@@ -49,7 +58,7 @@
   const soak::Clients::Tally &After = World.clients().tally();
   Record Out;
   Out.Experiment_ = "edge_soak";
-  Out.Case_ = Kinds.Trouble_ ? "faults" : "planned";
+  Out.Case_ = nameOf(Kinds);
   Out.Seed_ = Asked.Seed_;
   const double Served = After.Asked_ == 0
                             ? 0
@@ -126,7 +135,10 @@
     return runMix({true, false}, Asked);
   if (Asked.Case_.empty() || Asked.Case_ == "faults")
     return runMix({true, true}, Asked);
-  std::fprintf(stderr, "edge_soak: the cases are planned and faults\n");
+  if (Asked.Case_ == "restores")
+    return runMix({true, true, true}, Asked);
+  std::fprintf(stderr,
+               "edge_soak: the cases are planned, faults and restores\n");
   return 2;
 }
 
--- a/bench/edge_soak/soak_world.cpp
+++ b/bench/edge_soak/soak_world.cpp
@@ -26,6 +26,8 @@
 constexpr Millis EntryLifetime{3600};
 /// Upstreams that live are back within two seconds of the store's return.
 constexpr std::uint64_t LatestReturnMs = 1800;
+/// The operator writes again within this time.
+constexpr std::uint64_t LatestOperatorMs = 300;
 constexpr Millis AddressReuse{2000};
 /// Numbers by which upstreams are told apart.
 constexpr std::uint64_t FirstIdentity = 0xa000;
@@ -45,7 +47,7 @@
 SoakWorld::SoakWorld(harness::Subnet Addresses, std::size_t Edges,
                      std::uint64_t Seed)
     : Addresses_(std::move(Addresses)), Source_(Seed),
-      Store_(Io_, {Addresses_.address(StoreNet, 1), StorePort}),
+      Store_(Io_, {Addresses_.address(StoreNet, 1), StorePort}, Time_),
       Relay_(Io_, {Addresses_.address(StoreNet, 2), StorePort},
              {Addresses_.address(StoreNet, 1), StorePort}, "store", Rules_,
              Passed_, Shown_),
@@ -69,6 +71,7 @@
   for (std::size_t I = 0; I < WebUpstreams; ++I)
     addUpstream("web", I % 2 == 0 ? "a" : "b");
   addUpstream("files", "a");
+  StartedAt_ = Time_.now();
   Judge_.disturbed(Time_.now());
   Edges_.start();
   run(Millis(2500));
@@ -105,13 +108,15 @@
   }
 }
 
-std::string SoakWorld::trouble() {
+std::string SoakWorld::trouble(bool WithRestores) {
   constexpr std::array Moods{StoreMood::Busy, StoreMood::Reset,
                              StoreMood::Silent, StoreMood::Slow};
   const std::size_t Edge = draw(Edges_.size());
   const Millis For(500 + static_cast<std::int64_t>(draw(4000)));
   Judge_.disturbed(Time_.now());
-  switch (draw(8)) {
+  constexpr std::uint64_t Troubles = 8;
+  constexpr std::uint64_t Restores = 5;
+  switch (draw(WithRestores ? Troubles + Restores : Troubles)) {
   case 0:
     Edges_.kill(Edge);
     return "kill edge " + std::to_string(Edge + 1);
@@ -137,8 +142,10 @@
     return crashUpstream();
   case 6:
     return lapseAll();
-  default:
+  case 7:
     return disturbStorePath();
+  default:
+    return restoreStore();
   }
 }
 
@@ -192,11 +199,11 @@
   if (SecondRoute_)
     Routes.push_back(Route("r-2", SecondRoute, "files"));
   ConfigVersion_ += 1 + draw(5);
-  Store_.put("config", "main",
-             {{"version", ConfigVersion_},
-              {"routes", Routes},
-              {"services", Json::array()},
-              {"limits", {{"idleTimeoutMs", 15'000}}}});
+  Config_ = {{"version", ConfigVersion_},
+             {"routes", Routes},
+             {"services", Json::array()},
+             {"limits", {{"idleTimeoutMs", 15'000}}}};
+  Store_.put("config", "main", Config_);
   Judge_.routed(virtualAddress(FirstRoute), "web", TimePoint());
   Judge_.routed(virtualAddress(SecondRoute), SecondRoute_ ? "files" : "",
                 Time_.now());
@@ -275,6 +282,36 @@
          " ms, all entries lapse";
 }
 
+std::string SoakWorld::restoreStore() {
+  const Millis Age(200 + static_cast<std::int64_t>(draw(12'000)));
+  const Millis Away(draw(3) == 0 ? 20
+                                 : 100 + static_cast<std::int64_t>(draw(2400)));
+  const TimePoint AsOf = std::max(Time_.now() - Age, StartedAt_);
+  Store_.mood(draw(2) == 0 ? StoreMood::Reset : StoreMood::Silent);
+  Judge_.disturbed(Time_.now() + Away);
+  after(Away, [this, AsOf] {
+    Store_.restore(AsOf);
+    Store_.mood(StoreMood::Well);
+    Judge_.disturbed(Time_.now());
+    // The operator and the upstreams write again what is lost; entries of
+    // upstreams that have ended lapse.
+    after(Millis(draw(LatestOperatorMs)),
+          [this] { Store_.put("config", "main", Config_); });
+    for (const auto &Each : Upstreams_)
+      after(Millis(draw(LatestReturnMs)), [Living = Each.get()] {
+        if (Living->alive())
+          Living->registerAgain();
+      });
+    after(EntryLifetime, [this] {
+      for (const auto &Each : Upstreams_)
+        if (!Each->alive())
+          Each->unregister();
+    });
+  });
+  return "restore the store from a copy of " + std::to_string(Age.count()) +
+         " ms ago, away for " + std::to_string(Away.count()) + " ms";
+}
+
 std::string SoakWorld::disturbStorePath() {
   const std::size_t Edge = draw(Edges_.size());
   harness::FaultRule Rule;
--- a/bench/edge_soak/soak_world.hpp
+++ b/bench/edge_soak/soak_world.hpp
@@ -35,8 +35,9 @@
 
   /// Planned work; gives a line that tells what was done.
   std::string planned();
-  /// Trouble; gives a line that tells what was done.
-  std::string trouble();
+  /// Trouble, restores of the store among it if WithRestores; gives a line that
+  /// tells what was done.
+  std::string trouble(bool WithRestores);
 
   [[nodiscard]] EdgeFleet &edges() noexcept { return Edges_; }
   [[nodiscard]] Clients &clients() noexcept { return Clients_; }
@@ -60,6 +61,7 @@
   std::string crashUpstream();
   std::string lapseAll();
   std::string disturbStorePath();
+  std::string restoreStore();
 
   boost::asio::io_context Io_;
   harness::Subnet Addresses_;
@@ -76,6 +78,10 @@
   Clients Clients_;
   std::vector<std::unique_ptr<Upstream>> Upstreams_;
   std::uint64_t ConfigVersion_ = 1;
+  /// The configuration that the operator wrote last.
+  nlohmann::json Config_;
+  /// The first registrations were in the store at this time.
+  TimePoint StartedAt_{};
   bool SecondRoute_ = false;
   bool Asking_ = true;
   std::uint8_t NextUpstream_ = 1;
--- a/bench/edge_soak/store_standin.cpp
+++ b/bench/edge_soak/store_standin.cpp
@@ -12,24 +12,16 @@
 /// Objects a page, small so that lists have several.
 constexpr std::size_t PageObjects = 5;
 constexpr Millis SlowAnswer{300};
-
-net::HttpResponse page(Json Body) {
-  net::HttpResponse Out;
-  Out.Headers_.add("Content-Type", "application/json");
-  Out.Body_ = Body.dump();
-  return Out;
-}
-
-net::HttpResponse status(unsigned Code) {
-  net::HttpResponse Out;
-  Out.Status_ = Code;
-  return Out;
-}
+constexpr unsigned Ok = 200;
+constexpr unsigned NotFound = 404;
+constexpr unsigned Gone = 410;
+constexpr unsigned Unavailable = 503;
 
 } // namespace
 
-StoreStandin::StoreStandin(boost::asio::io_context &Io, Endpoint Where)
-    : Io_(Io),
+StoreStandin::StoreStandin(boost::asio::io_context &Io, Endpoint Where,
+                           Clock Time)
+    : Io_(Io), Time_(std::move(Time)),
       Server_(Io, Where,
               [this](const net::HttpRequest &Request,
                      const net::HttpReply &Reply) { handle(Request, Reply); }) {
@@ -37,31 +29,18 @@
 
 void StoreStandin::put(const std::string &Kind, const std::string &Name,
                        Json Spec) {
-  auto &Objects = Kinds_[Kind];
-  const auto [At, Inserted] = Objects.try_emplace(Name);
-  Object &Each = At->second;
-  if (!Inserted && Each.Spec_ == Spec)
-    return;
-  Each.Spec_ = std::move(Spec);
-  Each.Revision_ = ++Revision_;
-  if (Inserted)
-    Each.Created_ = Revision_;
-  changed({Revision_, Kind, packed(Name, Each), false});
+  if (Objects_.put(Kind, Name, std::move(Spec), Time_.now()))
+    answerWatches(Kind);
 }
 
 void StoreStandin::remove(const std::string &Kind, const std::string &Name) {
-  auto &Objects = Kinds_[Kind];
-  const auto Found = Objects.find(Name);
-  if (Found == Objects.end())
-    return;
-  Event Gone{++Revision_, Kind, packed(Name, Found->second), true};
-  Objects.erase(Found);
-  changed(std::move(Gone));
+  if (Objects_.remove(Kind, Name, Time_.now()))
+    answerWatches(Kind);
 }
 
-void StoreStandin::forgetHistory() {
-  History_.clear();
-  HistoryBegins_ = ++Revision_;
+void StoreStandin::restore(TimePoint AsOf) {
+  Objects_.restore(AsOf, Time_.now());
+  Watches_.clear();
 }
 
 void StoreStandin::handle(const net::HttpRequest &Request,
@@ -71,7 +50,7 @@
   case StoreMood::Well:
     return answer(Request, Reply);
   case StoreMood::Busy:
-    return Reply(status(503));
+    return Reply(response(Unavailable, Json::object()));
   case StoreMood::Reset:
     return;
   case StoreMood::Silent:
@@ -93,81 +72,65 @@
                           const net::HttpReply &Reply) {
   const std::string Path(Request.path());
   if (!Path.starts_with(ObjectsPath))
-    return Reply(status(404));
+    return Reply(response(NotFound, Json::object()));
   const std::string Kind = Path.substr(std::string(ObjectsPath).size());
-  const auto After = Request.query("watch");
-  if (!After)
-    return list(Kind, Request.query("after").value_or(""), Reply);
-  watch(Kind, std::stoull(*After),
-        Millis(std::stoll(Request.query("waitMs").value_or("0"))), Reply);
-}
-
-void StoreStandin::list(const std::string &Kind, const std::string &After,
-                        const net::HttpReply &Reply) {
-  const auto &Objects = Kinds_[Kind];
-  Json Items = Json::array();
-  auto At = Objects.upper_bound(After);
-  for (; At != Objects.end() && Items.size() < PageObjects; ++At)
-    Items.push_back(packed(At->first, At->second));
-  Reply(page({{"items", Items},
-              {"more", At != Objects.end()},
-              {"storeRevision", Revision_}}));
+  if (const auto After = Request.query("watch"))
+    return watch(Kind, std::stoull(*After),
+                 Millis(std::stoll(Request.query("waitMs").value_or("0"))),
+                 Reply);
+  Reply(response(Ok, Objects_.list(Kind, Request.query("after").value_or(""),
+                                   PageObjects)));
 }
 
 void StoreStandin::watch(const std::string &Kind, std::uint64_t After,
                          Millis Wait, const net::HttpReply &Reply) {
-  if (After < HistoryBegins_)
-    return Reply(status(410));
-  const auto Each = std::make_shared<Watch>(
+  const auto Waiting = std::make_shared<Watch>(
       Watch{Kind, After, Reply, boost::asio::steady_timer(Io_, Wait)});
-  if (tell(*Each, Wait == Millis(0)))
+  if (answerWatch(*Waiting, Wait == Millis(0)))
     return;
-  Watches_.push_back(Each);
-  Each->Timer_.async_wait(
-      [this, Waiting = std::weak_ptr(Each)](boost::system::error_code Failed) {
-        const auto Ended = Waiting.lock();
+  Watches_.push_back(Waiting);
+  Waiting->Timer_.async_wait(
+      [this, Weak = std::weak_ptr(Waiting)](boost::system::error_code Failed) {
+        const auto Ended = Weak.lock();
         if (Failed || !Ended)
           return;
         Watches_.remove(Ended);
-        tell(*Ended, true);
+        answerWatch(*Ended, true);
       });
 }
 
-bool StoreStandin::tell(const Watch &Each, bool AlsoNothing) {
-  Json Events = Json::array();
-  for (const Event &Past : History_)
-    if (Past.Revision_ > Each.After_ && Past.Kind_ == Each.Kind_)
-      Events.push_back({{"deleted", Past.Deleted_}, {"object", Past.Object_}});
-  if (Events.empty() && !AlsoNothing)
+bool StoreStandin::answerWatch(const Watch &Waiting, bool AlsoNothing) {
+  const auto Changes = Objects_.changes(Waiting.Kind_, Waiting.After_);
+  if (!Changes)
+    Waiting.Reply_(response(Gone, Json::object()));
+  else if (AlsoNothing || !(*Changes)["events"].empty())
+    Waiting.Reply_(response(Ok, *Changes));
+  else
     return false;
-  Each.Reply_(page({{"events", Events}, {"storeRevision", Revision_}}));
   return true;
 }
 
-void StoreStandin::changed(Event What) {
-  const std::string Kind = What.Kind_;
-  History_.push_back(std::move(What));
+void StoreStandin::answerWatches(const std::string &Kind) {
   if (Mood_ != StoreMood::Well)
     return;
-  std::list<std::shared_ptr<Watch>> Told;
+  std::list<std::shared_ptr<Watch>> Due;
   for (auto At = Watches_.begin(); At != Watches_.end();) {
-    const auto Each = At++;
-    if ((*Each)->Kind_ == Kind)
-      Told.splice(Told.end(), Watches_, Each);
+    const auto Waiting = At++;
+    if ((*Waiting)->Kind_ == Kind)
+      Due.splice(Due.end(), Watches_, Waiting);
   }
-  for (const auto &Each : Told)
-    tell(*Each, true);
+  for (const auto &Waiting : Due)
+    answerWatch(*Waiting, true);
 }
 
-Json StoreStandin::packed(const std::string &Name, const Object &Each) {
-  return {{"meta",
-           {{"name", Name},
-            {"revision", Each.Revision_},
-            {"created", Each.Created_},
-            {"finalizers", Json::array()},
-            {"deleting", false}}},
-          {"spec", Each.Spec_},
-          {"status", nullptr}};
+net::HttpResponse StoreStandin::response(unsigned Status,
+                                         const Json &Body) const {
+  net::HttpResponse Response;
+  Response.Status_ = Status;
+  Response.Headers_.add("Content-Type", "application/json");
+  Response.Headers_.add("Store-Era", std::to_string(Objects_.epoch()));
+  Response.Body_ = Body.dump();
+  return Response;
 }
 
 } // namespace medlarmoor::bench::soak
--- a/bench/edge_soak/store_standin.hpp
+++ b/bench/edge_soak/store_standin.hpp
@@ -1,7 +1,9 @@
 #ifndef MEDLARMOOR_BENCH_EDGE_SOAK_STORE_STANDIN_HPP
 #define MEDLARMOOR_BENCH_EDGE_SOAK_STORE_STANDIN_HPP
 
-#include <medlarmoor/core/time.hpp>
+#include <harness/store_model.hpp>
+
+#include <medlarmoor/core/clock.hpp>
 #include <medlarmoor/net/http_server.hpp>
 
 #include <boost/asio/io_context.hpp>
@@ -9,9 +11,7 @@
 #include <nlohmann/json.hpp>
 
 #include <cstdint>
-#include <deque>
 #include <list>
-#include <map>
 #include <memory>
 #include <string>
 
@@ -34,7 +34,7 @@
 /// HTTP. Objects are written by calls from within the soak.
 class StoreStandin {
 public:
-  StoreStandin(boost::asio::io_context &Io, Endpoint Where);
+  StoreStandin(boost::asio::io_context &Io, Endpoint Where, Clock Time);
 
   [[nodiscard]] bool listen() { return Server_.listen(); }
 
@@ -45,21 +45,12 @@
   void mood(StoreMood Mood) { Mood_ = Mood; }
   [[nodiscard]] bool well() const noexcept { return Mood_ == StoreMood::Well; }
   /// Drops the history, so that old watches get 410.
-  void forgetHistory();
+  void forgetHistory() { Objects_.forgetHistory(); }
+  /// Returns to the state at AsOf in another epoch; open watches are cut off.
+  void restore(TimePoint AsOf);
   [[nodiscard]] std::uint64_t calls() const noexcept { return Calls_; }
 
 private:
-  struct Object {
-    std::uint64_t Revision_ = 0;
-    std::uint64_t Created_ = 0;
-    nlohmann::json Spec_;
-  };
-  struct Event {
-    std::uint64_t Revision_ = 0;
-    std::string Kind_;
-    nlohmann::json Object_;
-    bool Deleted_ = false;
-  };
   struct Watch {
     std::string Kind_;
     std::uint64_t After_ = 0;
@@ -69,23 +60,20 @@
 
   void handle(const net::HttpRequest &Request, const net::HttpReply &Reply);
   void answer(const net::HttpRequest &Request, const net::HttpReply &Reply);
-  void list(const std::string &Kind, const std::string &After,
-            const net::HttpReply &Reply);
   void watch(const std::string &Kind, std::uint64_t After, Millis Wait,
              const net::HttpReply &Reply);
-  /// Answers a watch; false when there is nothing to tell yet.
-  bool tell(const Watch &Each, bool AlsoNothing);
-  void changed(Event What);
-  [[nodiscard]] static nlohmann::json packed(const std::string &Name,
-                                             const Object &Each);
+  /// Answers a watch. Returns false if there are no changes yet, unless
+  /// AlsoNothing.
+  bool answerWatch(const Watch &Waiting, bool AlsoNothing);
+  void answerWatches(const std::string &Kind);
+  [[nodiscard]] net::HttpResponse response(unsigned Status,
+                                           const nlohmann::json &Body) const;
 
   boost::asio::io_context &Io_;
+  Clock Time_;
   net::HttpServer Server_;
   StoreMood Mood_ = StoreMood::Well;
-  std::uint64_t Revision_ = 1;
-  std::uint64_t HistoryBegins_ = 0;
-  std::map<std::string, std::map<std::string, Object>> Kinds_;
-  std::deque<Event> History_;
+  harness::StoreModel Objects_;
   std::list<std::shared_ptr<Watch>> Watches_;
   /// Replies that are never given.
   std::list<net::HttpReply> Silenced_;
--- a/bench/edge_soak/upstream.cpp
+++ b/bench/edge_soak/upstream.cpp
@@ -22,6 +22,7 @@
                    Clock Time, Random Source)
     : Io_(Io), Self_(std::move(Self)), ClientPort_(ClientPort), Store_(Store),
       Checks_(Checks), Time_(std::move(Time)), Source_(Source),
+      BornMs_(Time_.wallNow().time_since_epoch() / Millis(1)),
       Port_(std::make_unique<harness::UdpPort>(
           Io, [this](Endpoint, std::span<const std::byte> Datagram) {
             if (Alive_)
@@ -56,7 +57,8 @@
               {"concurrency", 2},
               {"state", Draining_ ? "draining" : "ready"},
               {"warmupLeftMs", 0},
-              {"sequence", 1}});
+              {"sequence", 1},
+              {"born", BornMs_}});
 }
 
 void Upstream::drain() {
--- a/bench/edge_soak/upstream.hpp
+++ b/bench/edge_soak/upstream.hpp
@@ -67,6 +67,8 @@
   Judge &Checks_;
   Clock Time_;
   Random Source_;
+  /// Start of the process, in Unix milliseconds.
+  std::int64_t BornMs_;
   std::unique_ptr<harness::UdpPort> Port_;
   std::map<Key, Flow> Flows_;
   bool Alive_ = true;
