Lose changes of the routes before each restore in the soak

With one lost change at most, the revision that is given out again was rarely the one that instances had.

--- a/bench/edge_soak/soak_world.cpp
+++ b/bench/edge_soak/soak_world.cpp
@@ -26,6 +26,10 @@
 constexpr Millis EntryLifetime{3600};
 /// Upstreams that live are back within two seconds of the store's return.
 constexpr std::uint64_t LatestReturnMs = 1800;
+/// The operator's next change follows a restore within this time.
+constexpr std::uint64_t LatestNextChangeMs = 6000;
+/// Time between the last changes before a restore.
+constexpr Millis LostChangeInterval{300};
 /// The operator writes again within this time.
 constexpr std::uint64_t LatestOperatorMs = 300;
 constexpr Millis AddressReuse{2000};
@@ -102,9 +106,7 @@
   case 2:
     return drainUpstream();
   default:
-    SecondRoute_ = !SecondRoute_;
-    publishRoutes();
-    return SecondRoute_ ? "add a route" : "remove a route";
+    return toggleRoute();
   }
 }
 
@@ -115,7 +117,7 @@
   const Millis For(500 + static_cast<std::int64_t>(draw(4000)));
   Judge_.disturbed(Time_.now());
   constexpr std::uint64_t Troubles = 8;
-  constexpr std::uint64_t Restores = 5;
+  constexpr std::uint64_t Restores = 16;
   switch (draw(WithRestores ? Troubles + Restores : Troubles)) {
   case 0:
     Edges_.kill(Edge);
@@ -282,36 +284,51 @@
          " ms, all entries lapse";
 }
 
+std::string SoakWorld::toggleRoute() {
+  SecondRoute_ = !SecondRoute_;
+  publishRoutes();
+  return SecondRoute_ ? "add a route" : "remove a route";
+}
+
 std::string SoakWorld::restoreStore() {
-  const Millis Age(200 + static_cast<std::int64_t>(draw(12'000)));
+  const Millis Age =
+      2 * LostChangeInterval + Millis(static_cast<std::int64_t>(draw(12'000)));
   const Millis Away(draw(3) == 0 ? 20
                                  : 100 + static_cast<std::int64_t>(draw(2400)));
-  const TimePoint AsOf = std::max(Time_.now() - Age, StartedAt_);
-  Store_.mood(draw(2) == 0 ? StoreMood::Reset : StoreMood::Silent);
-  Judge_.disturbed(Time_.now() + Away);
-  after(Away, [this, AsOf] {
-    Store_.restore(AsOf);
-    Store_.mood(StoreMood::Well);
-    Judge_.disturbed(Time_.now());
-    // The operator and the upstreams write again what is lost; entries of
-    // upstreams that have ended lapse.
-    after(Millis(draw(LatestOperatorMs)),
-          [this] { Store_.put("config", "main", Config_); });
-    for (const auto &Each : Upstreams_)
-      after(Millis(draw(LatestReturnMs)), [Living = Each.get()] {
-        if (Living->alive())
-          Living->registerAgain();
-      });
-    after(EntryLifetime, [this] {
-      for (const auto &Each : Upstreams_)
-        if (!Each->alive())
-          Each->unregister();
-    });
-  });
+  // Two changes that are lost, so that the next ones get their revisions.
+  const TimePoint LostAt = Time_.now() + 2 * LostChangeInterval;
+  Judge_.disturbed(LostAt + Away);
+  (void)toggleRoute();
+  after(LostChangeInterval, [this] { toggleRoute(); });
+  const StoreMood Mood = draw(2) == 0 ? StoreMood::Reset : StoreMood::Silent;
+  after(2 * LostChangeInterval, [this, Mood] { Store_.mood(Mood); });
+  after(2 * LostChangeInterval + Away,
+        [this, AsOf = std::max(LostAt - Age, StartedAt_)] {
+          Store_.restore(AsOf);
+          Store_.mood(StoreMood::Well);
+          Judge_.disturbed(Time_.now());
+          writeAgain();
+          after(Millis(draw(LatestNextChangeMs)), [this] { toggleRoute(); });
+        });
   return "restore the store from a copy of " + std::to_string(Age.count()) +
          " ms ago, away for " + std::to_string(Away.count()) + " ms";
 }
 
+void SoakWorld::writeAgain() {
+  after(Millis(draw(LatestOperatorMs)),
+        [this] { Store_.put("config", "main", Config_); });
+  for (const auto &Each : Upstreams_)
+    after(Millis(draw(LatestReturnMs)), [Living = Each.get()] {
+      if (Living->alive())
+        Living->registerAgain();
+    });
+  after(EntryLifetime, [this] {
+    for (const auto &Each : Upstreams_)
+      if (!Each->alive())
+        Each->unregister();
+  });
+}
+
 std::string SoakWorld::disturbStorePath() {
   const std::size_t Edge = draw(Edges_.size());
   harness::FaultRule Rule;
--- a/bench/edge_soak/soak_world.hpp
+++ b/bench/edge_soak/soak_world.hpp
@@ -62,6 +62,11 @@
   std::string lapseAll();
   std::string disturbStorePath();
   std::string restoreStore();
+  /// After a restore, the operator and the upstreams write again what is lost,
+  /// and entries of upstreams that have ended lapse.
+  void writeAgain();
+  /// Adds or removes the second route.
+  std::string toggleRoute();
 
   boost::asio::io_context Io_;
   harness::Subnet Addresses_;
--- a/test/process/edge_soak_test.cpp
+++ b/test/process/edge_soak_test.cpp
@@ -33,3 +33,8 @@
 TEST_CASE("trouble breaks no promise at the edge", "[edge_soak_test]") {
   keepsPromises("faults", "1");
 }
+
+TEST_CASE("restores of the store break no promise at the edge",
+          "[edge_soak_test]") {
+  keepsPromises("restores", "1");
+}
