--- a/review/standin/frozen.cc
+++ b/review/standin/frozen.cc
@@ -26,7 +26,7 @@
   for (std::uint32_t i = 0; i < 5; ++i)
     edges.add(zones[i], base + 11 + i);
   std::vector<std::unique_ptr<Server>> servers;
-  for (std::uint32_t i = 0; i < 24; ++i) {
+  for (std::uint32_t i = 0; i < 32; ++i) {
     servers.push_back(std::make_unique<Server>(
         loop, record, 0xa1000 + i * 0x111, Address{base + 31 + i, 9000},
         ports.packets, Server::Options{"ledger", zones[1 + i % 4], 2000, 30}));
@@ -78,19 +78,19 @@
     return flow.requests >= 8 ? -1.0
                               : 1500.0 + static_cast<double>(random() % 4000);
   };
-  const double started = now(), end = started + 92000;
-  double nextFreeze = started + 12000;
+  const double started = now(), end = started + 100000;
+  double nextFreeze = started + 7000;
   std::size_t round = 0, begun = 0;
   while (now() < end) {
-    // 160 flows begin each second; each second one stays open for eight
+    // 260 flows begin each second; each third one stays open for eight
     // requests.
-    if (begun % 2 == 0)
+    if (begun % 3 == 0)
       clients[random() % 4]->open(virt, pause);
     else
       clients[random() % 4]->open(virt, once);
     ++begun;
     loop.runUntil(
-        std::max(now(), started + 1000.0 / 160 * static_cast<double>(begun)));
+        std::max(now(), started + 1000.0 / 260 * static_cast<double>(begun)));
     if (trouble && now() >= nextFreeze && now() < end - 10000) {
       const std::size_t first = round % 5, second = (round + 2) % 5;
       ++round;
