Discard SYNs that waited in the socket during a pause

Cause: on resuming, the instance placed the SYNs that had waited in its socket, although their clients had gone on through other instances. The second SYN+ACK replaces the connection id that a client repeats.

SYNs read between the end of a pause and the first moment at which the socket is empty are dropped. Such a SYN has been repeated or given up; a client that still waits repeats it after 200 ms, so dropping costs little and placing may cost an open flow. Packets of open flows are delivered as before.

Ruled out: the pending retries, which are not carried out when they are late. Not covered: an instance that is slow without standing still for a second.

--- a/src/medlarmoor/edge/decision.hpp
+++ b/src/medlarmoor/edge/decision.hpp
@@ -49,6 +49,10 @@
   HandshakePending,
   /// No upstream in the catalog has its tag.
   UnknownTag,
+  /// It is a SYN that waited in the socket while this instance was paused. Its
+  /// client has given up or repeated it, and the flow may have been opened
+  /// through another instance.
+  Stale,
 };
 
 /// The packet is sent to an upstream.
--- a/src/medlarmoor/edge/decision_log.cpp
+++ b/src/medlarmoor/edge/decision_log.cpp
@@ -45,6 +45,8 @@
     return "handshake_pending";
   case DropReason::UnknownTag:
     return "unknown_tag";
+  case DropReason::Stale:
+    return "stale";
   }
   return "unknown";
 }
--- a/src/medlarmoor/edge/edge_server.cpp
+++ b/src/medlarmoor/edge/edge_server.cpp
@@ -296,7 +296,8 @@
            Now - *Follower.currentAsOf() < Settings_.maxStaleness();
   };
   return {IsRecent(RouteReader_.follower()),
-          IsRecent(UpstreamReader_.follower()), Pauses_.resuming(Now)};
+          IsRecent(UpstreamReader_.follower()), Pauses_.resuming(Now),
+          Pauses_.resumedAt()};
 }
 
 void EdgeServer::Impl::tick() {
--- a/src/medlarmoor/edge/forwarder.cpp
+++ b/src/medlarmoor/edge/forwarder.cpp
@@ -78,6 +78,8 @@
     Delivery.Reason_ = DeliverReason::Repeated;
     return Delivery;
   }
+  if (Fresh.Backlogged_)
+    return Drop{DropReason::Stale};
   // An upstream may have left during the pause.
   if (Fresh.Resuming_ && !Fresh.UpstreamsCurrent_)
     return Hold{};
--- a/src/medlarmoor/edge/freshness.hpp
+++ b/src/medlarmoor/edge/freshness.hpp
@@ -1,16 +1,24 @@
 #ifndef MEDLARMOOR_EDGE_FRESHNESS_HPP
 #define MEDLARMOOR_EDGE_FRESHNESS_HPP
 
+#include <medlarmoor/core/time.hpp>
+
+#include <optional>
+
 namespace medlarmoor::edge {
 
 /// Which of an instance's collections are recent enough to refuse a flow on
-/// their basis.
+/// their basis, and whether the instance has been paused.
 struct Freshness {
   bool RoutesCurrent_ = false;
   bool UpstreamsCurrent_ = false;
   /// The process has just been paused, so that recent upstreams are about to be
   /// read.
   bool Resuming_ = false;
+  /// End of the last pause.
+  std::optional<TimePoint> ResumedAt_{};
+  /// The packet may have waited in the socket during the pause.
+  bool Backlogged_ = false;
 };
 
 } // namespace medlarmoor::edge
--- a/src/medlarmoor/edge/packet_loop.cpp
+++ b/src/medlarmoor/edge/packet_loop.cpp
@@ -55,11 +55,14 @@
     return false;
   const TimePoint Now = Time_.now();
   Readiness_.recordPacket(Now);
-  const Freshness Fresh = Freshness_();
+  Freshness Fresh = Freshness_();
+  Fresh.Backlogged_ = Fresh.ResumedAt_ && *Fresh.ResumedAt_ >= EmptiedAt_;
   for (std::size_t I = 0; I < Count; ++I)
     handlePacket(ReceiveBatch_.withHeadroom(I), Resets_[I], Fresh, Now);
   flush();
   armRetryTimer(Now);
+  if (Count < net::BatchPackets)
+    EmptiedAt_ = Time_.now();
   return true;
 }
 
--- a/src/medlarmoor/edge/packet_loop.hpp
+++ b/src/medlarmoor/edge/packet_loop.hpp
@@ -90,6 +90,8 @@
   HeldPackets Held_;
   /// In ascending order of DueAt_.
   std::deque<PendingSyn> PendingSyns_;
+  /// Time at which the socket last held no more packets.
+  TimePoint EmptiedAt_{};
   net::ReceiveBatch ReceiveBatch_;
   net::SendBatch SendBatch_;
   /// Buffers for the resets of the current batch, indexed like its packets.
--- a/src/medlarmoor/edge/pause_detector.hpp
+++ b/src/medlarmoor/edge/pause_detector.hpp
@@ -17,6 +17,10 @@
   /// Returns true for a short time after a pause, in which data that changed
   /// meanwhile is being read again.
   [[nodiscard]] bool resuming(TimePoint Now) const noexcept;
+  /// Returns the end of the last pause; no value if there was none.
+  [[nodiscard]] std::optional<TimePoint> resumedAt() const noexcept {
+    return ResumedAt_;
+  }
 
 private:
   std::optional<TimePoint> LastActivity_;
--- a/test/edge/forwarder_test.cpp
+++ b/test/edge/forwarder_test.cpp
@@ -436,6 +436,34 @@
   CHECK(std::holds_alternative<Hold>(Action));
 }
 
+// Guards against SYNs that waited while this instance was paused and are then
+// placed although their flows were opened through other instances.
+TEST_CASE("paused instance: a SYN that waited in the socket is not placed") {
+  Instance Edge({upstream("i-1")});
+  Freshness Resumed = Current;
+  Resumed.Backlogged_ = true;
+  for (std::uint32_t Copy = 0; Copy <= 2; ++Copy) {
+    Packet Syn = syn(1, Copy);
+    const Decision Action = Edge.Forwarder_.handle(Syn, Resumed, at(0));
+    REQUIRE(std::holds_alternative<Drop>(Action));
+    CHECK(std::get<Drop>(Action).Reason_ == DropReason::Stale);
+  }
+  CHECK(Edge.Forwarder_.flows().size() == 0);
+  Packet Fresh = syn(1, 1);
+  CHECK(Edge.deliver(Fresh, at(10)) == "i-1");
+}
+
+TEST_CASE(
+    "paused instance: packets of open flows that waited in the socket are "
+    "delivered") {
+  Instance Edge({upstream("i-1")});
+  Freshness Resumed = Current;
+  Resumed.Backlogged_ = true;
+  Packet Data = data(1, tag("i-1"));
+  CHECK(std::holds_alternative<Deliver>(
+      Edge.Forwarder_.handle(Data, Resumed, at(0))));
+}
+
 TEST_CASE(
     "in any order of events, packets go only to the upstream of their tag "
     "or of their flow") {
--- a/test/edge/packet_loop_test.cpp
+++ b/test/edge/packet_loop_test.cpp
@@ -135,3 +135,24 @@
   Packets.handleHeld();
   CHECK(Setup.received() == 0);
 }
+
+// Guards against SYNs that waited while this instance was paused and are then
+// placed although their flows were opened through other instances.
+TEST_CASE("paused process: all SYNs that waited in the socket are discarded, "
+          "later ones are delivered") {
+  Loop Setup;
+  Setup.load();
+  PacketLoop Packets(
+      Setup.Io_, Setup.Address_, adapter::packetCodec(), Setup.Forwarder_,
+      Setup.Readiness_, Setup.Decisions_, [&] { return Setup.Fresh_; },
+      Setup.Time_);
+  REQUIRE(Packets.start());
+  for (std::uint16_t Port = 1; Port <= 2 * net::BatchPackets + 1; ++Port)
+    REQUIRE(Setup.Client_.send(Setup.Address_, synBytes(Port)));
+  Setup.Fresh_.ResumedAt_ = Setup.Time_.now();
+  Packets.drain();
+  CHECK(Setup.received() == 0);
+  REQUIRE(Setup.Client_.send(Setup.Address_, synBytes(1)));
+  Packets.drain();
+  CHECK(Setup.received() == 1);
+}
