Remember open flows for the idle timeout, and repeat a SYN before moving it

Cause: an open flow was remembered for the route's timeout (1.2 s), which bounds a request, and not for the idle timeout (15 s), which bounds a flow. Then only the connection id of the packet counts, and the late SYN+ACK of the first upstream has replaced it: one unanswered SYN was taken for a dead upstream, and the flow was offered to two.

An open flow is now remembered for the idle timeout; a request still counts as load for the route's timeout only. A SYN without an answer goes to its upstream once more before another one is tried; both happen before the client repeats it. The mean handshake time leaves out handshakes whose SYN was sent twice, as the answer may be to either. FlowTracker visits a flow when something is due instead of ten times a second, as flows stay longer.

Ruled out: telling the two upstreams apart by the packet (a packet names no upstream except by its id), and a reset towards the other one (no packet may be forged). Open: a flow that two upstreams hold after two lost packets, and that another instance takes over.

--- a/src/medlarmoor/edge/decision.hpp
+++ b/src/medlarmoor/edge/decision.hpp
@@ -22,7 +22,7 @@
   Ended,
   /// It opens a flow.
   Placed,
-  /// It is a repeated SYN that goes to the same upstream as the first one.
+  /// It is a SYN that goes to the same upstream once more.
   Repeated,
   /// The upstream of the earlier SYN did not answer; another one is tried.
   Moved,
--- a/src/medlarmoor/edge/decision_log.cpp
+++ b/src/medlarmoor/edge/decision_log.cpp
@@ -232,7 +232,7 @@
                             {"upstream", upstreamName(Flow.Upstream_)},
                             {"state", Flow.Open_ ? "open" : "handshake"},
                             {"age_ms", Age(Flow.FirstSeen_)},
-                            {"timeout_ms", Flow.IdleTimeout_.count()}});
+                            {"silent_ms", Age(Flow.LastPacketAt_)}});
 }
 
 std::string DecisionLog::upstreamName(affinity::Tag Upstream) const {
--- a/src/medlarmoor/edge/forwarder.cpp
+++ b/src/medlarmoor/edge/forwarder.cpp
@@ -103,7 +103,17 @@
   if (!Flow || Flow->Open_ || Flow->PlacedAt_ != PlacedAt || !Route)
     return std::nullopt;
   Deliver Delivery;
-  place(Packet, *Route, Flow, Catalog_.find(Flow->Upstream_), Now, Delivery);
+  const CatalogEntry *Previous = Catalog_.find(Flow->Upstream_);
+  // If only a packet was lost, another upstream would hold the flow as well.
+  if (!Flow->SynResent_ && Previous &&
+      Previous->State_ != CatalogEntry::State::Retired) {
+    Flow->SynResent_ = true;
+    Packet.Tag_ = Flow->Upstream_;
+    Delivery.Upstream_ = Previous;
+    Delivery.Reason_ = DeliverReason::Repeated;
+    return Delivery;
+  }
+  place(Packet, *Route, Flow, Previous, Now, Delivery);
   if (!Delivery.Upstream_)
     return std::nullopt;
   return Delivery;
@@ -179,15 +189,14 @@
                                   Deliver &Delivery) {
   if (Flow.Upstream_ != Packet.Tag_)
     Stats_.Flows_.move(Flow, Packet.Tag_, Now);
-  else
+  else if (!Flow.SynResent_) // Otherwise the answer may be to either SYN.
     MeanHandshakeMs_ +=
         HandshakeSmoothing *
         (std::chrono::duration<double, std::milli>(Now - Flow.PlacedAt_)
              .count() -
          MeanHandshakeMs_);
-  Flow.Open_ = true;
-  Flow.OpenedAt_ = Now;
-  Flow.IdleTimeout_ = requestTimeout(Packet.Flow_.Virtual_);
+  Stats_.Flows_.open(Packet.Flow_, Flow, requestTimeout(Packet.Flow_.Virtual_),
+                     Routes_.table().IdleTimeout_, Now);
   Flow.RequestAck_ = Flow.LastAck_ = Packet.Acknowledged_;
   Delivery.Reason_ = DeliverReason::Opened;
   Delivery.Elapsed_ = Now - Flow.FirstSeen_;
@@ -210,10 +219,11 @@
     Stats_.Flows_.touch(*Flow, Now);
   } else if (Packet.PayloadBytes_ > 0 && !EndsFlow) {
     // Another instance placed the flow, or it expired here while it was idle.
-    TrackedFlow &Adopted = Stats_.Flows_.add(
-        Packet.Flow_, Packet.Tag_, requestTimeout(Packet.Flow_.Virtual_), Now);
-    Adopted.Open_ = true;
-    Adopted.OpenedAt_ = Now;
+    const Millis Timeout = requestTimeout(Packet.Flow_.Virtual_);
+    TrackedFlow &Adopted =
+        Stats_.Flows_.add(Packet.Flow_, Packet.Tag_, Timeout, Now);
+    Stats_.Flows_.open(Packet.Flow_, Adopted, Timeout,
+                       Routes_.table().IdleTimeout_, Now);
     Adopted.RequestAck_ = Adopted.LastAck_ = Packet.Acknowledged_;
     trackRequests(Adopted, Packet, Now, Delivery);
   }
@@ -242,12 +252,8 @@
     return;
   }
   completeRequest(Flow, Packet.Flow_, Now, Delivery);
-  Stats_.Flows_.setBusy(Flow, true);
-  Flow.RequestSent_ = true;
-  Flow.Overdue_ = false;
-  Flow.RequestedAt_ = Now;
-  Flow.DueAt_ = Now + latencyObjective(Packet.Flow_.Virtual_);
-  Flow.RequestAck_ = Flow.LastAck_;
+  Stats_.Flows_.beginRequest(
+      Packet.Flow_, Flow, Now + latencyObjective(Packet.Flow_.Virtual_), Now);
 }
 
 void Forwarder::completeRequest(TrackedFlow &Flow, const affinity::FlowKey &Key,
--- a/src/medlarmoor/edge/forwarder.hpp
+++ b/src/medlarmoor/edge/forwarder.hpp
@@ -31,14 +31,15 @@
   /// that of the upstream.
   [[nodiscard]] Decision handle(affinity::Packet &Packet, Freshness Fresh,
                                 TimePoint Now);
-  /// Chooses another upstream for a SYN that was placed at PlacedAt and has not
-  /// been answered within synRetryDelay(), and sets the tag of Packet to it.
+  /// Handles a SYN that was placed at PlacedAt and has not been answered within
+  /// synRetryDelay(): it is sent to its upstream once more, and to another one
+  /// if that is not answered either. Sets the tag of Packet accordingly.
   /// Returns no value if the flow was opened or moved meanwhile or if no
   /// upstream is available.
   [[nodiscard]] std::optional<Deliver> retry(affinity::Packet &Packet,
                                              TimePoint PlacedAt, TimePoint Now);
-  /// Returns how long an upstream may take to answer a SYN before the SYN is
-  /// sent to another one.
+  /// Returns how long an upstream may take to answer a SYN before it is sent
+  /// again.
   [[nodiscard]] Millis synRetryDelay() const noexcept;
   /// Returns what to report to peers and clears it.
   placement::UpstreamReports takeReports() {
@@ -51,7 +52,7 @@
   void recordPeerTimeout(affinity::Tag Upstream, Endpoint Peer, TimePoint Now);
 
   struct Expired {
-    /// Flows whose clients sent nothing within the flow's timeout.
+    /// Flows whose clients sent nothing for too long.
     std::vector<placement::FlowTracker::Entry> Silent_;
     /// Requests that exceeded the latency objective without an answer.
     std::vector<FailedRequest> Overdue_;
--- a/src/medlarmoor/edge/packet_loop.cpp
+++ b/src/medlarmoor/edge/packet_loop.cpp
@@ -104,7 +104,7 @@
   std::visit(Overloaded{[&](const Deliver &Delivery) {
                           deliver(Datagram, *Packet, DatagramTag, Delivery);
                           if (Delivery.Reason_ == DeliverReason::Placed)
-                            scheduleRetry(*Packet, Datagram, Now);
+                            scheduleRetry(*Packet, Datagram, Now, Now);
                         },
                         [&](const Reject &) {
                           Reset = Codec_.MakeReset_(*Packet);
@@ -131,14 +131,14 @@
 
 void PacketLoop::scheduleRetry(const affinity::Packet &Packet,
                                std::span<const std::byte> Datagram,
-                               TimePoint Now) {
+                               TimePoint PlacedAt, TimePoint Now) {
   const TimePoint DueAt = Now + Forwarder_.synRetryDelay();
   // The retry delay may have become shorter since the last SYN; the queue must
   // stay in order.
   const TimePoint LastDueAt =
       PendingSyns_.empty() ? DueAt : PendingSyns_.back().DueAt_;
   PendingSyns_.push_back(
-      {Now, std::max(DueAt, LastDueAt), Packet,
+      {PlacedAt, std::max(DueAt, LastDueAt), Packet,
        std::vector<std::byte>(Datagram.begin(), Datagram.end())});
 }
 
@@ -176,6 +176,8 @@
     if (!Delivery)
       continue;
     deliver(Syn.Bytes_, Syn.Packet_, DatagramTag, *Delivery);
+    if (Delivery->Reason_ == DeliverReason::Repeated)
+      scheduleRetry(Syn.Packet_, Syn.Bytes_, Syn.PlacedAt_, Now);
     Log_.recordDecision(Syn.Packet_, *Delivery, Now);
   }
   flush();
--- a/src/medlarmoor/edge/packet_loop.hpp
+++ b/src/medlarmoor/edge/packet_loop.hpp
@@ -48,8 +48,7 @@
   void drain();
 
 private:
-  /// A SYN that is sent to another upstream unless its handshake completes by
-  /// DueAt_.
+  /// A SYN that is sent again unless its handshake completes by DueAt_.
   struct PendingSyn {
     TimePoint PlacedAt_;
     TimePoint DueAt_;
@@ -71,7 +70,8 @@
   void deliver(std::span<std::byte> Datagram, const affinity::Packet &Packet,
                affinity::Tag DatagramTag, const Deliver &Delivery);
   void scheduleRetry(const affinity::Packet &Packet,
-                     std::span<const std::byte> Datagram, TimePoint Now);
+                     std::span<const std::byte> Datagram, TimePoint PlacedAt,
+                     TimePoint Now);
   /// Starts the timer for the first pending SYN unless it is running.
   void armRetryTimer(TimePoint Now);
   void retryDueSyns();
--- a/src/medlarmoor/placement/flow_tracker.cpp
+++ b/src/medlarmoor/placement/flow_tracker.cpp
@@ -1,12 +1,21 @@
 #include <medlarmoor/placement/flow_tracker.hpp>
 
+#include <algorithm>
+
 namespace medlarmoor::placement {
 
 namespace {
 
-/// Interval at which each flow is checked: the maximum delay until a silent
-/// flow or an overdue answer is noticed.
-constexpr Millis CheckInterval{100};
+/// Returns the time at which something is due for the flow if its client sends
+/// nothing more.
+TimePoint nextDeadline(const TrackedFlow &Flow) noexcept {
+  TimePoint Deadline = Flow.LastPacketAt_ + Flow.IdleTimeout_;
+  if (Flow.Busy_ && !Flow.Silent_)
+    Deadline = std::min(Deadline, Flow.LastPacketAt_ + Flow.SilenceTimeout_);
+  if (Flow.awaitsAnswer())
+    Deadline = std::min(Deadline, Flow.DueAt_);
+  return Deadline;
+}
 
 } // namespace
 
@@ -16,29 +25,52 @@
 }
 
 TrackedFlow &FlowTracker::add(const affinity::FlowKey &Key,
-                              affinity::Tag Upstream, Millis IdleTimeout,
+                              affinity::Tag Upstream, Millis HandshakeTimeout,
                               TimePoint Now) {
   const auto [Slot, Inserted] = Flows_.try_emplace(Key);
   if (!Inserted)
     release(Slot->second);
-  else
-    Checks_.emplace_back(Now + CheckInterval, Key);
   TrackedFlow &Flow = Slot->second;
   Flow = {};
   Flow.Upstream_ = Upstream;
   Flow.FirstSeen_ = Now;
   Flow.PlacedAt_ = Now;
-  Flow.ExpiresAt_ = Now + IdleTimeout;
-  Flow.IdleTimeout_ = IdleTimeout;
+  Flow.LastPacketAt_ = Now;
+  Flow.SilenceTimeout_ = Flow.IdleTimeout_ = HandshakeTimeout;
   count(Flow);
+  scheduleCheck(Key, Flow);
   return Flow;
 }
 
+void FlowTracker::open(const affinity::FlowKey &Key, TrackedFlow &Flow,
+                       Millis SilenceTimeout, Millis IdleTimeout,
+                       TimePoint Now) {
+  Flow.Open_ = true;
+  Flow.OpenedAt_ = Now;
+  Flow.SilenceTimeout_ = SilenceTimeout;
+  Flow.IdleTimeout_ = std::max(SilenceTimeout, IdleTimeout);
+  touch(Flow, Now);
+  scheduleCheck(Key, Flow);
+}
+
+void FlowTracker::beginRequest(const affinity::FlowKey &Key, TrackedFlow &Flow,
+                               TimePoint DueAt, TimePoint Now) {
+  setBusy(Flow, true);
+  Flow.RequestSent_ = true;
+  Flow.Overdue_ = false;
+  Flow.RequestedAt_ = Now;
+  Flow.DueAt_ = DueAt;
+  Flow.RequestAck_ = Flow.LastAck_;
+  touch(Flow, Now);
+  scheduleCheck(Key, Flow);
+}
+
 void FlowTracker::move(TrackedFlow &Flow, affinity::Tag Upstream,
                        TimePoint Now) {
   release(Flow);
   Flow.Upstream_ = Upstream;
   Flow.PlacedAt_ = Now;
+  Flow.SynResent_ = false;
   count(Flow);
 }
 
@@ -51,7 +83,8 @@
 }
 
 void FlowTracker::touch(TrackedFlow &Flow, TimePoint Now) noexcept {
-  Flow.ExpiresAt_ = Now + Flow.IdleTimeout_;
+  Flow.LastPacketAt_ = Now;
+  Flow.Silent_ = false;
 }
 
 void FlowTracker::erase(const affinity::FlowKey &Key) {
@@ -64,27 +97,44 @@
 
 FlowTracker::Timeouts FlowTracker::expire(TimePoint Now) {
   Timeouts Found;
-  while (!Checks_.empty() && Checks_.front().first <= Now) {
-    const affinity::FlowKey Key = Checks_.front().second;
-    Checks_.pop_front();
+  while (!Checks_.empty() && Checks_.top().first <= Now) {
+    const auto [At, Key] = Checks_.top();
+    Checks_.pop();
     TrackedFlow *Flow = find(Key);
-    if (!Flow)
+    if (!Flow || Flow->NextCheck_ != At)
       continue;
-    if (Flow->Open_ && Flow->RequestSent_ && !Flow->Overdue_ &&
-        Flow->receivedBytes() == 0 && Now >= Flow->DueAt_) {
+    if (Flow->awaitsAnswer() && Now >= Flow->DueAt_) {
       Flow->Overdue_ = true;
       Found.Overdue_.emplace_back(Key, *Flow);
     }
-    if (Flow->ExpiresAt_ > Now) {
-      Checks_.emplace_back(Now + CheckInterval, Key);
+    const Nanos Silence = Now - Flow->LastPacketAt_;
+    const bool Expired = Silence >= Flow->IdleTimeout_;
+    if (!Flow->Silent_ &&
+        (Expired || (Flow->Busy_ && Silence >= Flow->SilenceTimeout_))) {
+      Found.Silent_.emplace_back(Key, *Flow);
+      Flow->Silent_ = true;
+      Flow->RequestSent_ = false;
+      setBusy(*Flow, false);
+    }
+    if (Expired) {
+      erase(Key);
       continue;
     }
-    Found.Silent_.emplace_back(Key, *Flow);
-    erase(Key);
+    Flow->NextCheck_ = TimePoint::max();
+    scheduleCheck(Key, *Flow);
   }
   return Found;
 }
 
+void FlowTracker::scheduleCheck(const affinity::FlowKey &Key,
+                                TrackedFlow &Flow) {
+  const TimePoint Deadline = nextDeadline(Flow);
+  if (Deadline >= Flow.NextCheck_)
+    return;
+  Flow.NextCheck_ = Deadline;
+  Checks_.emplace(Deadline, Key);
+}
+
 std::uint32_t FlowTracker::active(affinity::Tag Upstream) const noexcept {
   const auto Found = Counts_.find(Upstream);
   return Found == Counts_.end() ? 0 : Found->second.Active_;
--- a/src/medlarmoor/placement/tracked_flow.hpp
+++ b/src/medlarmoor/placement/tracked_flow.hpp
@@ -16,10 +16,15 @@
   TimePoint PlacedAt_{};
   /// Time at which the client answered the upstream; valid if Open_.
   TimePoint OpenedAt_{};
-  /// Time at which the flow expires if the client sends nothing more.
-  TimePoint ExpiresAt_{};
-  /// How long the flow is tracked after the client's last packet.
+  /// Time of the client's last packet.
+  TimePoint LastPacketAt_{};
+  /// How long the client may send nothing while its handshake or a request is
+  /// in progress, before that is taken as abandoned.
+  Millis SilenceTimeout_{0};
+  /// How long the flow is remembered after the client's last packet.
   Millis IdleTimeout_{0};
+  /// Time of the queued check that finds the flow's next deadline.
+  TimePoint NextCheck_ = TimePoint::max();
   /// True once the client has answered the upstream; the flow then stays at
   /// this upstream.
   bool Open_ = false;
@@ -30,6 +35,10 @@
   bool Busy_ = true;
   /// True if the answer to the current request has been reported as overdue.
   bool Overdue_ = false;
+  /// True if the silence of the client has been reported since its last packet.
+  bool Silent_ = false;
+  /// True if the SYN has been sent to Upstream_ again without its client.
+  bool SynResent_ = false;
   /// Start of the current request, and the time at which its answer becomes
   /// overdue.
   TimePoint RequestedAt_{};
@@ -52,6 +61,10 @@
   [[nodiscard]] std::uint32_t receivedBytes() const noexcept {
     return LastAck_ - RequestAck_;
   }
+  /// Returns true if the answer to the current request can become overdue.
+  [[nodiscard]] bool awaitsAnswer() const noexcept {
+    return Open_ && RequestSent_ && !Overdue_ && receivedBytes() == 0;
+  }
 };
 
 } // namespace medlarmoor::placement
--- a/test/placement/flow_tracker_test.cpp
+++ b/test/placement/flow_tracker_test.cpp
@@ -82,3 +82,39 @@
   CHECK(Flows.size() == 0);
   CHECK(Flows.active(A) == 0);
 }
+
+TEST_CASE(
+    "long flows: a flow is remembered for the idle timeout and is no load "
+    "after its client has gone silent") {
+  FlowTracker Flows;
+  TrackedFlow &Flow = Flows.add(key(1), A, Millis(1400), at(0));
+  Flows.open(key(1), Flow, Millis(1000), Millis(15000), at(10));
+  Flows.beginRequest(key(1), Flow, at(210), at(10));
+  CHECK(Flows.expire(at(200)).Overdue_.empty());
+  CHECK(Flows.expire(at(210)).Overdue_.size() == 1);
+  CHECK(Flows.expire(at(1000)).Silent_.empty());
+  CHECK(Flows.active(A) == 1);
+  FlowTracker::Timeouts Found = Flows.expire(at(1010));
+  REQUIRE(Found.Silent_.size() == 1);
+  CHECK(Found.Silent_[0].second.RequestSent_);
+  CHECK(Flows.active(A) == 0);
+  CHECK(Flows.expire(at(15000)).Silent_.empty());
+  CHECK(Flows.size() == 1);
+  Found = Flows.expire(at(15010));
+  CHECK(Found.Silent_.empty());
+  CHECK(Flows.size() == 0);
+}
+
+TEST_CASE("long flows: each request of a flow is checked at its own deadline") {
+  FlowTracker Flows;
+  TrackedFlow &Flow = Flows.add(key(1), A, Millis(1400), at(0));
+  Flows.open(key(1), Flow, Millis(1000), Millis(15000), at(10));
+  for (int Start = 1000; Start <= 9000; Start += 1000) {
+    Flows.beginRequest(key(1), Flow, at(Start + 200), at(Start));
+    CHECK(Flows.expire(at(Start + 199)).Overdue_.empty());
+    CHECK(Flows.expire(at(Start + 200)).Overdue_.size() == 1);
+    Flow.acknowledge(static_cast<std::uint32_t>(Start));
+    Flows.setBusy(Flow, false);
+  }
+  CHECK(Flows.size() == 1);
+}
