Never reset an open flow because handshakes go unanswered

Cause: three unanswered handshakes marked an upstream as silent, and a repeatable request on an open flow to it was reset. A serving upstream leaves handshakes unanswered when it is full, when it has just started, when its address is reused, when packets are lost, and when the observer was paused and placed SYNs that nobody waits for.

There is no evidence that only a dead upstream produces: an instance sees clients' packets only, and an entry also lapses when a serving upstream is cut off from the store. So the reset goes, and with it the mark that outlived the silence. New flows still avoid the upstream until it answers anything, or for 4 s without new evidence, so that a full one comes back by itself.

Tests: test_edge "unanswered handshakes: no request on an open flow is reset, whatever its kind", "... a flow at an upstream that is no longer listed is not reset", "full upstream: it takes new flows again once it answers a request", "in any order of unanswered handshakes, reports and answers, no packet of an open flow is reset". They replace "dark upstream: a repeatable request on a flow to it is reset at once", which took the same steps, asked for the reset and passed; "... counts as lost until the last flow to it is too old" goes with the mark. Their checks that new flows avoid the upstream and that unsafe requests and acknowledgements are delivered stay, for all kinds.

--- a/src/medlarmoor/edge/decision.hpp
+++ b/src/medlarmoor/edge/decision.hpp
@@ -34,9 +34,6 @@
   NoRoute,
   /// SYN: its service has no upstream.
   NoUpstream,
-  /// The upstream of its flow is silent. The request can be repeated, so that
-  /// its client asks again at once instead of waiting until its deadline.
-  UpstreamSilent,
 };
 
 /// Why a packet is dropped without an answer.
--- a/src/medlarmoor/edge/decision_log.cpp
+++ b/src/medlarmoor/edge/decision_log.cpp
@@ -31,8 +31,6 @@
     return "no_route";
   case RejectReason::NoUpstream:
     return "no_upstream";
-  case RejectReason::UpstreamSilent:
-    return "upstream_silent";
   }
   return "unknown";
 }
--- a/src/medlarmoor/edge/forwarder.cpp
+++ b/src/medlarmoor/edge/forwarder.cpp
@@ -174,10 +174,6 @@
       Catalog_.find(Flow && Flow->Open_ ? Flow->Upstream_ : Packet.Tag_);
   if (!Delivery.Upstream_)
     return Drop{DropReason::UnknownTag};
-  if (isLostRequest(Packet, *Delivery.Upstream_, Now)) {
-    Stats_.Flows_.erase(Packet.Flow_);
-    return Reject{RejectReason::UpstreamSilent};
-  }
   updateFlow(Flow, Packet, Now, Delivery);
   // Both ends echo the tag they last received, so both converge on this one.
   Packet.Tag_ = Delivery.Upstream_->Tag_;
@@ -285,18 +281,6 @@
                                      Now - Flow.RequestedAt_, Now);
 }
 
-bool Forwarder::isLostRequest(const affinity::Packet &Packet,
-                              const CatalogEntry &Upstream,
-                              TimePoint Now) const noexcept {
-  const bool HasLeft = Upstream.State_ == CatalogEntry::State::Retired;
-  if (Packet.PayloadBytes_ == 0 ||
-      !(HasLeft ? Stats_.Silence_.lost(Upstream.Tag_, Now)
-                : Stats_.Silence_.silent(Upstream.Tag_, Now)))
-    return false;
-  const routing::Route *Route = Routes_.find(Packet.Flow_.Virtual_);
-  return Route && Route->Kind_ != routing::RequestKind::Unsafe;
-}
-
 Millis Forwarder::requestTimeout(Endpoint Virtual) const noexcept {
   const routing::Route *Route = Routes_.find(Virtual);
   return Route && Route->Timeout_ > Millis(0) ? Route->Timeout_
--- a/src/medlarmoor/edge/forwarder.hpp
+++ b/src/medlarmoor/edge/forwarder.hpp
@@ -77,7 +77,10 @@
              placement::TrackedFlow *Flow,
              const discovery::CatalogEntry *Previous, TimePoint Now,
              Deliver &Delivery);
-  /// Handles a packet other than a SYN.
+  /// Handles a packet other than a SYN. It is never answered with a reset: what
+  /// an instance sees of an upstream, unanswered handshakes and requests, does
+  /// not tell one that has failed from one that is full or slow and serves the
+  /// flow.
   Decision handleEstablished(affinity::Packet &Packet, TimePoint Now);
   /// Opens the flow on the client's first packet after the handshake.
   void completeHandshake(placement::TrackedFlow &Flow,
@@ -103,11 +106,6 @@
   /// Records how long the upstream has taken to process the flow's request.
   void recordServiceTime(const affinity::FlowKey &Key,
                          const placement::TrackedFlow &Flow, TimePoint Now);
-  /// Returns true if Packet carries data of a request that its client may
-  /// repeat, and its upstream is silent.
-  [[nodiscard]] bool isLostRequest(const affinity::Packet &Packet,
-                                   const discovery::CatalogEntry &Upstream,
-                                   TimePoint Now) const noexcept;
   [[nodiscard]] Millis requestTimeout(Endpoint Virtual) const noexcept;
   [[nodiscard]] Millis latencyObjective(Endpoint Virtual) const noexcept;
 
--- a/src/medlarmoor/placement/silence_detector.cpp
+++ b/src/medlarmoor/placement/silence_detector.cpp
@@ -21,10 +21,9 @@
 /// How long an upstream without new evidence counts as silent. The store stops
 /// listing a crashed upstream at about that time.
 constexpr Millis SilenceLifetime{4000};
-/// Longest age of a flow, after which nothing is sent to an upstream that left.
-constexpr Millis MarkRetention{60'000};
 /// An upstream that has answered within this time is not silent, whatever the
-/// evidence: clients may leave handshakes unfinished.
+/// evidence: clients may leave handshakes unfinished, and a full upstream that
+/// answers requests will soon have room again.
 constexpr Millis MinSilence{250};
 /// Upstreams answer this instance if one has done so within this time.
 constexpr Millis ResponseLifetime{300};
@@ -107,22 +106,13 @@
          unanswered(Found->second, Now);
 }
 
-bool SilenceDetector::lost(affinity::Tag Upstream,
-                           TimePoint Now) const noexcept {
-  const auto Found = Records_.find(Upstream);
-  return Found != Records_.end() && Found->second.MarkedAt_ &&
-         unanswered(Found->second, Now);
-}
-
 std::vector<affinity::Tag> SilenceDetector::takeReports() {
   return std::exchange(Reports_, {});
 }
 
 void SilenceDetector::expire(TimePoint Now) {
   std::erase_if(Records_, [Now](const auto &Item) {
-    const Record &Evidence = Item.second;
-    return Now - Evidence.UpdatedAt_ >=
-           (Evidence.MarkedAt_ ? MarkRetention : TimeoutRetention);
+    return Now - Item.second.UpdatedAt_ >= TimeoutRetention;
   });
 }
 
--- a/src/medlarmoor/placement/silence_detector.hpp
+++ b/src/medlarmoor/placement/silence_detector.hpp
@@ -12,10 +12,10 @@
 
 namespace medlarmoor::placement {
 
-/// Recognizes upstreams that answer nothing at all: that have crashed without
-/// notice, or that cannot be reached. Upstreams answer handshakes at once also
-/// under load, so that several unanswered ones from several instances, without
-/// any sign of life here, are strong evidence.
+/// Recognizes upstreams that answer no handshakes: that have crashed without
+/// notice, cannot be reached or are full. New flows avoid such an upstream; the
+/// flows that it holds may still be served, so that nothing may be concluded
+/// about them.
 class SilenceDetector {
 public:
   /// Records that an upstream has left a handshake of this instance unanswered.
@@ -31,9 +31,6 @@
   /// Returns true if the upstream is silent while others answer this instance.
   [[nodiscard]] bool silent(affinity::Tag Upstream,
                             TimePoint Now) const noexcept;
-  /// Returns true if the upstream has been silent and has not answered since.
-  /// After it has left the store without notice, it will not answer any more.
-  [[nodiscard]] bool lost(affinity::Tag Upstream, TimePoint Now) const noexcept;
   /// Returns the upstreams to report to peers, those of unanswered handshakes
   /// since the last call, and clears the list.
   std::vector<affinity::Tag> takeReports();
