--- a/test/adapter/hostile_store_test.cpp
+++ b/test/adapter/hostile_store_test.cpp
@@ -92,6 +92,110 @@
   CHECK(Page->Items_[1].Value_);
 }
 
+namespace {
+
+/// The text of a good object with one field of its specification replaced.
+std::string oddObject(const std::string &Field, const std::string &Value) {
+  std::string Object = serverObject("i-7f3a91c2");
+  const std::size_t Begin =
+      Object.find("\"" + Field + "\":", Object.find("\"spec\"")) +
+      Field.size() + 3;
+  const std::size_t End = Object.find_first_of(",}", Begin);
+  return Object.replace(Begin, End - Begin, Value);
+}
+
+std::string nested(std::size_t Depth) {
+  return std::string(Depth, '[') + std::string(Depth, ']');
+}
+
+struct OddValue {
+  const char *What_;
+  const char *Field_;
+  std::string Value_;
+};
+
+const std::vector<OddValue> OddValues{
+    {"deeply nested", "service", nested(100'000)},
+    {"deeply nested objects", "version",
+     "{\"a\":" + nested(50'000) + ",\"b\":1}"},
+    {"a number that no double holds", "sequence", "1e999"},
+    {"a number that no double holds in a read field", "concurrency", "-1e999"},
+    {"a count above 64 bits", "concurrency", "99999999999999999999"},
+    {"a port out of range", "address", R"("10.128.0.9:70000")"},
+    {"a port above 64 bits", "address", R"("10.128.0.9:99999999999999999999")"},
+    {"a lone surrogate", "service", R"("\ud800")"},
+    {"an escape that does not exist", "service", R"("\x41")"},
+    {"bytes that are not UTF-8", "zone", "\"\xff\xfe\xc3(\x80\""},
+    {"a raw control character", "zone", "\"a\x01z\""},
+    {"no value", "zone", "nul"},
+};
+
+} // namespace
+
+// Guards against one odd entry that stops an instance or keeps it from reading
+// the other entries.
+TEST_CASE("another writer: an odd entry of a list names no upstream, and the "
+          "entries beside it are read") {
+  std::string Neighbour = serverObject("i-7f3a91c3");
+  Neighbour.replace(Neighbour.find("huvo11a"), 7, "caf\u00e9");
+  for (const OddValue &Odd : OddValues) {
+    INFO(Odd.What_);
+    const auto Page = readServers(listPage(serverObject("i-7f3a91c1") + "," +
+                                           oddObject(Odd.Field_, Odd.Value_) +
+                                           "," + Neighbour));
+    REQUIRE(Page);
+    CHECK(Page->Revision_ == 530);
+    CHECK(Page->LastName_ == "i-7f3a91c3");
+    REQUIRE(Page->Items_.size() == 3);
+    CHECK(Page->Items_[0].Value_);
+    // Fields that are not used may hold anything that can be parsed.
+    CHECK_FALSE(Page->Items_[1].Value_);
+    CHECK_FALSE(Page->Items_[1].Error_.empty());
+    CHECK(Page->Items_[1].Name_ == "i-7f3a91c2");
+    REQUIRE(Page->Items_[2].Value_);
+    CHECK(Page->Items_[2].Value_->Service_ == ServiceName("caf\u00e9"));
+  }
+}
+
+TEST_CASE("another writer: an odd entry in a watch names no upstream, and the "
+          "reader goes on behind it") {
+  for (const OddValue &Odd : OddValues) {
+    INFO(Odd.What_);
+    const auto Page = readServers(
+        R"({"storeRevision":531,"events":[{"object":)" +
+        oddObject(Odd.Field_, Odd.Value_) + R"(,"deleted":false},{"object":)" +
+        serverObject("i-7f3a91c3") + R"(,"deleted":true},{"deleted":false,)" +
+        R"("object":)" + serverObject("i-7f3a91c4") + "}]}");
+    REQUIRE(Page);
+    CHECK(Page->Revision_ == 531);
+    REQUIRE(Page->Items_.size() == 3);
+    CHECK_FALSE(Page->Items_[0].Value_);
+    CHECK_FALSE(Page->Items_[0].Error_.empty());
+    CHECK_FALSE(Page->Items_[1].Value_);
+    CHECK(Page->Items_[1].Error_.empty());
+    CHECK(Page->Items_[1].Name_ == "i-7f3a91c3");
+    CHECK(Page->Items_[2].Value_);
+  }
+}
+
+TEST_CASE("another writer: whatever one entry holds, the entries beside it are "
+          "read") {
+  CHECK(rc::check([] {
+    // Inside a string, so that the page stays balanced.
+    std::string Noise = *rc::gen::container<std::string>(rc::gen::suchThat(
+        rc::gen::arbitrary<char>(), [](char Byte) { return Byte != '"'; }));
+    Noise.erase(std::find(Noise.begin(), Noise.end(), '\\'), Noise.end());
+    const auto Page =
+        readServers(listPage(serverObject("i-7f3a91c1") + "," +
+                             oddObject("service", "\"" + Noise + "\"") + "," +
+                             serverObject("i-7f3a91c3")));
+    RC_ASSERT(Page.has_value());
+    RC_ASSERT(Page->Items_.size() == 3U);
+    RC_ASSERT(Page->Items_[0].Value_.has_value());
+    RC_ASSERT(Page->Items_[2].Value_.has_value());
+  }));
+}
+
 TEST_CASE("a warm-up time that is out of range is limited") {
   const auto Page = readServers(listPage(serverObject("i-7f3a91c2", "1e300")));
   REQUIRE(Page);
