--- a/test/adapter/hostile_store_test.cpp
+++ b/test/adapter/hostile_store_test.cpp
@@ -120,6 +120,7 @@
      "{\"a\":" + nested(50'000) + ",\"b\":1}"},
     {"a number that no double holds", "sequence", "1e999"},
     {"a number that no double holds in a read field", "concurrency", "-1e999"},
+    {"a count above 32 bits", "concurrency", "4294967301"},
     {"a count above 64 bits", "concurrency", "99999999999999999999"},
     {"a port out of range", "address", R"("10.128.0.9:70000")"},
     {"a port above 64 bits", "address", R"("10.128.0.9:99999999999999999999")"},
