Bound the nesting of peers' datagrams before they are decoded

A datagram of nested arrays could exhaust the stack: the CBOR decoder calls itself for each level (under AddressSanitizer test_edge "hostile peer: a deeply nested datagram is refused" ended with SIGSEGV). The nesting is now checked while parsing without building values, and decoding starts only below 17 levels; an announcement has 4.

Test: test_edge "hostile peer: nesting beyond the limit is refused in any place of an announcement"; without the check 17 levels are accepted and 100,000 end the process.

--- a/src/medlarmoor/peers/announcement_codec.cpp
+++ b/src/medlarmoor/peers/announcement_codec.cpp
@@ -14,9 +14,42 @@
 /// number. Additional fields after the known ones are ignored.
 constexpr unsigned LayoutVersion = 4;
 constexpr std::size_t FieldCount = 11;
+/// Deepest nesting that is decoded; announcements have less.
+constexpr std::size_t MaxDepth = 16;
 /// Upper bound of ages: one day, in milliseconds.
 constexpr std::uint64_t MaxAgeMs = 86'400'000;
 
+/// Ends the parsing at a nesting that is too deep. The decoder calls itself for
+/// each level, so that a datagram could exhaust the stack.
+class DepthLimit : public nlohmann::json_sax<Json> {
+public:
+  bool null() override { return true; }
+  bool boolean(bool) override { return true; }
+  bool number_integer(number_integer_t) override { return true; }
+  bool number_unsigned(number_unsigned_t) override { return true; }
+  bool number_float(number_float_t, const string_t &) override { return true; }
+  bool string(string_t &) override { return true; }
+  bool binary(binary_t &) override { return true; }
+  bool key(string_t &) override { return true; }
+  bool start_object(std::size_t) override { return enter(); }
+  bool end_object() override { return leave(); }
+  bool start_array(std::size_t) override { return enter(); }
+  bool end_array() override { return leave(); }
+  bool parse_error(std::size_t, const std::string &,
+                   const Json::exception &) override {
+    return false;
+  }
+
+private:
+  bool enter() noexcept { return ++Depth_ <= MaxDepth; }
+  bool leave() noexcept {
+    --Depth_;
+    return true;
+  }
+
+  std::size_t Depth_ = 0;
+};
+
 Json packEndpoint(Endpoint Packed) {
   return Json::array({Packed.address().value(), Packed.port()});
 }
@@ -115,6 +148,10 @@
 
 std::optional<Announcement> decode(std::span<const std::byte> Bytes) {
   const auto *First = reinterpret_cast<const std::uint8_t *>(Bytes.data());
+  DepthLimit Limit;
+  if (!Json::sax_parse(First, First + Bytes.size(), &Limit,
+                       Json::input_format_t::cbor, false))
+    return std::nullopt;
   try {
     // Throws for an array size that exceeds the memory even if exceptions are
     // disabled.
--- a/test/edge/hostile_peer_test.cpp
+++ b/test/edge/hostile_peer_test.cpp
@@ -138,3 +138,21 @@
   const std::vector<std::byte> Nested(4096, std::byte{0x81});
   CHECK_FALSE(peers::decode(Nested));
 }
+
+// Guards against a datagram whose nesting exhausts the stack of the decoder.
+TEST_CASE("hostile peer: nesting beyond the limit is refused in any place of "
+          "an announcement") {
+  const std::vector<std::byte> Sent = peers::encode({});
+  REQUIRE(peers::decode(Sent));
+  // 0x8N opens an array of N elements, 0x80 is an empty one.
+  const auto WithExtraField = [&](std::size_t Depth) {
+    std::vector<std::byte> Extended = Sent;
+    Extended[0] = std::byte(std::to_integer<unsigned>(Extended[0]) + 1);
+    Extended.insert(Extended.end(), Depth - 1, std::byte{0x81});
+    Extended.push_back(std::byte{0x80});
+    return peers::decode(Extended);
+  };
+  CHECK(WithExtraField(10));
+  CHECK_FALSE(WithExtraField(17));
+  CHECK_FALSE(WithExtraField(100'000));
+}
