--- a/test/edge/packet_loop_test.cpp
+++ b/test/edge/packet_loop_test.cpp
@@ -147,7 +147,8 @@
       Setup.Readiness_, Setup.Decisions_, [&] { return Setup.Fresh_; },
       Setup.Time_);
   REQUIRE(Packets.start());
-  for (std::uint16_t Port = 1; Port <= 2 * net::BatchPackets + 1; ++Port)
+  constexpr std::uint16_t Waiting = 2 * net::BatchPackets + 1;
+  for (std::uint16_t Port = 1; Port <= Waiting; ++Port)
     REQUIRE(Setup.Client_.send(Setup.Address_, synBytes(Port)));
   Setup.Fresh_.ResumedAt_ = Setup.Time_.now();
   Packets.drain();
