Keep upstreams whose entries cannot be read, without new flows

Cause: a watch that brought an unreadable entry retired the upstream, as if the entry had been deleted; when it could be read again it was discarded, because it had the `created` of the upstream that had "left".

An unreadable entry is now a state of its own (UpstreamChanges::Unreadable_): the upstream keeps its state and open flows and takes no new ones, and is used again with the change that makes the entry readable, on every instance, as instances pass the state on. What holds for deleted, lapsed, draining and restarted upstreams is unchanged.

Ruled out: accepting an entry with the old `created` again, which would bring back upstreams that an outdated copy still lists.

--- a/src/medlarmoor/discovery/catalog.cpp
+++ b/src/medlarmoor/discovery/catalog.cpp
@@ -24,9 +24,10 @@
 
 void Catalog::apply(UpstreamChanges Changes, StoreRevision Revision,
                     TimePoint Now) {
+  recordUnreadable(Changes, Revision);
   discardOutdated(Changes.Listed_, Changes.IsFullSnapshot_, Revision);
   if (Changes.IsFullSnapshot_) {
-    unlistMissing(Changes.Listed_, Revision, Now);
+    unlistMissing(Changes, Revision, Now);
     HistoryStart_ = Revision;
     Ready_ = true;
   }
@@ -84,10 +85,34 @@
   Entry->ReportedAt_ = Now;
 }
 
-void Catalog::unlistMissing(const std::vector<Upstream> &Listed,
+void Catalog::recordUnreadable(const UpstreamChanges &Changes,
+                               StoreRevision Revision) {
+  if (Changes.IsFullSnapshot_) {
+    const std::unordered_set<UpstreamName> Names(Changes.Unreadable_.begin(),
+                                                 Changes.Unreadable_.end());
+    std::erase_if(Unreadable_, [&](const auto &Item) {
+      return !Names.contains(Item.first);
+    });
+  }
+  for (const Upstream &Listed : Changes.Listed_)
+    if (Unreadable_.erase(Listed.Name_) > 0)
+      if (const auto Known = Entries_.find(Listed.Name_);
+          Known != Entries_.end())
+        Known->second->Revision_ = Revision;
+  for (const UpstreamName &Name : Changes.Removed_)
+    Unreadable_.erase(Name);
+  for (const UpstreamName &Name : Changes.Unreadable_) {
+    const auto [Known, Inserted] = Unreadable_.try_emplace(Name, Revision);
+    if (!Changes.IsFullSnapshot_)
+      Known->second = Revision;
+  }
+}
+
+void Catalog::unlistMissing(const UpstreamChanges &Changes,
                             StoreRevision Revision, TimePoint Now) {
-  std::unordered_set<UpstreamName> Names;
-  for (const Upstream &Item : Listed)
+  std::unordered_set<UpstreamName> Names(Changes.Unreadable_.begin(),
+                                         Changes.Unreadable_.end());
+  for (const Upstream &Item : Changes.Listed_)
     Names.insert(Item.Name_);
   for (const auto &[Name, Entry] : Entries_)
     if (Entry->State_ == State::Listed && !Names.contains(Name))
@@ -146,11 +171,15 @@
   for (const auto &[Name, Entry] : Entries_) {
     if (!Changes.IsFullSnapshot_ && Entry->Revision_ <= Revision)
       continue;
-    if (Entry->State_ == State::Listed)
+    const bool Listed = Entry->State_ == State::Listed;
+    if (Listed && !unreadable(Name))
       Changes.Listed_.push_back(Entry->Upstream_);
-    else if (!Changes.IsFullSnapshot_)
+    else if (!Listed && !Changes.IsFullSnapshot_)
       Changes.Removed_.push_back(Name);
   }
+  for (const auto &[Name, Since] : Unreadable_)
+    if (Changes.IsFullSnapshot_ || Since > Revision)
+      Changes.Unreadable_.push_back(Name);
   return Changes;
 }
 
@@ -170,7 +199,7 @@
       First = Entry.get();
   }
   for (const auto &[Tag, Entry] : EntriesByTag_)
-    if (Entry->acceptsNewFlows())
+    if (Entry->acceptsNewFlows() && !unreadable(Entry->Upstream_.Name_))
       Candidates_[Entry->Upstream_.Service_].push_back(Entry);
   for (auto &[Service, Entries] : Candidates_)
     std::sort(Entries.begin(), Entries.end(), [](const auto *A, const auto *B) {
--- a/src/medlarmoor/discovery/catalog.hpp
+++ b/src/medlarmoor/discovery/catalog.hpp
@@ -35,6 +35,10 @@
   /// Returns the upstreams of a service that accept new flows, ordered by name.
   [[nodiscard]] const std::vector<const CatalogEntry *> &
   candidates(const ServiceName &Service) const noexcept;
+  /// Returns true if the entry of the upstream cannot be read.
+  [[nodiscard]] bool unreadable(const UpstreamName &Name) const noexcept {
+    return Unreadable_.contains(Name);
+  }
   /// Returns the number of upstreams that the store lists.
   [[nodiscard]] std::size_t listedCount() const noexcept;
   /// Returns the changes after Revision, or a full snapshot if the catalog no
@@ -56,9 +60,11 @@
   /// Lapsed if the upstream may register again after an outage, otherwise to
   /// Retired.
   void unlist(CatalogEntry &Entry, StoreRevision Revision, TimePoint Now);
-  /// Calls unlist() for all listed upstreams that are missing from Listed.
-  void unlistMissing(const std::vector<Upstream> &Listed,
-                     StoreRevision Revision, TimePoint Now);
+  /// Calls unlist() for all listed upstreams that are missing from Changes.
+  void unlistMissing(const UpstreamChanges &Changes, StoreRevision Revision,
+                     TimePoint Now);
+  /// Records which entries cannot be read.
+  void recordUnreadable(const UpstreamChanges &Changes, StoreRevision Revision);
   /// Recomputes EntriesByTag_ and Candidates_ from Entries_.
   void rebuild();
   /// Returns true if upstreams may still register again after an outage.
@@ -69,6 +75,10 @@
   std::unordered_map<affinity::Tag, const CatalogEntry *> EntriesByTag_;
   std::unordered_map<ServiceName, std::vector<const CatalogEntry *>>
       Candidates_;
+  /// Names of the entries that cannot be read, with the revision of that
+  /// change. Another writer may have spoilt the entry of an upstream that
+  /// serves: it keeps its state and takes no new flows meanwhile.
+  std::unordered_map<UpstreamName, StoreRevision> Unreadable_;
   std::optional<TimePoint> StoreRecoveredAt_;
   /// The individual changes up to this revision are not available, because a
   /// full snapshot replaced them or because upstreams were evicted.
--- a/src/medlarmoor/edge/edge_server.cpp
+++ b/src/medlarmoor/edge/edge_server.cpp
@@ -209,12 +209,16 @@
   discovery::UpstreamChanges Changes;
   Changes.IsFullSnapshot_ = Complete;
   for (auto &Item : Items) {
-    if (!Item.Error_.empty())
+    const UpstreamName Name(Item.Name_);
+    // A list repeats what is known already.
+    if (!Item.Error_.empty() && !(Complete && Catalog_.unreadable(Name)))
       Log_.warn("upstream_unreadable",
                 {{"name", Item.Name_}, {"reason", Item.Error_}});
     if (Item.Value_)
       Changes.Listed_.push_back(std::move(*Item.Value_));
-    else if (!Complete)
+    else if (!Item.Error_.empty() && !Item.Name_.empty())
+      Changes.Unreadable_.push_back(Name);
+    else if (!Complete && !Item.Name_.empty())
       Changes.Removed_.emplace_back(Item.Name_);
   }
   applyUpstreams(std::move(Changes));
--- a/src/medlarmoor/edge/snapshot_codec.cpp
+++ b/src/medlarmoor/edge/snapshot_codec.cpp
@@ -114,6 +114,10 @@
     Parsed.Listed_.push_back(readUpstream(Entry));
   for (const Json &Name : Source.at("removed"))
     Parsed.Removed_.emplace_back(Name.get<std::string>());
+  // Instances of earlier versions do not send it.
+  if (Source.contains("unreadable"))
+    for (const Json &Name : Source.at("unreadable"))
+      Parsed.Unreadable_.emplace_back(Name.get<std::string>());
   return Parsed;
 }
 
@@ -156,6 +160,9 @@
   Json &Removed = Document["removed"] = Json::array();
   for (const UpstreamName &Name : Value.Changes_.Removed_)
     Removed.push_back(Name.value());
+  Json &Unreadable = Document["unreadable"] = Json::array();
+  for (const UpstreamName &Name : Value.Changes_.Unreadable_)
+    Unreadable.push_back(Name.value());
   return Document.dump();
 }
 
--- a/test/discovery/catalog_test.cpp
+++ b/test/discovery/catalog_test.cpp
@@ -265,3 +265,133 @@
   Peer.apply(Reader.changesSince(revision(50)), revision(52), at(50));
   CHECK(stateOf(Peer, "i-1") == State::Retired);
 }
+
+namespace {
+
+/// Two upstreams, created at revisions 5 and 6, whose entries another writer
+/// spoils.
+struct SpoiltEntries {
+  SpoiltEntries() {
+    First_.CreatedRevision_ = 5;
+    First_.StartedAt_ = WallTime(Millis(1000));
+    Second_.CreatedRevision_ = 6;
+    Second_.StartedAt_ = WallTime(Millis(1000));
+    Upstreams_.apply(whole({First_, Second_}), revision(10), at(0));
+  }
+  [[nodiscard]] std::size_t candidates() const {
+    return Upstreams_.candidates(Web).size();
+  }
+
+  Upstream First_ = upstream("i-1");
+  Upstream Second_ = upstream("i-2");
+  Catalog Upstreams_{{}};
+};
+
+} // namespace
+
+// Guards against upstreams that stay out of use after another writer has spoilt
+// their entries for a moment.
+TEST_CASE(
+    "unreadable entry: no new flow goes there until it can be read again, "
+    "and then at once") {
+  SpoiltEntries Setup;
+  Setup.Upstreams_.apply(unreadable("i-1"), revision(11), at(100));
+  CHECK(Setup.candidates() == 1);
+  CHECK(stateOf(Setup.Upstreams_, "i-1") == State::Listed);
+  Setup.Upstreams_.apply(listed({Setup.First_}), revision(12), at(1300));
+  CHECK(Setup.candidates() == 2);
+}
+
+TEST_CASE(
+    "unreadable entries of a whole service: it has no upstream until they "
+    "can be read again") {
+  SpoiltEntries Setup;
+  Setup.Upstreams_.apply(unreadable("i-1"), revision(11), at(100));
+  Setup.Upstreams_.apply(unreadable("i-2"), revision(12), at(100));
+  CHECK(Setup.candidates() == 0);
+  Setup.Upstreams_.expire(at(90'000));
+  Setup.Upstreams_.apply(listed({Setup.First_, Setup.Second_}), revision(14),
+                         at(90'000));
+  CHECK(Setup.candidates() == 2);
+}
+
+TEST_CASE("unreadable entry: one that is deleted meanwhile retires its "
+          "upstream") {
+  SpoiltEntries Setup;
+  Setup.Upstreams_.apply(unreadable("i-1"), revision(11), at(100));
+  Setup.Upstreams_.apply(unlisted("i-1"), revision(12), at(200));
+  CHECK(stateOf(Setup.Upstreams_, "i-1") == State::Retired);
+  CHECK_FALSE(Setup.Upstreams_.unreadable(UpstreamName("i-1")));
+  Setup.Upstreams_.apply(listed({Setup.First_}), revision(13), at(300));
+  CHECK(Setup.candidates() == 1);
+}
+
+TEST_CASE("unreadable entry: an upstream that drains goes on draining") {
+  SpoiltEntries Setup;
+  Upstream Draining = Setup.First_;
+  Draining.Draining_ = true;
+  Setup.Upstreams_.apply(listed({Draining}), revision(11), at(100));
+  Setup.Upstreams_.apply(unreadable("i-1"), revision(12), at(200));
+  Setup.Upstreams_.apply(listed({Setup.First_}), revision(13), at(300));
+  CHECK(Setup.candidates() == 1);
+}
+
+TEST_CASE("unreadable entry in a list: the upstream is kept, also across a "
+          "restore of the store") {
+  for (const std::uint64_t Epoch : {1U, 2U}) {
+    SpoiltEntries Setup;
+    UpstreamChanges List = whole({Setup.Second_});
+    List.Unreadable_ = {UpstreamName("i-1")};
+    Setup.Upstreams_.apply(List, revision(11, Epoch), at(100));
+    CHECK(Setup.candidates() == 1);
+    CHECK(stateOf(Setup.Upstreams_, "i-1") == State::Listed);
+    SECTION("it can be read in a later watch, epoch " + std::to_string(Epoch)) {
+      Setup.Upstreams_.apply(listed({Setup.First_}), revision(12, Epoch),
+                             at(1300));
+      CHECK(Setup.candidates() == 2);
+    }
+    SECTION("it can be read in a later list, epoch " + std::to_string(Epoch)) {
+      Setup.Upstreams_.apply(whole({Setup.First_, Setup.Second_}),
+                             revision(12, Epoch), at(1300));
+      CHECK(Setup.candidates() == 2);
+    }
+  }
+}
+
+TEST_CASE("unreadable entry: an upstream whose process started anew is used") {
+  SpoiltEntries Setup;
+  Setup.Upstreams_.apply(unreadable("i-1"), revision(11), at(100));
+  Upstream Restarted = Setup.First_;
+  Restarted.StartedAt_ = WallTime(Millis(2000));
+  Restarted.CreatedRevision_ = 12;
+  Setup.Upstreams_.apply(listed({Restarted}), revision(12), at(300));
+  CHECK(Setup.candidates() == 2);
+}
+
+TEST_CASE("unreadable entry: peers learn that it is and that it can be read "
+          "again") {
+  SpoiltEntries Reader;
+  SpoiltEntries Peer;
+  Catalog Started({});
+  Reader.Upstreams_.apply(unreadable("i-1"), revision(11), at(100));
+  Peer.Upstreams_.apply(Reader.Upstreams_.changesSince(revision(10)),
+                        revision(11), at(150));
+  CHECK(Peer.candidates() == 1);
+  CHECK(stateOf(Peer.Upstreams_, "i-1") == State::Listed);
+  Started.apply(Reader.Upstreams_.changesSince({}), revision(11), at(150));
+  CHECK(Started.candidates(Web).size() == 1);
+
+  SECTION("in a watch of the reader") {
+    Reader.Upstreams_.apply(listed({Reader.First_}), revision(12), at(1300));
+  }
+  SECTION("in a list of the reader") {
+    Reader.Upstreams_.apply(whole({Reader.First_, Reader.Second_}),
+                            revision(12), at(1300));
+  }
+  Peer.Upstreams_.apply(Reader.Upstreams_.changesSince(revision(11)),
+                        revision(12), at(1350));
+  CHECK(Peer.candidates() == 2);
+  Started.apply(Reader.Upstreams_.changesSince(revision(11)), revision(12),
+                at(1350));
+  CHECK(Started.candidates(Web).size() == 2);
+}
--- a/test/edge/snapshot_codec_test.cpp
+++ b/test/edge/snapshot_codec_test.cpp
@@ -59,6 +59,15 @@
   CHECK(Decoded->Changes_.Removed_ == Encoded.Changes_.Removed_);
 }
 
+TEST_CASE("a snapshot names the upstreams whose entries are unreadable") {
+  const Snapshot<discovery::UpstreamChanges> Encoded{
+      {revision(20), revision(18), Millis(40), {Ipv4(0x0a010010), 7720}},
+      harness::unreadable("i-1")};
+  const auto Decoded = readUpstreamChanges(encode(Encoded));
+  REQUIRE(Decoded);
+  CHECK(Decoded->Changes_.Unreadable_ == Encoded.Changes_.Unreadable_);
+}
+
 TEST_CASE("text that is not a snapshot is rejected") {
   for (const char *Text : {"", "{", "[]", "{}", R"({"upto":1})",
                            R"({"upto":1,"changed":1,"age_ms":1,"whole":true,)"
--- a/test/harness/catalog_builder.hpp
+++ b/test/harness/catalog_builder.hpp
@@ -49,6 +49,12 @@
   return {false, {}, {UpstreamName(Name)}};
 }
 
+/// The entry of this upstream cannot be read.
+[[nodiscard]] inline discovery::UpstreamChanges
+unreadable(const std::string &Name) {
+  return {false, {}, {}, {UpstreamName(Name)}};
+}
+
 } // namespace medlarmoor::harness
 
 #endif // MEDLARMOOR_HARNESS_CATALOG_BUILDER_HPP
