Split the members of an object once

Each object was scanned once for its meta and once for its specification, and characters were searched for with find_first_of. One scan yields all members now, with a loop over the characters. No change of what is read; test_core and test_adapter pass.

--- a/src/medlarmoor/core/json_text.cpp
+++ b/src/medlarmoor/core/json_text.cpp
@@ -18,26 +18,33 @@
 /// Returns the position after the string that begins at the quote at Begin, or
 /// the end of Text if it is not terminated.
 std::size_t endOfString(std::string_view Text, std::size_t Begin) noexcept {
-  std::size_t At = Begin + 1;
-  while ((At = Text.find_first_of("\"\\", At)) != std::string_view::npos) {
+  for (std::size_t At = Begin + 1; At < Text.size(); ++At)
     if (Text[At] == '"')
       return At + 1;
-    At += 2;
-  }
+    else if (Text[At] == '\\')
+      ++At;
   return Text.size();
 }
 
-/// Calls Visit for each bracket, comma and colon outside of strings, with its
+/// Calls Visit for each bracket and comma outside of strings, with its
 /// position.
 template <typename Visitor>
 void visitStructure(std::string_view Text, Visitor Visit) {
-  std::size_t At = 0;
-  while ((At = Text.find_first_of("\"[]{},:", At)) != std::string_view::npos) {
-    if (Text[At] == '"') {
+  for (std::size_t At = 0; At < Text.size();) {
+    switch (Text[At]) {
+    case '"':
       At = endOfString(Text, At);
       continue;
+    case '[':
+    case ']':
+    case '{':
+    case '}':
+    case ',':
+      Visit(Text[At], At);
+      break;
+    default:
+      break;
     }
-    Visit(Text[At], At);
     ++At;
   }
 }
@@ -90,9 +97,8 @@
   return split(Text, '[', ']');
 }
 
-std::vector<std::pair<std::string_view, std::string_view>>
-jsonMembers(std::string_view Text) {
-  std::vector<std::pair<std::string_view, std::string_view>> Members;
+JsonMembers jsonMembers(std::string_view Text) {
+  JsonMembers Members;
   for (const std::string_view Part : split(Text, '{', '}')) {
     if (Part.empty() || Part.front() != '"')
       return {};
@@ -106,8 +112,8 @@
   return Members;
 }
 
-std::string_view jsonMember(std::string_view Text, std::string_view Key) {
-  for (const auto &[Name, Value] : jsonMembers(Text))
+std::string_view jsonMember(const JsonMembers &Members, std::string_view Key) {
+  for (const auto &[Name, Value] : Members)
     if (Name == Key)
       return Value;
   return {};
--- a/src/medlarmoor/core/json_text.hpp
+++ b/src/medlarmoor/core/json_text.hpp
@@ -19,14 +19,16 @@
 /// or has unbalanced brackets.
 [[nodiscard]] std::vector<std::string_view> jsonElements(std::string_view Text);
 
-/// Returns the text of each member of an object, with its key as written
-/// between the quotes; empty if Text is not an object or has unbalanced
-/// brackets.
-[[nodiscard]] std::vector<std::pair<std::string_view, std::string_view>>
-jsonMembers(std::string_view Text);
-
-/// Returns the text of the member with this key; empty if there is none.
-[[nodiscard]] std::string_view jsonMember(std::string_view Text,
+/// Keys of an object as written between the quotes, and the text of their
+/// values.
+using JsonMembers = std::vector<std::pair<std::string_view, std::string_view>>;
+
+/// Returns the members of an object; empty if Text is not an object or has
+/// unbalanced brackets.
+[[nodiscard]] JsonMembers jsonMembers(std::string_view Text);
+
+/// Returns the text of the value with this key; empty if there is none.
+[[nodiscard]] std::string_view jsonMember(const JsonMembers &Members,
                                           std::string_view Key);
 
 } // namespace medlarmoor
--- a/test/core/json_text_test.cpp
+++ b/test/core/json_text_test.cpp
@@ -11,8 +11,9 @@
         std::vector<std::string_view>{"1", "[2,3]", "{\"a\":\"],\\\"\"}",
                                       "\"x,y\""});
   CHECK(jsonElements(" [ ] ").empty());
-  CHECK(jsonMember("{\"a\":1,\"b\" : {\"a\":2} }", "b") == "{\"a\":2}");
-  CHECK(jsonMember("{\"a\":1}", "c").empty());
+  CHECK(jsonMember(jsonMembers("{\"a\":1,\"b\" : {\"a\":2} }"), "b") ==
+        "{\"a\":2}");
+  CHECK(jsonMember(jsonMembers("{\"a\":1}"), "c").empty());
 }
 
 TEST_CASE("JSON text that is cut or has unbalanced brackets has no parts") {
